--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,71 @@
+import js from '@eslint/js';
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+// Slices from the lowest layer to the highest. A slice may import from slices of a lower layer only;
+// slices that share a layer do not import from each other.
+const LAYERS = [
+	['base'],
+	['settings', 'platform', 'peers'],
+	['configuration', 'membership', 'idempotency'],
+	['backends', 'scheduling'],
+	['dispatch'],
+	['callers'],
+	['admin'],
+	['daemon', 'cli'],
+];
+
+function layerRules() {
+	return LAYERS.flatMap((slices, level) =>
+		slices.map((slice) => {
+			const forbidden = LAYERS.slice(level)
+				.flat()
+				.filter((other) => other !== slice);
+			const patterns = forbidden.map((other) => ({
+				regex: `^(\\.\\./)+${other}/`,
+				message: `src/${slice} must not import from src/${other}: imports go to lower layers only.`,
+			}));
+			patterns.push({
+				regex: '^(\\.\\./)+(standins|tools|deployments)/',
+				message: 'Product code must not import stand-ins, tools or deployments.',
+			});
+			return {
+				files: [`src/${slice}/**/*.ts`],
+				ignores: ['**/test/**', '**/*.test.ts'],
+				rules: { '@typescript-eslint/no-restricted-imports': ['error', { patterns }] },
+			};
+		}),
+	);
+}
+
+// Code under common/ runs without Node.js, so it must not reach into node/ or import Node.js modules.
+const commonRule = {
+	files: ['src/*/common/**/*.ts'],
+	ignores: ['**/generated/**', '**/test/**'],
+	rules: {
+		'no-restricted-imports': [
+			'error',
+			{ patterns: [{ regex: '^node:|/node/', message: 'common/ must not depend on Node.js or on node/ modules.' }] },
+		],
+	},
+};
+
+export default tseslint.config(
+	{ ignores: ['dist', 'node_modules', 'coverage', '**/generated/**'] },
+	js.configs.recommended,
+	{
+		files: ['**/*.ts'],
+		extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+		languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+		rules: {
+			'@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
+			'@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
+			'@typescript-eslint/prefer-readonly': 'error',
+			'@typescript-eslint/no-empty-function': ['error', { allow: ['private-constructors'] }],
+			'@typescript-eslint/no-extraneous-class': ['error', { allowStaticOnly: true, allowConstructorOnly: true }],
+		},
+	},
+	commonRule,
+	...layerRules(),
+	prettier,
+);
