--- a/eslint.config.js
+++ b/eslint.config.js
@@ -61,6 +61,10 @@
 			'@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
 			'@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
 			'@typescript-eslint/prefer-readonly': 'error',
+			// Effects without a value are written Effect.callback<void, Failure>.
+			'@typescript-eslint/no-invalid-void-type': 'off',
+			// Generator functions have no arrow form, so methods written with Effect.gen need a name for their object.
+			'@typescript-eslint/no-this-alias': ['error', { allowedNames: ['self'] }],
 			'@typescript-eslint/no-empty-function': ['error', { allow: ['private-constructors'] }],
 			'@typescript-eslint/no-extraneous-class': ['error', { allowStaticOnly: true, allowConstructorOnly: true }],
 		},
--- /dev/null
+++ b/src/membership/node/membershipService.ts
@@ -0,0 +1,131 @@
+import { Effect, Fiber } from 'effect';
+import { Emitter } from '../../base/common/event.js';
+import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { rendezvous } from '../../base/common/shortKey.js';
+import { logOf } from '../../base/node/log.js';
+import type { IPeerNetwork, PeerStatus } from '../../peers/common/peerNetwork.js';
+import type { IInstanceList, ListedInstance } from '../../platform/common/instanceList.js';
+import type { IMembershipService, RouterStatus } from '../common/membershipService.js';
+
+const LIST_INTERVAL_MS = 1_000;
+
+const log = logOf('membership');
+
+/** Identity of this router. */
+export interface LocalRouter {
+	readonly instance: string;
+	readonly incarnation: string;
+	readonly failureDomain: string;
+}
+
+/** Joins the late instance list with what the peer streams show. */
+export class MembershipService extends Disposable implements IMembershipService {
+	private readonly changeEmitter = this.register(Emitter.create<readonly RouterStatus[]>());
+	private listed: readonly ListedInstance[] = [];
+	private listRead = false;
+	private localLeaving = false;
+	private fingerprint = '';
+
+	public readonly onDidChange = this.changeEmitter.event;
+
+	private constructor(
+		private readonly local: LocalRouter,
+		private readonly network: IPeerNetwork,
+		private readonly list: IInstanceList,
+	) {
+		super();
+		this.register(network.onDidChangePeer(() => this.refresh()));
+	}
+
+	/**
+	 * @param local identity of this router
+	 * @param network streams to peers
+	 * @param list the platform's instance list
+	 * @returns a service that has not read the list yet
+	 */
+	public static create(local: LocalRouter, network: IPeerNetwork, list: IInstanceList): MembershipService {
+		return new MembershipService(local, network, list);
+	}
+
+	/** Starts to follow the instance list, until disposed. */
+	public start(): void {
+		const fiber = Effect.runFork(this.followList());
+		this.register(toDisposable(() => Effect.runFork(Fiber.interrupt(fiber))));
+	}
+
+	/** Takes no role from now on and tells the peers. */
+	public leave(): void {
+		this.localLeaving = true;
+		this.network.announce({ leaving: true });
+		this.refresh();
+	}
+
+	public liveRouters(): readonly RouterStatus[] {
+		const routers = this.network.peers().filter(isLive).map(toRouter);
+		if (this.localLeaving && routers.length > 0) {
+			return routers;
+		}
+		return [...routers, { ...this.local, configurationVersion: 0, local: true }];
+	}
+
+	public silentRouters(): number {
+		const names = new Set(this.listed.filter((item) => !item.leaving).map((item) => item.name));
+		return this.network.peers().filter((peer) => peer.state === 'silent' && names.has(peer.instance)).length;
+	}
+
+	public ownerOf(key: string): string {
+		const names = this.liveRouters().map((router) => router.instance);
+		return rendezvous(key, names) ?? this.local.instance;
+	}
+
+	public isLeaving(backendServer: string): boolean {
+		return this.listed.some((item) => item.role === 'backend' && item.name === backendServer && item.leaving);
+	}
+
+	public isSettled(): boolean {
+		return this.listRead && this.network.peers().every((peer) => peer.state !== 'connecting');
+	}
+
+	private followList(): Effect.Effect<never> {
+		const self = this;
+		return Effect.gen(function* () {
+			for (;;) {
+				const result = yield* Effect.exit(self.list.fetch());
+				if (result._tag === 'Success') {
+					self.applyList(result.value);
+				} else {
+					log.debug('The instance list cannot be read.');
+				}
+				yield* Effect.sleep(LIST_INTERVAL_MS);
+			}
+		});
+	}
+
+	private applyList(listed: readonly ListedInstance[]): void {
+		this.listed = listed;
+		this.listRead = true;
+		const others = listed.filter((item) => item.role === 'router' && item.name !== this.local.instance);
+		this.network.setEndpoints(others.map((item) => ({ instance: item.name, address: item.address })));
+		this.refresh();
+	}
+
+	private refresh(): void {
+		const live = this.liveRouters().map((router) => `${router.instance}/${router.incarnation}`);
+		const leaving = this.listed.filter((item) => item.leaving).map((item) => item.name);
+		const fingerprint = JSON.stringify([live.sort(), leaving.sort(), this.silentRouters()]);
+		if (fingerprint === this.fingerprint) {
+			return;
+		}
+		this.fingerprint = fingerprint;
+		this.changeEmitter.fire(this.liveRouters());
+	}
+}
+
+function isLive(peer: PeerStatus): boolean {
+	return peer.state === 'connected' && !peer.leaving;
+}
+
+function toRouter(peer: PeerStatus): RouterStatus {
+	const { instance, incarnation, failureDomain, configurationVersion } = peer;
+	return { instance, incarnation, failureDomain, configurationVersion, local: false };
+}
--- /dev/null
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -0,0 +1,335 @@
+import { randomBytes } from 'node:crypto';
+import * as grpc from '@grpc/grpc-js';
+import { Effect, Fiber } from 'effect';
+import { Emitter } from '../../base/common/event.js';
+import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { logOf } from '../../base/node/log.js';
+import {
+	type FetchConfigurationRequest,
+	type FetchConfigurationResponse,
+	type PeerFrame,
+	PeerServiceClient,
+	PeerServiceService,
+} from '../common/generated/masticloom/peers/v1/peers.js';
+import type {
+	IPeerNetwork,
+	PeerEndpoint,
+	PeerFrameParts,
+	PeerMessage,
+	PeerState,
+	PeerStatus,
+} from '../common/peerNetwork.js';
+import { PeerSession, type SessionEnd } from './peerSession.js';
+
+const RECONNECT_DELAY_MS = 200;
+const FETCH_TIMEOUT_MS = 2_000;
+const INCARNATION_BYTES = 8;
+
+// Each attempt uses its own connection, so that the channel's own backoff does not delay the next one.
+const CHANNEL_OPTIONS: grpc.ChannelOptions = {
+	'grpc.use_local_subchannel_pool': 1,
+	'grpc.enable_retries': 0,
+	'grpc.enable_http_proxy': 0,
+};
+
+const log = logOf('peers');
+
+interface PeerRecord {
+	endpoint: PeerEndpoint;
+	state: PeerState;
+	incarnation: string;
+	failureDomain: string;
+	configurationVersion: number;
+	leaving: boolean;
+	session: PeerSession | undefined;
+	dialer: Fiber.Fiber<unknown> | undefined;
+}
+
+/** Options of a peer network. */
+export interface PeerNetworkOptions {
+	readonly instance: string;
+	readonly failureDomain: string;
+	/** `host:port` to listen on */
+	readonly address: string;
+	/** Credentials for accepting streams. */
+	readonly serverCredentials: () => grpc.ServerCredentials;
+	/** Credentials for opening streams. */
+	readonly clientCredentials: () => grpc.ChannelCredentials;
+	/** Answers a peer that asks for the configuration. */
+	readonly serveConfiguration: (request: FetchConfigurationRequest) => FetchConfigurationResponse;
+}
+
+/** Streams over gRPC. Of two routers, the one with the lower instance name opens the stream. */
+export class GrpcPeerNetwork extends Disposable implements IPeerNetwork {
+	private readonly records = new Map<string, PeerRecord>();
+	private readonly changeEmitter = this.register(Emitter.create<PeerStatus>());
+	private readonly receiveEmitter = this.register(Emitter.create<PeerMessage>());
+	private readonly server = new grpc.Server();
+	private configurationVersion = 0;
+	private leaving = false;
+
+	public readonly onDidChangePeer = this.changeEmitter.event;
+	public readonly onDidReceive = this.receiveEmitter.event;
+	/** Random identifier of this process. */
+	public readonly incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+
+	private constructor(private readonly options: PeerNetworkOptions) {
+		super();
+		this.register(toDisposable(() => this.server.forceShutdown()));
+		this.register(toDisposable(() => this.stopAll()));
+	}
+
+	/**
+	 * @param options name, address and credentials of this router
+	 * @returns a network that does not listen yet
+	 */
+	public static create(options: PeerNetworkOptions): GrpcPeerNetwork {
+		return new GrpcPeerNetwork(options);
+	}
+
+	/**
+	 * Starts to accept streams.
+	 *
+	 * @returns the port that was bound
+	 * @throws Error when the address cannot be bound
+	 */
+	public listen(): Promise<number> {
+		this.server.addService(PeerServiceService, {
+			connect: (stream: grpc.ServerDuplexStream<PeerFrame, PeerFrame>) => this.accept(stream),
+			fetchConfiguration: (
+				call: grpc.ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
+				reply: grpc.sendUnaryData<FetchConfigurationResponse>,
+			) => reply(null, this.options.serveConfiguration(call.request)),
+		});
+		return new Promise((resolve, reject) => {
+			this.server.bindAsync(this.options.address, this.options.serverCredentials(), (error, port) => {
+				if (error) {
+					reject(error);
+					return;
+				}
+				resolve(port);
+			});
+		});
+	}
+
+	public send(instance: string, parts: PeerFrameParts): boolean {
+		const record = this.records.get(instance);
+		if (record?.session === undefined || record.state !== 'connected') {
+			return false;
+		}
+		record.session.post(parts);
+		return true;
+	}
+
+	public peers(): readonly PeerStatus[] {
+		return [...this.records.values()].map(toStatus);
+	}
+
+	public setEndpoints(endpoints: readonly PeerEndpoint[]): void {
+		const wanted = new Map(endpoints.map((endpoint) => [endpoint.instance, endpoint]));
+		for (const [instance, record] of this.records) {
+			// A connected peer that the late list no longer shows stays until its stream ends.
+			if (!wanted.has(instance) && record.state !== 'connected') {
+				this.records.delete(instance);
+				stopDialer(record);
+			}
+		}
+		for (const endpoint of wanted.values()) {
+			const record = this.recordOf(endpoint.instance);
+			const moved = record.endpoint.address !== endpoint.address;
+			record.endpoint = endpoint;
+			if (this.options.instance < endpoint.instance && (record.dialer === undefined || moved)) {
+				stopDialer(record);
+				record.dialer = Effect.runFork(this.dialForever(record));
+			}
+		}
+	}
+
+	public announce(announcement: { readonly configurationVersion?: number; readonly leaving?: boolean }): void {
+		this.configurationVersion = announcement.configurationVersion ?? this.configurationVersion;
+		this.leaving = announcement.leaving ?? this.leaving;
+		for (const record of this.records.values()) {
+			record.session?.post(this.heartbeat());
+		}
+	}
+
+	/**
+	 * Asks a peer for its configuration.
+	 *
+	 * @param instance name of the peer
+	 * @param haveVersion version that this router has; 0 for none
+	 * @returns the peer's answer; fails with a message when there is none in time
+	 */
+	public fetchConfiguration(
+		instance: string,
+		haveVersion: number,
+	): Effect.Effect<FetchConfigurationResponse, { readonly message: string }> {
+		return Effect.callback((resume) => {
+			const record = this.records.get(instance);
+			if (record === undefined) {
+				resume(Effect.fail({ message: `${instance} is not a known peer` }));
+				return undefined;
+			}
+			const client = this.openClient(record.endpoint.address);
+			client.fetchConfiguration(
+				{ haveVersion },
+				new grpc.Metadata(),
+				{ deadline: Date.now() + FETCH_TIMEOUT_MS },
+				(error, response) => {
+					client.close();
+					resume(error ? Effect.fail({ message: error.message }) : Effect.succeed(response));
+				},
+			);
+			return Effect.sync(() => client.close());
+		});
+	}
+
+	private dialForever(record: PeerRecord): Effect.Effect<never> {
+		const self = this;
+		return Effect.gen(function* () {
+			for (;;) {
+				const client = self.openClient(record.endpoint.address);
+				const end = yield* Effect.ensuring(
+					Effect.suspend(() => self.runSession(client.connect(), record)),
+					Effect.sync(() => client.close()),
+				);
+				self.finishSession(record, end);
+				yield* Effect.sleep(RECONNECT_DELAY_MS);
+			}
+		});
+	}
+
+	private openClient(address: string): InstanceType<typeof PeerServiceClient> {
+		return new PeerServiceClient(address, this.options.clientCredentials(), CHANNEL_OPTIONS);
+	}
+
+	private runSession(
+		stream: grpc.ClientDuplexStream<PeerFrame, PeerFrame>,
+		record: PeerRecord,
+	): Effect.Effect<SessionEnd> {
+		const session = PeerSession.create(stream, () => this.heartbeat());
+		session.post(this.hello());
+		const handle = (frame: PeerFrame): void => this.handleFrame(record, session, frame);
+		return Effect.ensuring(
+			session.run(handle),
+			Effect.sync(() => stream.cancel()),
+		);
+	}
+
+	private accept(stream: grpc.ServerDuplexStream<PeerFrame, PeerFrame>): void {
+		const session = PeerSession.create(stream, () => this.heartbeat());
+		let record: PeerRecord | undefined;
+		const handle = (frame: PeerFrame): void => {
+			if (record === undefined && frame.hello !== undefined) {
+				record = this.recordOf(frame.hello.instance);
+				session.post(this.hello());
+			}
+			if (record !== undefined) {
+				this.handleFrame(record, session, frame);
+			}
+		};
+		const program = Effect.map(session.run(handle), (end) => {
+			stream.end();
+			if (record?.session === session) {
+				this.finishSession(record, end);
+			}
+		});
+		Effect.runFork(program);
+	}
+
+	private handleFrame(record: PeerRecord, session: PeerSession, frame: PeerFrame): void {
+		if (frame.hello !== undefined) {
+			this.startSession(record, session, frame.hello);
+		}
+		if (record.session !== session) {
+			return;
+		}
+		if (frame.heartbeat !== undefined) {
+			this.handleHeartbeat(record, frame.heartbeat);
+		}
+		this.receiveEmitter.fire({ instance: record.endpoint.instance, incarnation: record.incarnation, frame });
+	}
+
+	private startSession(record: PeerRecord, session: PeerSession, hello: NonNullable<PeerFrame['hello']>): void {
+		const former = record.session;
+		record.session = session;
+		if (former !== undefined && former !== session) {
+			former.replace();
+		}
+		record.state = 'connected';
+		record.incarnation = hello.incarnation;
+		record.failureDomain = hello.failureDomain;
+		record.leaving = false;
+		log.debug(`Connected to ${hello.instance}.`);
+		session.post(this.heartbeat());
+		this.changeEmitter.fire(toStatus(record));
+	}
+
+	private handleHeartbeat(record: PeerRecord, heartbeat: NonNullable<PeerFrame['heartbeat']>): void {
+		const changed =
+			record.configurationVersion !== heartbeat.configurationVersion || record.leaving !== heartbeat.leaving;
+		record.configurationVersion = heartbeat.configurationVersion;
+		record.leaving = heartbeat.leaving;
+		if (changed) {
+			this.changeEmitter.fire(toStatus(record));
+		}
+	}
+
+	private finishSession(record: PeerRecord, end: SessionEnd): void {
+		record.session = undefined;
+		const state: PeerState = end.reason === 'silent' ? 'silent' : 'gone';
+		// A silent peer stays silent while attempts to reach it time out; only a refused connection shows that it is gone.
+		if (record.state === state || (record.state === 'silent' && !end.message.includes('ECONNREFUSED'))) {
+			return;
+		}
+		log.info(`Lost ${record.endpoint.instance}: ${end.message}.`);
+		record.state = state;
+		this.changeEmitter.fire(toStatus(record));
+	}
+
+	private recordOf(instance: string): PeerRecord {
+		let record = this.records.get(instance);
+		if (record === undefined) {
+			record = {
+				endpoint: { instance, address: '' },
+				state: 'connecting',
+				incarnation: '',
+				failureDomain: '',
+				configurationVersion: 0,
+				leaving: false,
+				session: undefined,
+				dialer: undefined,
+			};
+			this.records.set(instance, record);
+		}
+		return record;
+	}
+
+	private hello(): PeerFrameParts {
+		const { instance, failureDomain } = this.options;
+		return { hello: { instance, failureDomain, incarnation: this.incarnation } };
+	}
+
+	private heartbeat(): PeerFrameParts {
+		return { heartbeat: { configurationVersion: this.configurationVersion, leaving: this.leaving } };
+	}
+
+	private stopAll(): void {
+		for (const record of this.records.values()) {
+			stopDialer(record);
+		}
+		this.records.clear();
+	}
+}
+
+function stopDialer(record: PeerRecord): void {
+	if (record.dialer !== undefined) {
+		Effect.runFork(Fiber.interrupt(record.dialer));
+		record.dialer = undefined;
+	}
+}
+
+function toStatus(record: PeerRecord): PeerStatus {
+	const { endpoint, state, incarnation, failureDomain, configurationVersion, leaving } = record;
+	return { ...endpoint, state, incarnation, failureDomain, configurationVersion, leaving };
+}
--- /dev/null
+++ b/src/scheduling/common/costEstimate.ts
@@ -0,0 +1,45 @@
+/** Weight of the newest observation in a running mean. */
+const MEAN_WEIGHT = 0.1;
+
+/** A caller's hint may move the expected cost by at most this factor, since hints are rough. */
+const HINT_FACTOR = 4;
+
+/** Cost assumed before anything was observed, in cost units. */
+const INITIAL_COST = 100;
+
+/** Running mean of request costs, in cost units. */
+export class CostEstimate {
+	private mean: number | undefined;
+
+	private constructor(private readonly fallback: () => number) {}
+
+	/**
+	 * @param fallback mean to assume before the first observation
+	 * @returns an estimate without observations
+	 */
+	public static create(fallback: () => number = () => INITIAL_COST): CostEstimate {
+		return new CostEstimate(fallback);
+	}
+
+	/** Mean of what was observed, or the fallback. */
+	public get value(): number {
+		return this.mean ?? this.fallback();
+	}
+
+	/**
+	 * @param hint cost that the caller expects, in cost units
+	 * @returns the cost to expect of the next request
+	 */
+	public expect(hint: number | undefined): number {
+		const mean = this.value;
+		if (hint === undefined || !Number.isFinite(hint) || hint <= 0) {
+			return mean;
+		}
+		return Math.min(Math.max(hint, mean / HINT_FACTOR), mean * HINT_FACTOR);
+	}
+
+	/** @param cost final cost of a request */
+	public observe(cost: number): void {
+		this.mean = this.mean === undefined ? cost : this.mean + MEAN_WEIGHT * (cost - this.mean);
+	}
+}
--- /dev/null
+++ b/src/scheduling/common/fairQueue.ts
@@ -0,0 +1,167 @@
+import { CostEstimate } from './costEstimate.js';
+
+/** What an entry knows of one client account in one pool. */
+export interface AccountState<T> {
+	readonly key: number;
+	readonly id: string;
+	share: number;
+	readonly queue: T[];
+	readonly estimate: CostEstimate;
+	running: number;
+	/** Charged service of this incarnation, in cost units. */
+	charged: number;
+	/** Virtual service without this entry's part, as the scheduler sent it. */
+	base: number;
+	/** Figures of the last report, to tell what is news. */
+	reportedQueued: number;
+	reportedCharged: number;
+	/** Requests started since the last report; the scheduler still counts them as queued. */
+	startedSinceReport: number;
+}
+
+/**
+ * Queues of one pool at one entry: first come, first served within a client account, lowest virtual service first
+ * between accounts.
+ */
+export class FairQueue<T> {
+	private readonly states = new Map<number, AccountState<T>>();
+	private readonly backlogged = new Set<AccountState<T>>();
+	private readonly poolEstimate = CostEstimate.create();
+	private queuedCount = 0;
+
+	private constructor() {}
+
+	/** @returns an empty queue */
+	public static create<T>(): FairQueue<T> {
+		return new FairQueue<T>();
+	}
+
+	/** Number of queued requests of all accounts. */
+	public get size(): number {
+		return this.queuedCount;
+	}
+
+	/** @returns all accounts seen so far */
+	public accounts(): IterableIterator<AccountState<T>> {
+		return this.states.values();
+	}
+
+	/**
+	 * @param key short key of the account
+	 * @returns the account, or undefined when it has sent nothing yet
+	 */
+	public find(key: number): AccountState<T> | undefined {
+		return this.states.get(key);
+	}
+
+	/**
+	 * Returns the state of an account and creates it on first use.
+	 *
+	 * @param key short key of the account
+	 * @param id identifier of the account
+	 * @param share weight of the account
+	 * @returns the state
+	 */
+	public account(key: number, id: string, share: number): AccountState<T> {
+		let state = this.states.get(key);
+		if (state === undefined) {
+			state = {
+				key,
+				id,
+				share,
+				queue: [],
+				estimate: CostEstimate.create(() => this.poolEstimate.value),
+				running: 0,
+				charged: 0,
+				base: 0,
+				reportedQueued: 0,
+				reportedCharged: 0,
+				startedSinceReport: 0,
+			};
+			this.states.set(key, state);
+		}
+		state.share = share;
+		return state;
+	}
+
+	/**
+	 * @param state account of the request
+	 * @param request what to queue
+	 */
+	public enqueue(state: AccountState<T>, request: T): void {
+		state.queue.push(request);
+		this.queuedCount++;
+		this.backlogged.add(state);
+	}
+
+	/**
+	 * Removes a request that is given up.
+	 *
+	 * @param state account of the request
+	 * @param request the request
+	 * @returns whether it was still queued
+	 */
+	public remove(state: AccountState<T>, request: T): boolean {
+		const index = state.queue.indexOf(request);
+		if (index < 0) {
+			return false;
+		}
+		this.takeAt(state, index);
+		return true;
+	}
+
+	/** @returns the backlogged account with the lowest virtual service */
+	public lowest(): AccountState<T> | undefined {
+		let best: AccountState<T> | undefined;
+		let bestService = Infinity;
+		for (const state of this.backlogged) {
+			const service = virtualService(state);
+			if (service < bestService) {
+				best = state;
+				bestService = service;
+			}
+		}
+		return best;
+	}
+
+	/**
+	 * Takes the first request of an account.
+	 *
+	 * @param state a backlogged account
+	 * @returns its oldest request
+	 */
+	public takeFirst(state: AccountState<T>): T | undefined {
+		return this.takeAt(state, 0);
+	}
+
+	/**
+	 * Counts a finished request into the means.
+	 *
+	 * @param state account of the request
+	 * @param cost final cost, in cost units
+	 */
+	public observe(state: AccountState<T>, cost: number): void {
+		state.estimate.observe(cost);
+		this.poolEstimate.observe(cost);
+	}
+
+	private takeAt(state: AccountState<T>, index: number): T | undefined {
+		const [request] = state.queue.splice(index, 1);
+		if (request === undefined) {
+			return undefined;
+		}
+		this.queuedCount--;
+		if (state.queue.length === 0) {
+			this.backlogged.delete(state);
+		}
+		return request;
+	}
+}
+
+/**
+ * @param state account at an entry
+ * @returns its virtual service in cost units per share, as this entry knows it
+ */
+export function virtualService<T>(state: AccountState<T>): number {
+	return state.base + state.charged / state.share;
+}
