--- /dev/null
+++ b/standins/common/ledger.ts
@@ -0,0 +1,64 @@
+/** What a stand-in did with one request, judged from the stand-in's side. */
+export interface LedgerEntry {
+	/** Identifier sent by the caller in `X-Request-Id`, or the digest of the body when there was none. */
+	readonly requestId: string;
+	readonly idempotencyKey: string | undefined;
+	/** How often work on the request began. */
+	started: number;
+	/** How often work on it ended, whether or not the answer could be sent. */
+	finished: number;
+	/** How often its connection closed before the work ended. */
+	cancelled: number;
+}
+
+/** Records every request that a backend stand-in worked on. It survives simulated crashes of the stand-in. */
+export class Ledger {
+	private readonly byId = new Map<string, LedgerEntry>();
+	private refusedCount = 0;
+
+	private constructor() {}
+
+	/** @returns an empty ledger */
+	public static create(): Ledger {
+		return new Ledger();
+	}
+
+	/**
+	 * Counts a start.
+	 *
+	 * @param requestId identifier of the request
+	 * @param idempotencyKey key sent with it, if any
+	 * @returns the entry, for counting its end
+	 */
+	public start(requestId: string, idempotencyKey: string | undefined): LedgerEntry {
+		const id = `${requestId}\n${idempotencyKey ?? ''}`;
+		let entry = this.byId.get(id);
+		if (entry === undefined) {
+			entry = { requestId, idempotencyKey, started: 0, finished: 0, cancelled: 0 };
+			this.byId.set(id, entry);
+		}
+		entry.started++;
+		return entry;
+	}
+
+	/** Counts a request that was refused before any work. */
+	public refuse(): void {
+		this.refusedCount++;
+	}
+
+	/** @returns all entries, in the order of their first start */
+	public entries(): readonly LedgerEntry[] {
+		return [...this.byId.values()];
+	}
+
+	/** Requests refused before any work. */
+	public get refused(): number {
+		return this.refusedCount;
+	}
+
+	/** Forgets everything. */
+	public clear(): void {
+		this.byId.clear();
+		this.refusedCount = 0;
+	}
+}
--- /dev/null
+++ b/standins/plainService/main.ts
@@ -0,0 +1,29 @@
+/** Runs plain service stand-ins: `--port` is the first one's port (0: any), `--count` their number. */
+import { parseArgs } from 'node:util';
+import { DEFAULT_PLAIN_SERVICE_OPTIONS, PlainService } from './plainService.js';
+
+const { values } = parseArgs({
+	options: {
+		port: { type: 'string', default: '0' },
+		count: { type: 'string', default: '1' },
+		slots: { type: 'string', default: String(DEFAULT_PLAIN_SERVICE_OPTIONS.slots) },
+		'service-ms': { type: 'string', default: String(DEFAULT_PLAIN_SERVICE_OPTIONS.serviceMs) },
+		'checks-fencing': { type: 'boolean', default: false },
+		'crash-down-ms': { type: 'string', default: String(DEFAULT_PLAIN_SERVICE_OPTIONS.crashDownMs) },
+		'answer-bytes': { type: 'string', default: String(DEFAULT_PLAIN_SERVICE_OPTIONS.answerBytes) },
+	},
+});
+
+const firstPort = Number(values.port);
+const addresses: string[] = [];
+for (let index = 0; index < Number(values.count); index++) {
+	const service = PlainService.create({
+		slots: Number(values.slots),
+		serviceMs: Number(values['service-ms']),
+		checksFencing: values['checks-fencing'],
+		crashDownMs: Number(values['crash-down-ms']),
+		answerBytes: Number(values['answer-bytes']),
+	});
+	addresses.push(await service.listen(firstPort === 0 ? 0 : firstPort + index));
+}
+process.stdout.write(`${JSON.stringify({ address: addresses[0], addresses })}\n`);
