--- /dev/null
+++ b/tools/measure/test/baselines.test.ts
@@ -0,0 +1,68 @@
+import { describe, expect, test } from '@jest/globals';
+import { computeNaive, computeOracle, type BaselineTerms } from '../baselines.js';
+import { drawCost, meanCost, randomOf } from '../workload.js';
+
+// One account has its whole backlog on router 0; three others are backlogged on the remaining routers.
+function skewed(): BaselineTerms {
+	const sources = [0, 1, 2, 3].map((account) => ({ account, router: account === 0 ? 0 : account % 3, inProgress: 8 }));
+	return {
+		seed: 5,
+		shares: [1, 1, 1, 1],
+		sources,
+		costs: { least: 1, largest: 100 },
+		slots: 12,
+		routers: 3,
+		ratePerMs: 0.1,
+		durationMs: 60_000,
+	};
+}
+
+describe('baselines', () => {
+	// Guards against an oracle that does not follow shares, which every measured gap is compared with.
+	test('the oracle divides service by share', () => {
+		const result = computeOracle({ ...skewed(), shares: [4, 2, 1, 1], sources: skewed().sources });
+		const total = result.service.reduce((sum, one) => sum + one, 0);
+		expect(total).toBeCloseTo(12 * 0.1 * 60_000, 0);
+		expect((result.service[0] ?? 0) / total).toBeCloseTo(1 / 2, 1);
+		expect((result.service[1] ?? 0) / total).toBeCloseTo(1 / 4, 1);
+		expect(result.utilisation).toBeCloseTo(1, 9);
+	});
+
+	// Guards against a naive baseline that shares slots between routers, which would flatter it.
+	test('the naive fleet has a gap that grows with time while the oracle has not', () => {
+		const short = { ...skewed(), durationMs: 30_000 };
+		expect(computeNaive(skewed()).gap).toBeGreaterThan(1.7 * computeNaive(short).gap);
+		expect(computeOracle(skewed()).gap).toBeLessThan(400);
+		expect(computeNaive(skewed()).gap).toBeGreaterThan(10 * computeOracle(skewed()).gap);
+	});
+
+	// Guards against idle slots that the utilisation leaves out: two of three routers have no work here.
+	test('the naive fleet leaves the slots of other routers idle', () => {
+		const sources = [{ account: 0, router: 0, inProgress: 20 }];
+		expect(computeNaive({ ...skewed(), sources }).utilisation).toBeCloseTo(1 / 3, 9);
+		expect(computeOracle({ ...skewed(), sources }).utilisation).toBeCloseTo(1, 9);
+	});
+
+	// Guards against idle time that earns credit: an account that joins late must not catch up on missed service.
+	test('an account that was idle starts at the floor', () => {
+		const sources = [
+			{ account: 0, router: 0, inProgress: 20 },
+			{ account: 1, router: 0, inProgress: 20, fromMs: 30_000 },
+		];
+		const { service } = computeOracle({ ...skewed(), shares: [1, 1], sources });
+		expect((service[1] ?? 0) / (service[0] ?? 1)).toBeCloseTo(1 / 3, 1);
+	});
+});
+
+describe('costs', () => {
+	// Guards against a mean that does not match the draws, which the bound and the load depend on.
+	test('the computed mean is the mean of the draws', () => {
+		const range = { least: 1, largest: 100 };
+		const random = randomOf(1, { account: 0, router: 0 });
+		const draws = Array.from({ length: 100_000 }, () => drawCost(range, random));
+		const mean = draws.reduce((sum, cost) => sum + cost, 0) / draws.length;
+		expect(mean / meanCost(range)).toBeCloseTo(1, 1);
+		expect(Math.min(...draws)).toBe(1);
+		expect(Math.max(...draws)).toBe(100);
+	});
+});
