--- a/src/base/node/log.ts
+++ b/src/base/node/log.ts
@@ -1,10 +1,7 @@
 import { createConsola, type ConsolaInstance } from 'consola';
+import type { LogLevel } from '../common/logLevel.js';
 
-/** Levels that the settings accept, from the least to the most output. */
-export const LOG_LEVELS = ['error', 'warn', 'info', 'debug'] as const;
-
-/** One of {@link LOG_LEVELS}. */
-export type LogLevel = (typeof LOG_LEVELS)[number];
+export { LOG_LEVELS, type LogLevel } from '../common/logLevel.js';
 
 const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 };
 
