--- a/jest.config.js
+++ b/jest.config.js
@@ -4,6 +4,8 @@
 /** @type {import('jest').Config} */
 export default {
 	testEnvironment: 'node',
+	// The cleanup wraps the setters of everything reachable from globals, and recurses without end on a running effect fiber.
+	testEnvironmentOptions: { globalsCleanup: 'off' },
 	// Git keeps no empty directories, and jest refuses a root that does not exist.
 	roots: ['src', 'standins', 'tools']
 		.filter((root) => existsSync(join(import.meta.dirname, root)))
