Add the admin slice

Operators need to see health, readiness, metrics, the state of each part and the reason why an account waits.

Metrics are described in one table ordered by the invariants and measures of the design page, and are read when they are scraped. A metric that no part supplies is absent, so that a zero is never mistaken for a measurement.

--- /dev/null
+++ b/src/admin/common/metricFamilies.ts
@@ -0,0 +1,125 @@
+/** One value of a metric with its labels. */
+export interface MetricSample {
+	readonly labels?: Readonly<Record<string, string>>;
+	readonly value: number;
+}
+
+/** Name, help text and labels of a metric that is read when it is scraped. */
+export interface MetricFamily {
+	readonly name: string;
+	readonly help: string;
+	readonly kind: 'gauge' | 'counter';
+	readonly labels: readonly string[];
+}
+
+/**
+ * Metrics that are read from the parts of the program on each scrape. They are ordered by the invariants and measures of
+ * the design page that they show. A metric that no part supplies is absent, so that no zero passes for a measurement.
+ */
+export const METRIC_FAMILIES = {
+	virtualServiceSpread: gauge(
+		'masticloom_virtual_service_spread_cost_units',
+		'Difference between the highest and lowest virtual service of backlogged accounts, at the scheduler of the pool.',
+		['pool'],
+	),
+	fairnessGapBound: gauge(
+		'masticloom_fairness_gap_bound_cost_units',
+		'Bound of the fairness gap for the accounts backlogged now, at the scheduler of the pool.',
+		['pool'],
+	),
+	accountVirtualService: gauge(
+		'masticloom_account_virtual_service_cost_units',
+		'Service divided by share of accounts with requests on this router.',
+		['pool', 'account'],
+	),
+	accountService: counter(
+		'masticloom_account_service_cost_units_total',
+		'Service charged to accounts by this router since its start.',
+		['pool', 'account'],
+	),
+	accountQueued: gauge('masticloom_account_queued_requests', 'Requests queued on this router.', ['pool', 'account']),
+	oldestWait: gauge(
+		'masticloom_oldest_wait_seconds',
+		'Age of the request that has been queued longest on this router.',
+		['pool'],
+	),
+	requestsInProgress: gauge(
+		'masticloom_requests_in_progress',
+		'Requests accepted by this router and not yet answered.',
+		[],
+	),
+	cutRequests: counter(
+		'masticloom_requests_cut_total',
+		'Requests that a shutdown ended before their answer was complete.',
+		[],
+	),
+	atMostOnceRecords: counter('masticloom_at_most_once_records_total', 'Claims of at-most-once records, by result.', [
+		'result',
+	]),
+	backendState: gauge(
+		'masticloom_backend_server_state',
+		'1 for the present state of a backend server (live, leaving, down, unknown).',
+		['pool', 'backend_server', 'state'],
+	),
+	backendRunning: gauge(
+		'masticloom_backend_server_running_requests',
+		'Requests that this router has in progress on a backend server.',
+		['pool', 'backend_server'],
+	),
+	backendStarted: counter(
+		'masticloom_backend_server_started_requests_total',
+		'Requests that this router has started on a backend server.',
+		['pool', 'backend_server'],
+	),
+	configurationVersion: gauge(
+		'masticloom_configuration_version',
+		'Version of the configuration in force; 0 before the first.',
+		[],
+	),
+	slots: gauge(
+		'masticloom_slots',
+		'Slots of a pool: limit and leased at its scheduler, held and idle at this router.',
+		['pool', 'state'],
+	),
+	poolContended: gauge('masticloom_pool_contended', '1 while a pool has unmet demand and no free slot.', ['pool']),
+	idleWhileWaiting: counter(
+		'masticloom_idle_slot_seconds_while_waiting_total',
+		'Slot time that was idle at the scheduler or this router while a request that could use it waited.',
+		['pool'],
+	),
+	controlBytes: counter(
+		'masticloom_control_bytes_total',
+		'Bytes on the wire that are not payload of callers, by channel (peers, store, list) and direction.',
+		['channel', 'direction'],
+	),
+	controlMessages: counter('masticloom_control_messages_total', 'Messages between routers by direction.', [
+		'direction',
+	]),
+	storeCalls: counter(
+		'masticloom_store_calls_total',
+		'Calls to the key-value store; a waiting watch counts as one.',
+		[],
+	),
+	peers: gauge('masticloom_peers', 'Other routers by state (connected, listed).', ['state']),
+	schedulerTerm: gauge('masticloom_scheduler_term', 'Highest scheduler term heard of.', ['pool']),
+	schedulerRole: gauge('masticloom_scheduler_role', '1 while this router is the scheduler of the pool.', ['pool']),
+	ready: gauge('masticloom_ready', '1 while the router is ready for traffic.', []),
+	certificateExpiry: gauge(
+		'masticloom_certificate_expiry_timestamp_seconds',
+		'End of validity of the certificate in use, in seconds since 1970.',
+		[],
+	),
+} as const satisfies Readonly<Record<string, MetricFamily>>;
+
+/** Functions that read the samples of each metric; parts supply those that they know. */
+export type MetricReaders = {
+	readonly [Name in keyof typeof METRIC_FAMILIES]?: () => readonly MetricSample[];
+};
+
+function gauge(name: string, help: string, labels: readonly string[]): MetricFamily {
+	return { name, help, kind: 'gauge', labels };
+}
+
+function counter(name: string, help: string, labels: readonly string[]): MetricFamily {
+	return { name, help, kind: 'counter', labels };
+}
