--- a/tools/measure/baselines.ts
+++ b/tools/measure/baselines.ts
@@ -1,5 +1,6 @@
+import { arrivalTimes } from '../load/arrivals.js';
+import { drawCost, randomOf, type CostRange, type Source } from '../load/workload.js';
 import { GapTracker } from './gap.js';
-import { drawCost, randomOf, type CostRange, type Source } from './workload.js';
 
 /** What both baselines are computed from. */
 export interface BaselineTerms {
@@ -149,7 +150,6 @@
 			if (source.ratePerSecond === undefined) {
 				return Array.from({ length: source.inProgress }, () => ({ atMs: from, source: index }));
 			}
-			// The draws of the gaps come from another sequence than the costs, so that costs stay equal in all runs.
 			return arrivalTimes(this.terms.seed, source, this.terms.durationMs).map((atMs) => ({ atMs, source: index }));
 		});
 		return arrivals.sort((one, other) => one.atMs - other.atMs);
@@ -229,28 +229,3 @@
 		return this.terms.sources[source]?.account ?? 0;
 	}
 }
-
-// Offset that gives arrival times a random sequence of their own.
-const ARRIVAL_SEED_OFFSET = 500_009;
-
-/**
- * Draws the arrival times of an open-loop source.
- *
- * @param seed seed of the run
- * @param source a source with a rate
- * @param durationMs length of the load
- * @returns times in milliseconds from the start of the load, ascending
- */
-export function arrivalTimes(seed: number, source: Source, durationMs: number): readonly number[] {
-	const random = randomOf(seed + ARRIVAL_SEED_OFFSET, source);
-	const until = Math.min(source.untilMs ?? durationMs, durationMs);
-	const times: number[] = [];
-	let at = source.fromMs ?? 0;
-	for (;;) {
-		at += (-Math.log(1 - random()) * 1000) / (source.ratePerSecond ?? 1);
-		if (at >= until) {
-			return times;
-		}
-		times.push(at);
-	}
-}
--- a/tools/measure/test/baselines.test.ts
+++ b/tools/measure/test/baselines.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
 import { computeNaive, computeOracle, type BaselineTerms } from '../baselines.js';
-import { drawCost, meanCost, randomOf } from '../workload.js';
+import { drawCost, meanCost, randomOf } from '../../load/workload.js';
 
 // One account has its whole backlog on router 0; three others are backlogged on the remaining routers.
 function skewed(): BaselineTerms {
