--- a/standins/common/ledger.ts
+++ b/standins/common/ledger.ts
@@ -9,6 +9,9 @@
 	finished: number;
 	/** How often its connection closed before the work ended. */
 	cancelled: number;
+	/** When a slot was taken and given back for it, in milliseconds since the epoch. */
+	readonly startedAtMs: number[];
+	readonly endedAtMs: number[];
 }
 
 /** Records every request that a backend stand-in worked on. It survives simulated crashes of the stand-in. */
@@ -34,13 +37,23 @@
 		const id = `${requestId}\n${idempotencyKey ?? ''}`;
 		let entry = this.byId.get(id);
 		if (entry === undefined) {
-			entry = { requestId, idempotencyKey, started: 0, finished: 0, cancelled: 0 };
+			entry = { requestId, idempotencyKey, started: 0, finished: 0, cancelled: 0, startedAtMs: [], endedAtMs: [] };
 			this.byId.set(id, entry);
 		}
 		entry.started++;
+		entry.startedAtMs.push(epochNow());
 		return entry;
 	}
 
+	/**
+	 * Notes that the slot of a request is free again.
+	 *
+	 * @param entry what {@link start} returned
+	 */
+	public freeSlot(entry: LedgerEntry): void {
+		entry.endedAtMs.push(epochNow());
+	}
+
 	/** Counts a request that was refused before any work. */
 	public refuse(): void {
 		this.refusedCount++;
@@ -62,3 +75,7 @@
 		this.refusedCount = 0;
 	}
 }
+
+function epochNow(): number {
+	return performance.timeOrigin + performance.now();
+}
--- a/standins/engine/modelEngine.ts
+++ b/standins/engine/modelEngine.ts
@@ -208,6 +208,7 @@
 		if (this.running.delete(completion)) {
 			if (completion.ledgerEntry !== undefined) {
 				completion.ledgerEntry.cancelled++;
+				this.ledger.freeSlot(completion.ledgerEntry);
 			}
 		} else {
 			const index = this.waiting.indexOf(completion);
@@ -253,6 +254,7 @@
 				this.running.delete(completion);
 				if (completion.ledgerEntry !== undefined) {
 					completion.ledgerEntry.finished++;
+					this.ledger.freeSlot(completion.ledgerEntry);
 				}
 			}
 		}
--- a/standins/plainService/plainService.ts
+++ b/standins/plainService/plainService.ts
@@ -191,6 +191,7 @@
 		this.countBusyTime();
 		this.running--;
 		call.entry.finished++;
+		this.ledger.freeSlot(call.entry);
 		if (call.fault === 'hang') {
 			return;
 		}
