--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -7,7 +7,7 @@
 	readonly method: string;
 	/** Path and query below the server's base URL. */
 	readonly path: string;
-	readonly headers: Readonly<Record<string, string>>;
+	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 	readonly body: Uint8Array;
 }
 
@@ -29,13 +29,26 @@
 	write(chunk: Uint8Array, resume: () => void): boolean;
 }
 
+/** Follows one attempt at a backend server. */
+export interface IAttemptSink extends IAnswerSink {
+	/** Called before the first byte goes to the backend server, after which the request may run. */
+	sent(): void;
+}
+
+/**
+ * Why an attempt brought no whole answer.
+ *
+ * - `unreachable`: no connection was made.
+ * - `refused`: the server said that it did not start the request.
+ * - `fenced`: the server has seen a higher fencing number, so another attempt has replaced this one.
+ * - `broken`: the connection died while the request was in progress.
+ */
+export type BackendFailureKind = 'unreachable' | 'refused' | 'fenced' | 'broken';
+
 /** An attempt that brought no whole answer. */
 export interface BackendFailure {
+	readonly kind: BackendFailureKind;
 	readonly verdict: Verdict;
-	/** Parts of the answer have reached the sink. */
-	readonly answerStarted: boolean;
-	/** The server refused work or could not be reached, as opposed to breaking off. */
-	readonly refused: boolean;
 	readonly message: string;
 }
 
@@ -47,7 +60,7 @@
 	 * @param server where to
 	 * @param request what to send
 	 * @param sink receives the answer
-	 * @returns succeeds after the whole answer was passed on
+	 * @returns succeeds after an answer whose HTTP framing is whole was passed on
 	 */
-	call(server: BackendServer, request: BackendRequest, sink: IAnswerSink): Effect.Effect<void, BackendFailure>;
+	call(server: BackendServer, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure>;
 }
--- /dev/null
+++ b/src/backends/common/crashSuspects.ts
@@ -0,0 +1,194 @@
+import type { IClock } from '../../base/common/clock.js';
+import { type Event, Emitter } from '../../base/common/event.js';
+
+/** Deaths of backend servers after which a fingerprint is quarantined. */
+const QUARANTINE_DEATHS = 2;
+
+/** First quarantine; each further death doubles it up to the longest. */
+const FIRST_QUARANTINE_MS = 600_000;
+const LONGEST_QUARANTINE_MS = 24 * 3_600_000;
+
+/** A suspect that was not seen for this long is forgotten. */
+const MEMORY_MS = 3_600_000;
+
+// An account that sends many different requests to a crashing server must not fill the router's memory.
+const MAXIMUM_SUSPECTS = 10_000;
+
+/** What is known of a fingerprint that was in progress when a backend server died. */
+export interface SuspectState {
+	readonly fingerprint: string;
+	/** Deaths of backend servers with the fingerprint in progress; 0 when it was cleared. */
+	readonly deaths: number;
+	/** Milliseconds of quarantine left. */
+	readonly quarantineMs: number;
+}
+
+interface Suspect {
+	deaths: number;
+	quarantinedUntil: number;
+	seenAt: number;
+	/** A copy of the request runs on this router. */
+	running: boolean;
+}
+
+/** Request fingerprints that may crash backend servers, as this router and its peers have seen them. */
+export class CrashSuspects {
+	private readonly suspects = new Map<string, Suspect>();
+	private readonly occupiedServers = new Set<string>();
+	private readonly changeEmitter = Emitter.create<SuspectState>();
+
+	/** Fires when this router learned something that its peers have to know. */
+	public readonly onDidLearn: Event<SuspectState> = this.changeEmitter.event;
+
+	private constructor(private readonly clock: IClock) {}
+
+	/**
+	 * @param clock measures quarantine
+	 * @returns a register without suspects
+	 */
+	public static create(clock: IClock): CrashSuspects {
+		return new CrashSuspects(clock);
+	}
+
+	/** False while there are no suspects, so that requests need no fingerprint. */
+	public get any(): boolean {
+		return this.suspects.size > 0;
+	}
+
+	/**
+	 * @param fingerprint of a request that arrived
+	 * @returns milliseconds for which it is to be refused; 0 when it may run
+	 */
+	public quarantineOf(fingerprint: string): number {
+		return Math.max(0, (this.find(fingerprint)?.quarantinedUntil ?? 0) - this.clock.now());
+	}
+
+	/**
+	 * Reserves a backend server for a suspect. Each server runs one suspect at a time, and one copy of a suspect runs at a
+	 * time, so that it is known which suspect a server died of.
+	 *
+	 * @param fingerprint of a request that got a slot
+	 * @param backendServer server of the slot
+	 * @returns `clear` when it is no suspect, `entered` when {@link leave} must be called, `occupied` when it must wait
+	 */
+	public tryEnter(fingerprint: string, backendServer: string): 'clear' | 'entered' | 'occupied' {
+		const suspect = this.find(fingerprint);
+		if (suspect === undefined) {
+			return 'clear';
+		}
+		if (suspect.running || this.occupiedServers.has(backendServer)) {
+			return 'occupied';
+		}
+		suspect.running = true;
+		this.occupiedServers.add(backendServer);
+		return 'entered';
+	}
+
+	/**
+	 * Ends a reservation.
+	 *
+	 * @param fingerprint of the suspect
+	 * @param backendServer server that it ran on
+	 */
+	public leave(fingerprint: string, backendServer: string): void {
+		this.occupiedServers.delete(backendServer);
+		const suspect = this.suspects.get(fingerprint);
+		if (suspect !== undefined) {
+			suspect.running = false;
+		}
+	}
+
+	/** @param fingerprint of a request that was in progress when its backend server died */
+	public recordDeath(fingerprint: string): void {
+		const suspect = this.find(fingerprint) ?? this.add(fingerprint);
+		suspect.deaths++;
+		suspect.seenAt = this.clock.now();
+		if (suspect.deaths >= QUARANTINE_DEATHS) {
+			const periodMs = FIRST_QUARANTINE_MS * 2 ** (suspect.deaths - QUARANTINE_DEATHS);
+			suspect.quarantinedUntil = this.clock.now() + Math.min(periodMs, LONGEST_QUARANTINE_MS);
+		}
+		this.changeEmitter.fire(this.toState(fingerprint, suspect));
+	}
+
+	/** @param fingerprint of a request that a backend server ran to its end */
+	public recordCompletion(fingerprint: string): void {
+		const suspect = this.suspects.get(fingerprint);
+		if (suspect === undefined || suspect.quarantinedUntil > this.clock.now()) {
+			return;
+		}
+		this.suspects.delete(fingerprint);
+		this.changeEmitter.fire({ fingerprint, deaths: 0, quarantineMs: 0 });
+	}
+
+	/**
+	 * Takes over what a peer has learned. Peers that saw the same death must not count it twice, so the higher number of
+	 * deaths counts.
+	 *
+	 * @param state what the peer sent
+	 */
+	public applyNotice(state: SuspectState): void {
+		const known = this.find(state.fingerprint);
+		if (state.deaths === 0) {
+			if (known !== undefined && known.quarantinedUntil <= this.clock.now()) {
+				this.suspects.delete(state.fingerprint);
+			}
+			return;
+		}
+		const suspect = known ?? this.add(state.fingerprint);
+		suspect.deaths = Math.max(suspect.deaths, state.deaths);
+		suspect.seenAt = this.clock.now();
+		const quarantineMs = Math.min(state.quarantineMs, LONGEST_QUARANTINE_MS);
+		if (quarantineMs > 0) {
+			suspect.quarantinedUntil = Math.max(suspect.quarantinedUntil, this.clock.now() + quarantineMs);
+		}
+	}
+
+	/** @returns all suspects, for a peer that has just connected and for the state dump */
+	public list(): readonly SuspectState[] {
+		return [...this.suspects].map(([fingerprint, suspect]) => this.toState(fingerprint, suspect));
+	}
+
+	private find(fingerprint: string): Suspect | undefined {
+		const suspect = this.suspects.get(fingerprint);
+		if (suspect !== undefined && this.isForgotten(suspect)) {
+			this.suspects.delete(fingerprint);
+			return undefined;
+		}
+		return suspect;
+	}
+
+	private isForgotten(suspect: Suspect): boolean {
+		const now = this.clock.now();
+		return !suspect.running && now - suspect.seenAt > MEMORY_MS && suspect.quarantinedUntil <= now;
+	}
+
+	private add(fingerprint: string): Suspect {
+		if (this.suspects.size >= MAXIMUM_SUSPECTS) {
+			this.makeRoom();
+		}
+		const suspect: Suspect = { deaths: 0, quarantinedUntil: 0, seenAt: this.clock.now(), running: false };
+		this.suspects.set(fingerprint, suspect);
+		return suspect;
+	}
+
+	// The oldest suspect that is not quarantined goes first.
+	private makeRoom(): void {
+		const now = this.clock.now();
+		let victim: string | undefined;
+		for (const [fingerprint, suspect] of this.suspects) {
+			if (suspect.quarantinedUntil <= now) {
+				victim = fingerprint;
+				break;
+			}
+			victim ??= fingerprint;
+		}
+		if (victim !== undefined) {
+			this.suspects.delete(victim);
+		}
+	}
+
+	private toState(fingerprint: string, suspect: Suspect): SuspectState {
+		const quarantineMs = Math.max(0, Math.ceil(suspect.quarantinedUntil - this.clock.now()));
+		return { fingerprint, deaths: suspect.deaths, quarantineMs };
+	}
+}
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -1,18 +1,38 @@
 import * as http from 'node:http';
 import { Effect } from 'effect';
 import type { BackendServer } from '../../configuration/common/model.js';
-import type { BackendFailure, BackendRequest, IAnswerSink, IBackendClient } from '../common/backendClient.js';
+import type { BackendFailure, BackendRequest, IAttemptSink, IBackendClient } from '../common/backendClient.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
+// Longest silence on a connection with a request in progress. Plain services may work for minutes before they answer.
+const SILENCE_LIMIT_MS = 600_000;
+
+const CONFLICT = 409;
+
 /** Header with which a backend server says that it did not start the request. */
 const NOT_STARTED_HEADER = 'masticloom-not-started';
 
-const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', NOT_STARTED_HEADER]);
+const HOP_BY_HOP_HEADERS = new Set([
+	'connection',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+	NOT_STARTED_HEADER,
+]);
+
+const NO_BODY_STATUS = new Set([204, 304]);
+
+type Settle = (result: Effect.Effect<void, BackendFailure>) => void;
 
 /** Calls backend servers over HTTP/1.1 with connections that are kept open. */
 export class HttpBackendClient implements IBackendClient {
-	private readonly agent = new http.Agent({ keepAlive: true, scheduling: 'lifo' });
+	private readonly agent = new http.Agent({ keepAlive: true, scheduling: 'lifo', timeout: SILENCE_LIMIT_MS });
+	private readonly endpoints = new Map<string, { readonly host: string; readonly port: string }>();
 
 	private constructor() {}
 
@@ -21,65 +41,135 @@
 		return new HttpBackendClient();
 	}
 
-	public call(server: BackendServer, request: BackendRequest, sink: IAnswerSink): Effect.Effect<void, BackendFailure> {
+	/** Closes all connections. */
+	public dispose(): void {
+		this.agent.destroy();
+	}
+
+	public call(server: BackendServer, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure> {
 		return Effect.callback<void, BackendFailure>((resume) => {
-			let sent = false;
-			let answerStarted = false;
-			const outgoing = http.request(new URL(request.path, server.url), {
+			const attempt = new Attempt(server, request, sink, resume);
+			const outgoing = http.request({
+				...this.endpointOf(server.url),
+				path: request.path,
 				method: request.method,
 				agent: this.agent,
 				headers: { ...request.headers, 'content-length': String(request.body.length) },
 			});
-			const fail = (message: string, refused: boolean): void =>
-				resume(
-					Effect.fail({ verdict: sent && !refused ? 'may-have-run' : 'not-run', answerStarted, refused, message }),
-				);
+			attempt.start(outgoing);
+			return Effect.sync(() => attempt.cancel());
+		});
+	}
+
+	private endpointOf(url: string): { readonly host: string; readonly port: string } {
+		let endpoint = this.endpoints.get(url);
+		if (endpoint === undefined) {
+			const parsed = new URL(url);
+			endpoint = { host: parsed.hostname, port: parsed.port };
+			this.endpoints.set(url, endpoint);
+		}
+		return endpoint;
+	}
+}
+
+class Attempt {
+	private outgoing: http.ClientRequest | undefined;
+	private sent = false;
+	private settled = false;
+
+	public constructor(
+		private readonly server: BackendServer,
+		private readonly request: BackendRequest,
+		private readonly sink: IAttemptSink,
+		private readonly resume: Settle,
+	) {}
+
+	public start(outgoing: http.ClientRequest): void {
+		this.outgoing = outgoing;
+		outgoing.on('socket', (socket) => {
+			if (!socket.connecting) {
+				this.send();
+				return;
+			}
 			const timer = setTimeout(() => outgoing.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS);
-			outgoing.on('socket', (socket) => {
-				const connected = (): void => {
-					clearTimeout(timer);
-					sent = true;
-					outgoing.end(request.body);
-				};
-				if (socket.connecting) {
-					socket.once('connect', connected);
-				} else {
-					connected();
-				}
-			});
-			outgoing.on('error', (error) => {
-				clearTimeout(timer);
-				fail(error.message, !sent);
-			});
-			outgoing.on('response', (response) => {
-				if (response.headers[NOT_STARTED_HEADER] === 'true') {
-					response.resume();
-					fail(`${server.id} refused with status ${response.statusCode ?? 0}`, true);
-					return;
-				}
-				answerStarted = true;
-				sink.head({ status: response.statusCode ?? 502, headers: passedHeaders(response.headers) });
-				response.on('data', (chunk: Buffer) => {
-					if (!sink.write(chunk, () => response.resume())) {
-						response.pause();
-					}
-				});
-				response.on('end', () => resume(Effect.void));
-				response.on('error', (error) => fail(error.message, false));
-				response.on('aborted', () => fail(`${server.id} broke off its answer`, false));
-			});
-			return Effect.sync(() => {
+			socket.once('close', () => clearTimeout(timer));
+			socket.once('connect', () => {
 				clearTimeout(timer);
-				outgoing.destroy();
+				this.send();
 			});
 		});
+		outgoing.on('timeout', () => outgoing.destroy(new Error('no data in time')));
+		outgoing.on('error', (error) => this.fail(this.sent ? 'broken' : 'unreachable', error.message));
+		outgoing.on('response', (response) => this.receive(response));
+	}
+
+	public cancel(): void {
+		this.settled = true;
+		this.outgoing?.destroy();
+	}
+
+	private send(): void {
+		if (this.settled) {
+			return;
+		}
+		this.sent = true;
+		this.sink.sent();
+		this.outgoing?.end(this.request.body);
+	}
+
+	private receive(response: http.IncomingMessage): void {
+		const status = response.statusCode ?? 0;
+		if (response.headers[NOT_STARTED_HEADER] === 'true') {
+			response.resume();
+			this.fail(status === CONFLICT ? 'fenced' : 'refused', `refused with status ${status}`);
+			return;
+		}
+		const framed = isFramed(this.request.method, response);
+		this.sink.head({ status, headers: passedHeaders(response.headers) });
+		response.on('data', (chunk: Buffer) => {
+			if (!this.settled && !this.sink.write(chunk, () => response.resume())) {
+				response.pause();
+			}
+		});
+		response.on('end', () => {
+			if (framed) {
+				this.settle(Effect.void);
+			} else {
+				this.fail('broken', 'sent an answer without a length, which cannot be seen to be whole');
+			}
+		});
+		response.on('error', (error) => this.fail('broken', error.message));
+		response.on('close', () => this.fail('broken', 'broke off its answer'));
 	}
+
+	private fail(kind: BackendFailure['kind'], message: string): void {
+		const verdict = kind === 'broken' || kind === 'fenced' ? 'may-have-run' : 'not-run';
+		this.settle(Effect.fail({ kind, verdict, message: `backend server ${this.server.id}: ${message}` }));
+	}
+
+	private settle(result: Effect.Effect<void, BackendFailure>): void {
+		if (!this.settled) {
+			this.settled = true;
+			this.resume(result);
+		}
+	}
+}
+
+// An answer that ends with its connection looks whole when the server dies in the middle of it.
+function isFramed(method: string, response: http.IncomingMessage): boolean {
+	return (
+		method === 'HEAD' ||
+		NO_BODY_STATUS.has(response.statusCode ?? 0) ||
+		response.headers['content-length'] !== undefined ||
+		response.headers['transfer-encoding'] !== undefined
+	);
 }
 
 function passedHeaders(headers: http.IncomingHttpHeaders): Record<string, string | readonly string[]> {
 	const passed: Record<string, string | readonly string[]> = {};
-	for (const [name, value] of Object.entries(headers)) {
-		if (value !== undefined && !CONNECTION_HEADERS.has(name)) {
+	for (const name in headers) {
+		const value = headers[name];
+		if (value !== undefined && !HOP_BY_HOP_HEADERS.has(name)) {
 			passed[name] = value;
 		}
 	}
--- /dev/null
+++ b/src/callers/test/routerFixture.ts
@@ -0,0 +1,221 @@
+import { createHash } from 'node:crypto';
+import { Effect } from 'effect';
+import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
+import { SuspectExchange } from '../../backends/node/suspectExchange.js';
+import { Emitter } from '../../base/common/event.js';
+import { systemClock } from '../../base/common/clock.js';
+import type { Configuration, Service } from '../../configuration/common/model.js';
+import { DispatchService } from '../../dispatch/node/dispatchService.js';
+import type { IIdempotencyService } from '../../idempotency/common/idempotencyService.js';
+import { StoredCalls } from '../../idempotency/node/storedCalls.js';
+import { FaultyStore } from '../../idempotency/test/faultyStore.js';
+import { PeerFrame } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { IPeerNetwork, PeerMessage } from '../../peers/common/peerNetwork.js';
+import type { ISlotService, Slot } from '../../scheduling/common/slotService.js';
+import { CallerServer } from '../node/callerServer.js';
+
+/** Bearer token of the one account in {@link configurationOf}. */
+export const TOKEN = 'secret';
+
+/**
+ * @param urls base URLs of the backend servers, all in one pool
+ * @param service what differs from a plain service with one idempotent path
+ * @param slots slots of each backend server
+ * @returns a configuration with one account
+ */
+export function configurationOf(urls: readonly string[], service: Partial<Service> = {}, slots = 4): Configuration {
+	const operations = [
+		{ method: 'POST', path: '/catalogue/*', idempotent: true },
+		{ method: 'POST', path: '/v1/completions', idempotent: true },
+	];
+	return {
+		version: 1,
+		accounts: [
+			{
+				id: 'press',
+				share: 1,
+				tokenDigests: [createHash('sha256').update(TOKEN).digest('hex')],
+				services: ['s'],
+			},
+		],
+		services: [
+			{ id: 's', pool: 'p', kind: 'plain', operations, resumable: false, maximumBodyBytes: 4_096, ...service },
+		],
+		pools: [{ id: 'p', slack: 1 }],
+		backendServers: urls.map((url, index) => ({
+			id: `b${index}`,
+			pool: 'p',
+			url,
+			slots,
+			checksFencing: false,
+		})),
+	};
+}
+
+/** Hands out slots in order of arrival, from the server with the most free ones. */
+export class OrderlySlots implements ISlotService {
+	public readonly free = new Map<string, number>();
+	private readonly waiters: ((slot: Slot) => void)[] = [];
+
+	private constructor(configuration: Configuration) {
+		for (const server of configuration.backendServers) {
+			this.free.set(server.id, server.slots);
+		}
+	}
+
+	/** @returns all slots of the configuration, free */
+	public static create(configuration: Configuration): OrderlySlots {
+		return new OrderlySlots(configuration);
+	}
+
+	public acquire(): Effect.Effect<Slot> {
+		return Effect.callback<Slot>((resume) => {
+			const waiter = (slot: Slot): void => resume(Effect.succeed(slot));
+			this.waiters.push(waiter);
+			this.serve();
+			return Effect.sync(() => {
+				const index = this.waiters.indexOf(waiter);
+				if (index >= 0) {
+					this.waiters.splice(index, 1);
+				}
+			});
+		});
+	}
+
+	public queuedRequests(): number {
+		return this.waiters.length;
+	}
+
+	private serve(): void {
+		while (this.waiters.length > 0) {
+			const [best] = [...this.free].sort(([, left], [, right]) => right - left);
+			if (best === undefined || best[1] <= 0) {
+				return;
+			}
+			const [server, count] = best;
+			this.free.set(server, count - 1);
+			let released = false;
+			this.waiters.shift()?.({
+				backendServer: server,
+				charge: () => undefined,
+				release: () => {
+					if (!released) {
+						released = true;
+						this.free.set(server, (this.free.get(server) ?? 0) + 1);
+						this.serve();
+					}
+				},
+			});
+		}
+	}
+}
+
+/** Streams between routers of one process, which lose nothing. */
+export class LocalNetwork {
+	private readonly members = new Map<string, Emitter<PeerMessage>>();
+
+	private constructor() {}
+
+	/** @returns a network without members */
+	public static create(): LocalNetwork {
+		return new LocalNetwork();
+	}
+
+	/**
+	 * @param instance name of a router
+	 * @returns its side of the network
+	 */
+	public join(instance: string): IPeerNetwork {
+		const received = Emitter.create<PeerMessage>();
+		this.members.set(instance, received);
+		return {
+			onDidChangePeer: Emitter.create<never>().event,
+			onDidReceive: received.event,
+			send: (peer, parts) => {
+				this.members.get(peer)?.fire({ instance, incarnation: '', frame: PeerFrame.fromPartial(parts) });
+				return true;
+			},
+			peers: () =>
+				[...this.members.keys()]
+					.filter((name) => name !== instance)
+					.map((name) => ({
+						instance: name,
+						address: '',
+						state: 'connected',
+						incarnation: '',
+						failureDomain: '',
+						configurationVersion: 0,
+						leaving: false,
+					})),
+			setEndpoints: () => undefined,
+			announce: () => undefined,
+		};
+	}
+}
+
+/** What a test changes about a router. */
+export interface RouterOptions {
+	readonly configuration: Configuration;
+	readonly store?: FaultyStore;
+	readonly idempotency?: IIdempotencyService;
+	readonly network?: IPeerNetwork;
+	readonly slots?: ISlotService;
+}
+
+/** Callers' interface, dispatch and backend calls of one router, with a simple queue. */
+export class TestRouter {
+	private constructor(
+		public readonly url: string,
+		public readonly server: CallerServer,
+		public readonly slots: ISlotService,
+		public readonly suspects: CrashSuspects,
+		private readonly client: HttpBackendClient,
+	) {}
+
+	/**
+	 * @param options configuration and parts to use
+	 * @returns a router that listens
+	 */
+	public static async start(options: RouterOptions): Promise<TestRouter> {
+		const changes = Emitter.create<Configuration>();
+		const configuration = { current: options.configuration, onDidChange: changes.event };
+		const client = HttpBackendClient.create();
+		const suspects = CrashSuspects.create(systemClock);
+		if (options.network !== undefined) {
+			SuspectExchange.create(suspects, options.network);
+		}
+		const slots = options.slots ?? OrderlySlots.create(options.configuration);
+		const times = { firstPauseMs: 1, settleLimitMs: 5_000 };
+		const dispatch = DispatchService.create({
+			configuration,
+			slots,
+			client,
+			suspects,
+			idempotency: options.idempotency ?? StoredCalls.create(options.store ?? FaultyStore.create(), { times }),
+		});
+		const server = CallerServer.create(configuration, dispatch);
+		const port = await server.listen('127.0.0.1', 0);
+		return new TestRouter(`http://127.0.0.1:${port}`, server, slots, suspects, client);
+	}
+
+	/**
+	 * @param path path below the service
+	 * @param body sent as JSON
+	 * @param headers besides the token
+	 * @returns the answer's head
+	 */
+	public post(path: string, body: unknown, headers: Record<string, string> = {}): Promise<Response> {
+		return fetch(`${this.url}/services/s${path}`, {
+			method: 'POST',
+			body: JSON.stringify(body),
+			headers: { authorization: `Bearer ${TOKEN}`, ...headers },
+		});
+	}
+
+	/** Ends the router. */
+	public stop(): void {
+		this.server.dispose();
+		this.client.dispose();
+	}
+}
--- a/src/dispatch/node/dispatchService.ts
+++ b/src/dispatch/node/dispatchService.ts
@@ -1,85 +1,327 @@
-import { Effect } from 'effect';
-import type { BackendFailure, IAnswerSink, IBackendClient } from '../../backends/common/backendClient.js';
-import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
-import type { IConfigurationService } from '../../configuration/common/configurationService.js';
+import { Effect, Exit, Fiber } from 'effect';
+import type { IAnswerSink } from '../../backends/common/backendClient.js';
+import { type IClock, systemClock } from '../../base/common/clock.js';
+import type {
+	Claim,
+	ClaimResult,
+	IIdempotencyService,
+	KeyedCall,
+	LookupResult,
+	StoredOutcome,
+} from '../../idempotency/common/idempotencyService.js';
 import type { ISlotService, Slot } from '../../scheduling/common/slotService.js';
+import { AccountQueues, toRetrySeconds } from '../common/accountQueues.js';
 import type { DispatchFailure, DispatchRequest, IDispatchService } from '../common/dispatchService.js';
-import { CostMeter } from './costMeter.js';
+import { RetryBudget } from '../common/retryBudget.js';
+import { requestDigestOf } from './fingerprint.js';
+import { Job } from './job.js';
+import { SlotAttempts, type SlotAttemptOptions, type UsableSlot } from './slotAttempt.js';
 
-const MAXIMUM_ATTEMPTS = 3;
+/** Pause before a request that got a slot it cannot use queues again. */
+const UNUSABLE_SLOT_PAUSE_MS = 5;
+
+/** Pause that callers are told to make after backend servers failed. */
+const FAILURE_RETRY_SECONDS = 1;
+
+/** Pause that callers are told to make while another attempt with their key may be running. */
+const IN_DOUBT_RETRY_SECONDS = 2;
+
+// A process that was frozen for longer may have outlived its record, after which another attempt may have run.
+const CLAIM_USE_LIMIT_MS = 3_600_000;
+
+type Restore = <A, E>(effect: Effect.Effect<A, E>) => Effect.Effect<A, E>;
+type Program = Effect.Effect<void, DispatchFailure>;
+
+/** Parts of the dispatch service. */
+export interface DispatchOptions extends Omit<SlotAttemptOptions, 'clock'> {
+	readonly slots: ISlotService;
+	readonly idempotency: IIdempotencyService;
+	readonly clock?: IClock;
+}
 
 /** Runs one request from the fair queue to its verdict. */
 export class DispatchService implements IDispatchService {
-	private constructor(
-		private readonly configuration: IConfigurationService,
-		private readonly slots: ISlotService,
-		private readonly client: IBackendClient,
-	) {}
+	public readonly queues: AccountQueues;
+	private readonly budgets = new Map<string, RetryBudget>();
+	private readonly attempts: SlotAttempts;
+	private readonly clock: IClock;
+
+	private constructor(private readonly options: DispatchOptions) {
+		this.clock = options.clock ?? systemClock;
+		this.queues = AccountQueues.create(this.clock);
+		this.attempts = SlotAttempts.create({ ...options, clock: this.clock });
+		options.configuration.onDidChange((current) => this.queues.configure(current));
+		if (options.configuration.current !== undefined) {
+			this.queues.configure(options.configuration.current);
+		}
+	}
 
 	/**
-	 * @param configuration backend servers
-	 * @param slots fair queue
-	 * @param client calls backend servers
+	 * @param options services that requests pass through
 	 * @returns a dispatch service
 	 */
-	public static create(
-		configuration: IConfigurationService,
-		slots: ISlotService,
-		client: IBackendClient,
-	): DispatchService {
-		return new DispatchService(configuration, slots, client);
+	public static create(options: DispatchOptions): DispatchService {
+		return new DispatchService(options);
 	}
 
-	public dispatch(request: DispatchRequest, sink: IAnswerSink): Effect.Effect<void, DispatchFailure> {
-		const self = this;
-		return Effect.gen(function* () {
-			let verdict: Verdict = 'not-run';
-			for (let attempt = 1; ; attempt++) {
-				const result = yield* Effect.result(self.attempt(request, sink));
-				if (result._tag === 'Success') {
-					return;
+	public dispatch(request: DispatchRequest, sink: IAnswerSink): Program {
+		return Effect.suspend(() => {
+			const { pool } = request.service;
+			const budget = this.budgetOf(pool, request.account.id);
+			const queue = this.queues.of(pool, request.account.id);
+			const job = Job.create(request, { queue, budget, sink, clock: this.clock });
+			const refusal = this.refusalOf(job);
+			if (refusal !== undefined) {
+				return Effect.fail(refusal);
+			}
+			budget.deposit();
+			return this.withDeadline(job, job.isRecorded ? this.runRecorded(job) : this.runPlain(job));
+		});
+	}
+
+	private refusalOf(job: Job): DispatchFailure | undefined {
+		const { suspects } = this.options;
+		if (suspects.any) {
+			const quarantineMs = suspects.quarantineOf(job.fingerprint);
+			if (quarantineMs > 0) {
+				return this.quarantineFailure(job, quarantineMs);
+			}
+		}
+		const { service, account, deadlineMs } = job.request;
+		const refusal = job.queue.admit(this.queues.limitOf(service.pool, account.id), deadlineMs);
+		if (refusal === undefined) {
+			return undefined;
+		}
+		const message =
+			refusal.reason === 'queue-full'
+				? `${job.queue.length} requests of the account are queued, which is the limit`
+				: 'the deadline cannot be met';
+		return job.fail(refusal.reason, message, refusal.retryAfterSeconds);
+	}
+
+	private quarantineFailure(job: Job, quarantineMs: number): DispatchFailure {
+		const message = 'backend servers died while they ran this request, so it is not run for a while';
+		return job.fail('quarantined', message, toRetrySeconds(quarantineMs));
+	}
+
+	private withDeadline(job: Job, program: Program): Program {
+		return Effect.flatMap(Effect.forkChild(program, { startImmediately: true }), (fiber) => {
+			const expire = (): void => {
+				if (!job.progress.answerStarted) {
+					job.expired = true;
+					fiber.interruptUnsafe();
 				}
-				const { failure } = result;
-				verdict = combineVerdicts(verdict, failure.verdict);
-				const safe = failure.verdict === 'not-run' || request.idempotent;
-				if (failure.answerStarted || !safe || attempt >= MAXIMUM_ATTEMPTS) {
-					return yield* Effect.fail({ ...failure, verdict });
+			};
+			const timer = setTimeout(expire, job.remainingMs);
+			const ended = Effect.flatMap(Fiber.await(fiber), (exit): Program => {
+				if (job.expired && Exit.hasInterrupts(exit)) {
+					const waitMs = job.queue.waitMs(job.queue.length);
+					const message = 'the deadline passed before the answer began';
+					return Effect.fail(job.fail('deadline', message, toRetrySeconds(waitMs), job.progress.verdict));
 				}
-			}
+				return exit;
+			});
+			return Effect.ensuring(
+				ended,
+				Effect.sync(() => clearTimeout(timer)),
+			);
 		});
 	}
 
-	private attempt(request: DispatchRequest, sink: IAnswerSink): Effect.Effect<void, BackendFailure> {
-		const wait = this.slots.acquire({
-			pool: request.service.pool,
+	private runPlain(job: Job): Program {
+		return Effect.uninterruptibleMask((restore) =>
+			Effect.flatMap(this.acquireUsable(job, restore), (usable) => this.runFrom(usable, job, restore, undefined)),
+		);
+	}
+
+	private runRecorded(job: Job): Program {
+		const { request } = job;
+		const call: KeyedCall = {
 			account: request.account.id,
-			service: request.service.id,
-			costHint: request.costHint,
+			key: request.idempotencyKey ?? '',
+			requestDigest: requestDigestOf(request),
+		};
+		return Effect.flatMap(this.options.idempotency.lookup(call), (found) => {
+			if (found.kind !== 'absent') {
+				return this.answerFrom(found, job);
+			}
+			return Effect.uninterruptibleMask((restore) =>
+				Effect.flatMap(this.acquireUsable(job, restore), (usable) => {
+					// From here on the call goes on without its caller, so that a resend finds an outcome.
+					job.progress.verdict = 'may-have-run';
+					const claimed = Effect.uninterruptible(this.runClaimed(usable, job, call));
+					return Effect.flatMap(Effect.forkDetach(claimed, { startImmediately: true }), (fiber) =>
+						restore(Fiber.join(fiber)),
+					);
+				}),
+			);
 		});
-		return Effect.flatMap(wait, (slot) => this.runOn(slot, request, sink));
 	}
 
-	private runOn(slot: Slot, request: DispatchRequest, sink: IAnswerSink): Effect.Effect<void, BackendFailure> {
-		const server = this.configuration.current?.backendServers.find((item) => item.id === slot.backendServer);
-		if (server === undefined) {
-			slot.release(true);
-			const message = `${slot.backendServer} is no longer configured`;
-			return Effect.fail({ verdict: 'not-run', answerStarted: false, refused: true, message });
+	private runClaimed(usable: UsableSlot, job: Job, call: KeyedCall): Program {
+		const { idempotency } = this.options;
+		const startedAt = this.clock.now();
+		return Effect.flatMap(idempotency.claim(call), (result): Program => {
+			if (result.kind !== 'claimed') {
+				this.attempts.giveBack(usable, job);
+				return this.answerFrom(result, job);
+			}
+			const { claim } = result;
+			if (this.clock.now() - startedAt > CLAIM_USE_LIMIT_MS) {
+				this.attempts.giveBack(usable, job);
+				const failure = job.fail('record-unavailable', 'the record was claimed too late', FAILURE_RETRY_SECONDS);
+				return Effect.andThen(idempotency.release(claim), Effect.fail(failure));
+			}
+			// A retry waits for a slot at most until the deadline, since nothing else ends this fiber.
+			const bounded: Restore = (effect) => Effect.interruptible(effect);
+			const run = this.runFrom(usable, job, bounded, claim);
+			return Effect.tapError(run, (failure) =>
+				failure.verdict === 'not-run' ? idempotency.release(claim) : Effect.void,
+			);
+		});
+	}
+
+	private answerFrom(found: Exclude<LookupResult | ClaimResult, { kind: 'absent' | 'claimed' }>, job: Job): Program {
+		switch (found.kind) {
+			case 'replay':
+				return this.replay(found.outcome, job);
+			case 'mismatch':
+				return Effect.fail(job.fail('key-reused', 'the key was used with another request', undefined, 'not-run'));
+			case 'in-doubt': {
+				const message = 'another attempt with this key was made, and its outcome is not known';
+				return Effect.fail(job.fail('in-doubt', message, IN_DOUBT_RETRY_SECONDS, 'may-have-run'));
+			}
+			case 'unavailable': {
+				const message = 'the store does not answer, so the call cannot be recorded';
+				return Effect.fail(job.fail('record-unavailable', message, found.retryAfterSeconds, 'not-run'));
+			}
 		}
-		const meter = CostMeter.create(request, (costUnits) => slot.charge(costUnits));
-		const metered: IAnswerSink = {
-			head: (head) => sink.head(head),
-			write: (chunk, resume) => {
-				meter.write(chunk);
-				return sink.write(chunk, resume);
-			},
-		};
-		const call = this.client.call(server, request.request, metered);
-		return Effect.onExit(call, (exit) =>
-			Effect.sync(() => {
-				meter.end();
-				slot.release(exit._tag === 'Failure');
-			}),
+	}
+
+	private replay(outcome: StoredOutcome, job: Job): Program {
+		if (outcome.body === undefined) {
+			const message = 'the call ran, but its answer was too large to be kept';
+			return Effect.fail(job.fail('answer-not-kept', message, undefined, 'completed'));
+		}
+		const { body } = outcome;
+		return Effect.sync(() => {
+			job.relay.begin({ status: outcome.status, headers: collect(outcome.headers) });
+			job.relay.write(
+				body,
+				() => undefined,
+				() => undefined,
+			);
+			job.relay.finish();
+		});
+	}
+
+	private acquireUsable(job: Job, restore: Restore): Effect.Effect<UsableSlot> {
+		const wait = restore(this.waitInQueue(job));
+		const next: Effect.Effect<UsableSlot> = Effect.flatMap(wait, (slot) => {
+			const usable = this.attempts.check(slot, job);
+			if (usable !== undefined) {
+				return Effect.succeed(usable);
+			}
+			return Effect.andThen(restore(Effect.sleep(UNUSABLE_SLOT_PAUSE_MS)), next);
+		});
+		return next;
+	}
+
+	private waitInQueue(job: Job): Effect.Effect<Slot> {
+		const { service, account, costHint } = job.request;
+		return Effect.suspend(() => {
+			job.queue.enter();
+			const slot = this.options.slots.acquire({
+				pool: service.pool,
+				account: account.id,
+				service: service.id,
+				costHint,
+			});
+			return Effect.onExit(slot, (exit) => Effect.sync(() => job.queue.leave(exit._tag === 'Success')));
+		});
+	}
+
+	// Attempts until one brings a whole answer or no further one is safe, beginning with a slot at hand.
+	private runFrom(usable: UsableSlot, job: Job, restore: Restore, claim: Claim | undefined): Program {
+		const self = this;
+		return Effect.gen(function* () {
+			let current: UsableSlot | undefined = usable;
+			for (;;) {
+				const failure = yield* self.attempts.run(current, job, self.requestFor(job, current, claim), restore);
+				if (failure === undefined) {
+					return yield* self.finish(job, claim);
+				}
+				job.markFailed(failure);
+				const quarantineMs = self.options.suspects.any ? self.options.suspects.quarantineOf(job.fingerprint) : 0;
+				if (quarantineMs > 0) {
+					return yield* Effect.fail(self.quarantineFailure(job, quarantineMs));
+				}
+				if (!job.mayRetry(failure)) {
+					return yield* Effect.fail(job.fail('backend', failure.message, self.retrySecondsOf(job)));
+				}
+				current = yield* self.acquireBeforeDeadline(job, restore);
+				if (current === undefined) {
+					return yield* Effect.fail(job.fail('deadline', 'the deadline passed', FAILURE_RETRY_SECONDS));
+				}
+			}
+		});
+	}
+
+	private acquireBeforeDeadline(job: Job, restore: Restore): Effect.Effect<UsableSlot | undefined> {
+		if (!job.isRecorded) {
+			return this.acquireUsable(job, restore);
+		}
+		const wait = restore(Effect.timeoutOption(this.acquireUsable(job, restore), Math.max(0, job.remainingMs)));
+		return Effect.map(wait, (found) => (found._tag === 'Some' ? found.value : undefined));
+	}
+
+	private finish(job: Job, claim: Claim | undefined): Effect.Effect<void> {
+		const stored = claim === undefined ? Effect.void : this.options.idempotency.complete(claim, job.relay.outcome());
+		return Effect.andThen(
+			stored,
+			Effect.sync(() => job.relay.finish()),
 		);
 	}
+
+	private requestFor(job: Job, usable: UsableSlot, claim: Claim | undefined): DispatchRequest['request'] {
+		const { request } = job.request;
+		const resumeFrom = job.relay.resumeFrom;
+		const fencing = usable.server.checksFencing ? claim?.revision : undefined;
+		if (resumeFrom === undefined && fencing === undefined) {
+			return request;
+		}
+		const headers: Record<string, string | readonly string[]> = { ...request.headers };
+		if (resumeFrom !== undefined) {
+			headers['last-event-id'] = resumeFrom;
+		}
+		if (fencing !== undefined) {
+			headers['masticloom-fencing-number'] = String(fencing);
+		}
+		return { ...request, headers };
+	}
+
+	// Without a key, a resend of a call that may have run could run it twice, so no retry is suggested.
+	private retrySecondsOf(job: Job): number | undefined {
+		const safe = job.request.idempotent || job.isRecorded || job.progress.verdict === 'not-run';
+		return safe ? FAILURE_RETRY_SECONDS : undefined;
+	}
+
+	private budgetOf(pool: string, account: string): RetryBudget {
+		const key = `${pool}\n${account}`;
+		let budget = this.budgets.get(key);
+		if (budget === undefined) {
+			budget = RetryBudget.create();
+			this.budgets.set(key, budget);
+		}
+		return budget;
+	}
+}
+
+function collect(headers: StoredOutcome['headers']): Record<string, string | readonly string[]> {
+	const collected: Record<string, string | readonly string[]> = {};
+	for (const [name, value] of headers) {
+		const earlier = collected[name];
+		collected[name] = earlier === undefined ? value : [...(typeof earlier === 'string' ? [earlier] : earlier), value];
+	}
+	return collected;
 }
--- /dev/null
+++ b/src/dispatch/node/eventStream.ts
@@ -0,0 +1,118 @@
+const EVENT_START = Buffer.from('data:');
+const EVENT_END = Buffer.from('\n\n');
+const EVENT_END_WITH_RETURNS = Buffer.from('\r\n\r\n');
+const ID_START = Buffer.from('id:');
+const ID_LINE_START = Buffer.from('\nid:');
+const END_MARKER = Buffer.from('data: [DONE]');
+const ID_LINES = /(?:^|\n)id: ?([^\r\n]*)/g;
+const LINE_FEED = 0x0a;
+
+/**
+ * Follows a stream of server-sent events chunk by chunk. It scans bytes without decoding them, since decoding each
+ * token's event costs more than passing it on.
+ */
+export class EventStream {
+	private held: Buffer | undefined;
+	private lastPart: Buffer | undefined;
+	private lastPartWithId: Buffer | undefined;
+
+	private constructor(private readonly wholeEvents: boolean) {}
+
+	/**
+	 * @param wholeEvents pass on whole events only, so that the stream can be resumed between two events
+	 * @returns a stream without events
+	 */
+	public static create(wholeEvents: boolean): EventStream {
+		return new EventStream(wholeEvents);
+	}
+
+	/** The end marker has arrived, so the answer is whole. */
+	public get isWhole(): boolean {
+		const last = this.held !== undefined && this.held.length > 0 ? this.held : this.lastPart;
+		return last !== undefined && endsWithMarker(last);
+	}
+
+	/** `id` of the last event that was passed on. */
+	public get lastEventId(): string | undefined {
+		const lines = [...(this.lastPartWithId?.toString('utf8').matchAll(ID_LINES) ?? [])];
+		return lines.at(-1)?.[1];
+	}
+
+	/**
+	 * Takes the next bytes.
+	 *
+	 * @param chunk bytes as they arrived
+	 * @returns bytes to pass on now, if any
+	 */
+	public push(chunk: Buffer): Buffer | undefined {
+		const ready = this.wholeEvents ? this.cutAtEvent(chunk) : chunk;
+		if (ready === undefined) {
+			return undefined;
+		}
+		this.lastPart = this.wholeEvents ? ready : this.joinTail(ready);
+		if (ready.subarray(0, ID_START.length).equals(ID_START) || ready.includes(ID_LINE_START)) {
+			this.lastPartWithId = ready;
+		}
+		return ready;
+	}
+
+	/** @returns bytes of an end marker that lacks its empty line, once the stream has ended */
+	public takeHeld(): Buffer | undefined {
+		const held = this.held;
+		this.held = undefined;
+		return held;
+	}
+
+	/** Forgets an event that was cut off, before the stream is resumed. */
+	public dropHeld(): void {
+		this.held = undefined;
+	}
+
+	private cutAtEvent(chunk: Buffer): Buffer | undefined {
+		const bytes = this.held === undefined ? chunk : Buffer.concat([this.held, chunk]);
+		this.held = undefined;
+		const length = bytes.length;
+		if (length >= 2 && bytes[length - 1] === LINE_FEED && bytes[length - 2] === LINE_FEED) {
+			return bytes;
+		}
+		const end = Math.max(endOfLast(bytes, EVENT_END), endOfLast(bytes, EVENT_END_WITH_RETURNS));
+		if (end < length) {
+			this.held = bytes.subarray(end);
+		}
+		return end === 0 ? undefined : bytes.subarray(0, end);
+	}
+
+	private joinTail(chunk: Buffer): Buffer {
+		const needed = END_MARKER.length + EVENT_END.length;
+		if (chunk.length >= needed || this.lastPart === undefined) {
+			return chunk;
+		}
+		return Buffer.concat([this.lastPart.subarray(-needed), chunk]);
+	}
+}
+
+function endOfLast(bytes: Buffer, separator: Buffer): number {
+	const at = bytes.lastIndexOf(separator);
+	return at < 0 ? 0 : at + separator.length;
+}
+
+/**
+ * @param chunk bytes of a stream
+ * @returns number of events that begin in them
+ */
+export function countEvents(chunk: Buffer): number {
+	let count = 0;
+	for (let at = chunk.indexOf(EVENT_START); at >= 0; at = chunk.indexOf(EVENT_START, at + EVENT_START.length)) {
+		count++;
+	}
+	return count;
+}
+
+function endsWithMarker(part: Buffer): boolean {
+	let end = part.length;
+	while (end > 0 && (part[end - 1] === LINE_FEED || part[end - 1] === 0x0d)) {
+		end--;
+	}
+	const start = end - END_MARKER.length;
+	return start >= 0 && part.subarray(start, end).equals(END_MARKER) && (start === 0 || part[start - 1] === LINE_FEED);
+}
--- /dev/null
+++ b/src/dispatch/node/job.ts
@@ -0,0 +1,141 @@
+import type { BackendFailure, IAnswerSink } from '../../backends/common/backendClient.js';
+import type { IClock } from '../../base/common/clock.js';
+import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
+import type { AccountQueue } from '../common/accountQueues.js';
+import type {
+	DispatchFailure,
+	DispatchFailureCode,
+	DispatchProgress,
+	DispatchRequest,
+} from '../common/dispatchService.js';
+import type { RetryBudget } from '../common/retryBudget.js';
+import { AnswerRelay } from './answerRelay.js';
+import { fingerprintOf } from './fingerprint.js';
+
+/** Attempts at one request, resumed streams not counted when they brought at least one event. */
+const MAXIMUM_ATTEMPTS = 5;
+
+/** Longest time that a request without a deadline waits for its answer to begin. */
+const DEFAULT_DEADLINE_MS = 600_000;
+
+/** One request on its way from the queue to its verdict. */
+export class Job {
+	public readonly progress: DispatchProgress;
+	public readonly relay: AnswerRelay;
+	public readonly deadlineAt: number;
+	/** Backend servers that brought no whole answer to this request. */
+	public readonly failedServers = new Set<string>();
+	/** The deadline passed before the answer began. */
+	public expired = false;
+	private readonly createdAt: number;
+	private verdict: Verdict = 'not-run';
+	private attempts = 0;
+	private resumedFrom: string | undefined;
+	private knownFingerprint: string | undefined;
+
+	private constructor(
+		public readonly request: DispatchRequest,
+		public readonly queue: AccountQueue,
+		private readonly budget: RetryBudget,
+		sink: IAnswerSink,
+		private readonly clock: IClock,
+	) {
+		this.createdAt = clock.now();
+		this.progress = request.progress ?? { verdict: 'not-run', answerStarted: false };
+		this.deadlineAt = this.createdAt + (request.deadlineMs ?? DEFAULT_DEADLINE_MS);
+		const { service } = request;
+		this.relay = AnswerRelay.create(sink, {
+			modelEngine: service.kind === 'model-engine',
+			resumable: service.resumable,
+			recorded: this.isRecorded,
+			onStarted: () => (this.progress.answerStarted = true),
+		});
+	}
+
+	/**
+	 * @param request what to run
+	 * @param parts the account's queue and retry budget, the caller's sink, and the clock of the deadline
+	 * @returns a job that was not sent anywhere
+	 */
+	public static create(
+		request: DispatchRequest,
+		parts: {
+			readonly queue: AccountQueue;
+			readonly budget: RetryBudget;
+			readonly sink: IAnswerSink;
+			readonly clock: IClock;
+		},
+	): Job {
+		return new Job(request, parts.queue, parts.budget, parts.sink, parts.clock);
+	}
+
+	/** The call needs a record in the store before it is dispatched. */
+	public get isRecorded(): boolean {
+		return !this.request.idempotent && this.request.idempotencyKey !== undefined;
+	}
+
+	/** Milliseconds until the deadline; negative after it. */
+	public get remainingMs(): number {
+		return this.deadlineAt - this.clock.now();
+	}
+
+	/** Identifies the request among those that may crash backend servers. Only computed when it is needed. */
+	public get fingerprint(): string {
+		this.knownFingerprint ??= fingerprintOf(this.request);
+		return this.knownFingerprint;
+	}
+
+	/** Notes that bytes go to a backend server. */
+	public markSent(): void {
+		this.progress.verdict = 'may-have-run';
+		this.progress.waitMs ??= this.clock.now() - this.createdAt;
+	}
+
+	/**
+	 * Notes a failed attempt.
+	 *
+	 * @param failure what the attempt came to
+	 */
+	public markFailed(failure: BackendFailure): void {
+		this.verdict = combineVerdicts(this.verdict, failure.verdict);
+		this.progress.verdict = this.isRecorded ? 'may-have-run' : this.verdict;
+		const resumeFrom = this.relay.resumeFrom;
+		if (resumeFrom === undefined || resumeFrom === this.resumedFrom) {
+			this.attempts++;
+		}
+		this.resumedFrom = resumeFrom;
+	}
+
+	/**
+	 * @param failure what the last attempt came to
+	 * @returns whether another attempt is safe and within its limits
+	 */
+	public mayRetry(failure: BackendFailure): boolean {
+		const safe = failure.verdict === 'not-run' || this.request.idempotent;
+		const resumable = !this.relay.answerStarted || this.relay.resumeFrom !== undefined;
+		return (
+			safe &&
+			resumable &&
+			failure.kind !== 'fenced' &&
+			this.attempts < MAXIMUM_ATTEMPTS &&
+			(this.remainingMs > 0 || this.relay.answerStarted) &&
+			this.budget.tryWithdraw()
+		);
+	}
+
+	/**
+	 * @param code why the request ends
+	 * @param message what the caller is told
+	 * @param retryAfterSeconds when a retry makes sense
+	 * @param verdict verdict of the request, unless its attempts decide it
+	 * @returns the failure
+	 */
+	public fail(
+		code: DispatchFailureCode,
+		message: string,
+		retryAfterSeconds: number | undefined,
+		verdict: Verdict = this.verdict,
+	): DispatchFailure {
+		return { code, verdict, answerStarted: this.progress.answerStarted, message, retryAfterSeconds };
+	}
+}
--- /dev/null
+++ b/src/dispatch/node/slotAttempt.ts
@@ -0,0 +1,233 @@
+import { Effect } from 'effect';
+import type {
+	BackendFailure,
+	BackendRequest,
+	IAttemptSink,
+	IBackendClient,
+} from '../../backends/common/backendClient.js';
+import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { ServerAvoidance } from '../../backends/common/serverAvoidance.js';
+import type { IClock } from '../../base/common/clock.js';
+import type { IConfigurationService } from '../../configuration/common/configurationService.js';
+import type { BackendServer } from '../../configuration/common/model.js';
+import type { Slot } from '../../scheduling/common/slotService.js';
+import { CostMeter } from '../common/costMeter.js';
+import type { Job } from './job.js';
+
+/** After a refusal, this router keeps its requests off the server for this long; it probably has no free slot. */
+const REFUSED_AVOIDANCE_MS = 50;
+
+/** After a failed connection, this router keeps its requests off the server for this long. */
+const UNREACHABLE_AVOIDANCE_MS = 250;
+
+/** Running calls to plain services are charged at this interval. */
+const CHARGE_INTERVAL_MS = 100;
+
+/** A slot that may be used for a request. */
+export interface UsableSlot {
+	readonly slot: Slot;
+	readonly server: BackendServer;
+	/** The request is a suspect that has the server reserved. */
+	readonly suspect: boolean;
+}
+
+/** Parts that attempts need. */
+export interface SlotAttemptOptions {
+	readonly configuration: IConfigurationService;
+	readonly client: IBackendClient;
+	readonly suspects: CrashSuspects;
+	readonly clock: IClock;
+}
+
+/** Runs single attempts on slots. */
+export class SlotAttempts {
+	private readonly running = new Set<CostMeter>();
+	private readonly servers: ServerAvoidance;
+	private chargeTimer: NodeJS.Timeout | undefined;
+
+	private constructor(private readonly options: SlotAttemptOptions) {
+		this.servers = ServerAvoidance.create(options.clock);
+	}
+
+	/**
+	 * @param options parts that attempts need
+	 * @returns runs attempts
+	 */
+	public static create(options: SlotAttemptOptions): SlotAttempts {
+		return new SlotAttempts(options);
+	}
+
+	/**
+	 * Checks whether a request may run on a slot, and gives the slot back when it may not.
+	 *
+	 * @param slot slot that the request got
+	 * @param job the request
+	 * @returns the slot, or undefined when the request needs another one
+	 */
+	public check(slot: Slot, job: Job): UsableSlot | undefined {
+		const { configuration, suspects } = this.options;
+		const server = configuration.current?.backendServers.find((item) => item.id === slot.backendServer);
+		if (server === undefined) {
+			slot.release(true);
+			return undefined;
+		}
+		const avoidanceMs = this.avoidanceFor(job, server);
+		if (avoidanceMs > 0) {
+			// Released at once, the slot would come back to the same request while no other one is free.
+			releaseLater(slot, avoidanceMs);
+			return undefined;
+		}
+		if (!suspects.any) {
+			return { slot, server, suspect: false };
+		}
+		const entry = suspects.tryEnter(job.fingerprint, server.id);
+		if (entry === 'occupied') {
+			slot.release(true);
+			return undefined;
+		}
+		return { slot, server, suspect: entry === 'entered' };
+	}
+
+	/**
+	 * Sends the request once. The slot is given back when the attempt ends.
+	 *
+	 * @param usable from {@link check}
+	 * @param job the request
+	 * @param request what to send
+	 * @param restore makes the call itself interruptible
+	 * @returns undefined after a whole answer, otherwise the failure
+	 */
+	public run(
+		usable: UsableSlot,
+		job: Job,
+		request: BackendRequest,
+		restore: <A, E>(effect: Effect.Effect<A, E>) => Effect.Effect<A, E>,
+	): Effect.Effect<BackendFailure | undefined> {
+		return Effect.suspend(() => {
+			const { slot, server } = usable;
+			const meter = CostMeter.create(job.request.service.kind, this.options.clock, (cost) => slot.charge(cost));
+			this.follow(meter);
+			const attempt = new RelayedAttempt(job, meter);
+			const call = Effect.match(restore(this.options.client.call(server, request, attempt)), {
+				onSuccess: () => attempt.judgeEnd(server.id),
+				onFailure: (failure) => {
+					this.noteFailure(failure, server, job);
+					return failure;
+				},
+			});
+			return Effect.onExit(call, (exit) =>
+				Effect.sync(() => {
+					this.unfollow(meter);
+					meter.addTime();
+					const failure = exit._tag === 'Success' ? exit.value : undefined;
+					this.end(usable, job, failure, exit._tag === 'Success');
+				}),
+			);
+		});
+	}
+
+	/**
+	 * Gives back a slot that was not used.
+	 *
+	 * @param usable from {@link check}
+	 * @param job the request
+	 */
+	public giveBack(usable: UsableSlot, job: Job): void {
+		if (usable.suspect) {
+			this.options.suspects.leave(job.fingerprint, usable.server.id);
+		}
+		usable.slot.release(true);
+	}
+
+	// A request tries each server of its pool once before it returns to one that has failed it.
+	private avoidanceFor(job: Job, server: BackendServer): number {
+		if (job.failedServers.has(server.id)) {
+			const servers = this.options.configuration.current?.backendServers ?? [];
+			if (servers.some((item) => item.pool === server.pool && !job.failedServers.has(item.id))) {
+				return Math.max(REFUSED_AVOIDANCE_MS, this.servers.remainingMs(server.id));
+			}
+		}
+		return this.servers.remainingMs(server.id);
+	}
+
+	private noteFailure(failure: BackendFailure, server: BackendServer, job: Job): void {
+		if (failure.kind === 'broken') {
+			this.options.suspects.recordDeath(job.fingerprint);
+		} else if (failure.kind === 'unreachable') {
+			this.servers.avoid(server.id, UNREACHABLE_AVOIDANCE_MS);
+		} else if (failure.kind === 'refused') {
+			this.servers.avoid(server.id, REFUSED_AVOIDANCE_MS);
+		}
+	}
+
+	private end(usable: UsableSlot, job: Job, failure: BackendFailure | undefined, ended: boolean): void {
+		const { suspects } = this.options;
+		const { slot, server } = usable;
+		if (suspects.any && ended && failure === undefined) {
+			suspects.recordCompletion(job.fingerprint);
+		}
+		if (usable.suspect) {
+			suspects.leave(job.fingerprint, server.id);
+		}
+		if (failure === undefined) {
+			slot.release(false);
+			return;
+		}
+		// Released at once, the slot would take the next request to the same server, which cannot run it either.
+		job.failedServers.add(server.id);
+		releaseLater(slot, this.servers.remainingMs(server.id));
+	}
+
+	private follow(meter: CostMeter): void {
+		this.running.add(meter);
+		this.chargeTimer ??= setInterval(() => this.running.forEach((item) => item.addTime()), CHARGE_INTERVAL_MS);
+	}
+
+	private unfollow(meter: CostMeter): void {
+		this.running.delete(meter);
+		if (this.running.size === 0) {
+			clearInterval(this.chargeTimer);
+			this.chargeTimer = undefined;
+		}
+	}
+}
+
+class RelayedAttempt implements IAttemptSink {
+	private accepted = false;
+	private readonly countTokens = (count: number): void => this.meter.addTokens(count);
+
+	public constructor(
+		private readonly job: Job,
+		private readonly meter: CostMeter,
+	) {}
+
+	public sent(): void {
+		this.job.markSent();
+		this.meter.start();
+	}
+
+	public head(head: Parameters<IAttemptSink['head']>[0]): void {
+		this.accepted = this.job.relay.begin(head);
+		this.meter.accept(this.job.request.request.body.length);
+	}
+
+	public write(chunk: Uint8Array, resume: () => void): boolean {
+		return !this.accepted || this.job.relay.write(chunk, resume, this.countTokens);
+	}
+
+	public judgeEnd(server: string): BackendFailure | undefined {
+		if (this.accepted && this.job.relay.isWhole()) {
+			return undefined;
+		}
+		const message = this.accepted ? 'ended the stream without its end marker' : 'did not resume the stream';
+		return { kind: 'broken', verdict: 'may-have-run', message: `backend server ${server}: ${message}` };
+	}
+}
+
+function releaseLater(slot: Slot, delayMs: number): void {
+	if (delayMs <= 0) {
+		slot.release(true);
+		return;
+	}
+	setTimeout(() => slot.release(true), delayMs).unref();
+}
--- a/src/idempotency/test/storedCalls.test.ts
+++ b/src/idempotency/test/storedCalls.test.ts
@@ -9,8 +9,13 @@
 const OUTCOME: StoredOutcome = { status: 201, headers: [['x', 'y']], body: new Uint8Array([0, 200, 255]) };
 const run = Effect.runPromise;
 
-function createRouters(store: FaultyStore, count: number, now = (): number => 0): readonly StoredCalls[] {
-	const times = { firstPauseMs: 0, longestPauseMs: 1, claimLimitMs: 50, refusalMs: 1_000, settleLimitMs: 5_000 };
+function createRouters(
+	store: FaultyStore,
+	count: number,
+	now = (): number => 0,
+	claimLimitMs = 20_000,
+): readonly StoredCalls[] {
+	const times = { firstPauseMs: 0, longestPauseMs: 1, claimLimitMs, refusalMs: 1_000, settleLimitMs: 5_000 };
 	return Array.from({ length: count }, () => StoredCalls.create(store, { clock: { now }, times }));
 }
 
@@ -65,7 +70,7 @@
 	test('refuses while the store is down and removes a record that was written unnoticed', async () => {
 		const store = FaultyStore.create();
 		let now = 0;
-		const [service] = createRouters(store, 1, () => now) as [StoredCalls];
+		const [service] = createRouters(store, 1, () => now, 50) as [StoredCalls];
 		store.losesAnswers = true;
 		expect(await run(service.claim(CALL))).toEqual({ kind: 'unavailable', retryAfterSeconds: 1 });
 		expect(await run(service.claim({ ...CALL, key: 'other' }))).toMatchObject({ kind: 'unavailable' });
