--- a/src/configuration/common/model.ts
+++ b/src/configuration/common/model.ts
@@ -53,11 +53,15 @@
 }
 
 /** Everything operators decide. */
-export interface Configuration {
-	/** Grows by one with each accepted change. */
-	readonly version: number;
+export interface ConfigurationContent {
 	readonly accounts: readonly ClientAccount[];
 	readonly services: readonly Service[];
 	readonly pools: readonly Pool[];
 	readonly backendServers: readonly BackendServer[];
 }
+
+/** Accepted content. Items that did not change keep their object identity from one version to the next. */
+export interface Configuration extends ConfigurationContent {
+	/** Grows by one with each accepted change. */
+	readonly version: number;
+}
--- /dev/null
+++ b/src/configuration/node/configurationPublisher.ts
@@ -0,0 +1,249 @@
+import { randomBytes } from 'node:crypto';
+import { Effect, Result } from 'effect';
+import type { IKeyValueStore, KeyValue, StoreError, SwapResult } from '../../platform/common/keyValueStore.js';
+import { compareContent, type ConfigurationChange } from '../common/configurationChanges.js';
+import {
+	type ConfigurationHead,
+	decodeHead,
+	digestOfPart,
+	encodeHead,
+	HEAD_KEY,
+	partEntries,
+	partKey,
+	partName,
+	type PartNames,
+	RECENT_NONCES,
+	versionOfNonce,
+} from '../common/configurationHead.js';
+import { canonicalContent, type Section, SECTIONS, splitIntoParts } from '../common/configurationParts.js';
+import type { ConfigurationContent } from '../common/model.js';
+import { type ConfigurationSnapshot, loadSnapshot, type LoadError, type PartCache } from './configurationSnapshot.js';
+import { partDigest } from './partDigest.js';
+
+const NONCE_BYTES = 9;
+const PARALLEL_WRITES = 8;
+const RETRY_DELAY_MS = 10;
+const MAXIMUM_RETRY_DELAY_MS = 1_000;
+const DEFAULT_PATIENCE_MS = 30_000;
+
+/** An accepted change. */
+export interface Publication {
+	readonly version: number;
+	/** What the change did; empty when the store already had the same content. */
+	readonly changes: readonly ConfigurationChange[];
+}
+
+/**
+ * A change that was not accepted, or of which that is not known.
+ *
+ * - `conflict`: another change was accepted first; `changes` is what it did.
+ * - `not-published`: the store did not take the change.
+ * - `unknown`: the store may have taken the change, and it did not answer in time.
+ */
+export interface PublishError {
+	readonly kind: 'conflict' | 'not-published' | 'unknown';
+	readonly message: string;
+	/** Version in the store after a conflict. */
+	readonly version?: number;
+	readonly changes: readonly ConfigurationChange[];
+}
+
+interface Change {
+	readonly base: ConfigurationSnapshot;
+	readonly head: ConfigurationHead;
+	/** Texts of the new parts by name. */
+	readonly texts: ReadonlyMap<string, string>;
+}
+
+/** Publishes configurations to the store. */
+export class ConfigurationPublisher {
+	private constructor(
+		private readonly store: IKeyValueStore,
+		private readonly patienceMs: number,
+	) {}
+
+	/**
+	 * @param store the platform's store
+	 * @param patienceMs how long the publisher goes on while the store fails
+	 * @returns a publisher
+	 */
+	public static create(store: IKeyValueStore, patienceMs = DEFAULT_PATIENCE_MS): ConfigurationPublisher {
+		return new ConfigurationPublisher(store, patienceMs);
+	}
+
+	/**
+	 * Reads what the store has now.
+	 *
+	 * @param cache parts that are known already
+	 * @returns the snapshot to start a change from
+	 */
+	public load(cache: PartCache = new Map()): Effect.Effect<ConfigurationSnapshot, LoadError> {
+		const deadline = performance.now() + this.patienceMs;
+		const load = loadSnapshot(this.store, cache);
+		return untilAnswered(load, deadline, ({ kind }) => kind === 'unavailable');
+	}
+
+	/**
+	 * Replaces the configuration, provided that nobody changed it since it was read.
+	 *
+	 * @param base the snapshot that the change starts from
+	 * @param content validated content
+	 * @returns the new version, also when the store's answer was lost
+	 */
+	public publish(base: ConfigurationSnapshot, content: ConfigurationContent): Effect.Effect<Publication, PublishError> {
+		const ordered = canonicalContent(content);
+		const change = prepare(base, ordered);
+		if (base.headRevision !== 0 && samePartNames(base.head.parts, change.head.parts)) {
+			return Effect.succeed({ version: base.head.version, changes: [] });
+		}
+		return Effect.gen({ self: this }, function* () {
+			const deadline = performance.now() + this.patienceMs;
+			yield* Effect.forEach(change.texts, ([name, text]) => this.writePart(name, text, deadline), {
+				concurrency: PARALLEL_WRITES,
+				discard: true,
+			});
+			const version = yield* this.writeHead(change, deadline);
+			yield* this.removeReplaced(change);
+			return { version, changes: compareContent(base.configuration, ordered) };
+		});
+	}
+
+	// A part's name is unique to its change, so a part that exists already was written by a lost attempt of this call.
+	private writePart(name: string, text: string, deadline: number): Effect.Effect<SwapResult, PublishError> {
+		const write = this.store.compareAndSwap(partKey(name), 0, Buffer.from(text));
+		// Without a head that refers to it, a part has no effect, so the change is not published.
+		return Effect.mapError(swapUntilAnswered(write, deadline), ({ message }) => failure('not-published', message));
+	}
+
+	// Repeating the swap is safe: a delayed earlier attempt and the repetition expect the same revision, so at most one
+	// of them takes effect.
+	private writeHead(change: Change, deadline: number): Effect.Effect<number, PublishError> {
+		const value = Buffer.from(encodeHead(change.head));
+		return Effect.gen({ self: this }, function* () {
+			const swap = this.store.compareAndSwap(HEAD_KEY, change.base.headRevision, value);
+			const swapped = yield* Effect.mapError(swapUntilAnswered(swap, deadline), ({ message, outcome }) =>
+				failure(outcome === 'unknown' ? 'unknown' : 'not-published', message),
+			);
+			return swapped.swapped ? change.head.version : yield* this.settle(change, swapped.current);
+		});
+	}
+
+	/** Finds out whether the head that stands in the way contains this change. */
+	private settle(change: Change, current: KeyValue | undefined): Effect.Effect<number, PublishError> {
+		const stored = current && decodeHead(new TextDecoder().decode(current.value));
+		if (stored === undefined || stored.isErr) {
+			const message = stored?.isErr === true ? stored.error : 'the configuration was removed from the store';
+			return Effect.fail(failure('unknown', message));
+		}
+		const version = versionOfNonce(stored.value, change.head.nonce);
+		if (version !== undefined) {
+			return Effect.succeed(version);
+		}
+		if (stored.value.version - change.base.head.version > RECENT_NONCES) {
+			const message = `more than ${RECENT_NONCES} changes followed, so the store no longer tells whether this one did`;
+			return Effect.fail(failure('unknown', message));
+		}
+		return Effect.flatMap(this.conflict(change, current), (error) => Effect.fail(error));
+	}
+
+	private conflict(change: Change, current: KeyValue | undefined): Effect.Effect<PublishError> {
+		return Effect.gen({ self: this }, function* () {
+			yield* this.removeParts([...change.texts.keys()], new Map());
+			const theirs = yield* Effect.result(loadSnapshot(this.store, change.base.cache, current));
+			if (Result.isFailure(theirs)) {
+				return failure('conflict', `another change was accepted; it could not be read: ${theirs.failure.message}`);
+			}
+			const { configuration } = theirs.success;
+			return {
+				kind: 'conflict' as const,
+				message: `the configuration was changed to version ${configuration.version} in the meantime`,
+				version: configuration.version,
+				changes: compareContent(change.base.configuration, configuration),
+			};
+		});
+	}
+
+	private removeReplaced(change: Change): Effect.Effect<void> {
+		const kept = new Set(partEntries(change.head.parts).map(({ name }) => name));
+		const replaced = partEntries(change.base.head.parts).flatMap(({ name }) => (kept.has(name) ? [] : [name]));
+		return this.removeParts(replaced, change.base.partRevisions);
+	}
+
+	// A part that a failure leaves behind costs space only.
+	private removeParts(names: readonly string[], revisions: ReadonlyMap<string, number>): Effect.Effect<void> {
+		const remove = (name: string): Effect.Effect<unknown, StoreError> =>
+			Effect.gen({ self: this }, function* () {
+				const known = revisions.get(name);
+				const revision = known ?? (yield* this.store.get(partKey(name), { withoutValue: true }))?.revision;
+				return revision === undefined ? undefined : yield* this.store.remove(partKey(name), revision);
+			});
+		return Effect.forEach(names, (name) => Effect.result(remove(name)), {
+			concurrency: PARALLEL_WRITES,
+			discard: true,
+		});
+	}
+}
+
+function prepare(base: ConfigurationSnapshot, content: ConfigurationContent): Change {
+	const nonce = randomBytes(NONCE_BYTES).toString('base64url');
+	const texts = new Map<string, string>();
+	const empty = SECTIONS.map((section) => [section, base.head.parts[section].map(() => '')]);
+	const parts = Object.fromEntries(empty) as Record<Section, string[]>;
+	for (const { section, bucket, text } of splitIntoParts(content)) {
+		const digest = partDigest(text);
+		const before = base.head.parts[section][bucket] ?? '';
+		if (digestOfPart(before) === digest) {
+			parts[section][bucket] = before;
+			continue;
+		}
+		const name = partName(digest, nonce);
+		parts[section][bucket] = name;
+		texts.set(name, text);
+	}
+	const earlier = base.head.nonce === '' ? [] : [base.head.nonce, ...base.head.recentNonces];
+	const head = { version: base.head.version + 1, nonce, recentNonces: earlier.slice(0, RECENT_NONCES), parts };
+	return { base, head, texts };
+}
+
+function samePartNames(left: PartNames, right: PartNames): boolean {
+	return SECTIONS.every((section) => left[section].every((name, bucket) => name === right[section][bucket]));
+}
+
+function failure(kind: PublishError['kind'], message: string): PublishError {
+	return { kind, message, changes: [] };
+}
+
+/** Repeats a swap until the store answers; the error says `unknown` when any attempt may have taken effect. */
+function swapUntilAnswered(
+	swap: Effect.Effect<SwapResult, StoreError>,
+	deadline: number,
+): Effect.Effect<SwapResult, StoreError> {
+	return Effect.suspend(() => {
+		let outcome: StoreError['outcome'] = 'no-effect';
+		const noted = Effect.mapError(swap, (error): StoreError => {
+			outcome = error.outcome === 'unknown' ? 'unknown' : outcome;
+			return { ...error, outcome };
+		});
+		return untilAnswered(noted, deadline, () => true);
+	});
+}
+
+/** Repeats a call, with growing delays, until it succeeds, fails for good or would start after the deadline. */
+function untilAnswered<A, E>(
+	call: Effect.Effect<A, E>,
+	deadline: number,
+	mayRepeat: (error: E) => boolean,
+): Effect.Effect<A, E> {
+	return Effect.gen(function* () {
+		for (let delay = RETRY_DELAY_MS; ; delay = Math.min(delay * 2, MAXIMUM_RETRY_DELAY_MS)) {
+			const answer = yield* Effect.result(call);
+			if (Result.isSuccess(answer)) {
+				return answer.success;
+			}
+			if (!mayRepeat(answer.failure) || performance.now() + delay > deadline) {
+				return yield* Effect.fail(answer.failure);
+			}
+			yield* Effect.sleep(delay);
+		}
+	});
+}
--- /dev/null
+++ b/src/configuration/node/configurationSnapshot.ts
@@ -0,0 +1,156 @@
+import { Effect } from 'effect';
+import type { IKeyValueStore, KeyValue } from '../../platform/common/keyValueStore.js';
+import {
+	type ConfigurationHead,
+	decodeHead,
+	digestOfPart,
+	HEAD_KEY,
+	partEntries,
+	partKey,
+} from '../common/configurationHead.js';
+import {
+	BUCKETS,
+	type ConfigurationItem,
+	joinParts,
+	SECTIONS,
+	type Section,
+	splitIntoParts,
+} from '../common/configurationParts.js';
+import type { Configuration } from '../common/model.js';
+import { partDigest } from './partDigest.js';
+
+const PARALLEL_READS = 8;
+const HEAD_READS = 5;
+
+/** Items of configuration parts by the parts' digests. */
+export type PartCache = ReadonlyMap<string, readonly ConfigurationItem[]>;
+
+/** A configuration as the store has it. */
+export interface ConfigurationSnapshot {
+	readonly head: ConfigurationHead;
+	/** Store revision of the head; 0 when the store has none. */
+	readonly headRevision: number;
+	readonly configuration: Configuration;
+	readonly cache: PartCache;
+	/** Store revisions of the parts that were read, by name; parts that came from the cache are missing. */
+	readonly partRevisions: ReadonlyMap<string, number>;
+}
+
+/** Why a configuration could not be read. */
+export interface LoadError {
+	/** `unusable`: the store answered, and what it holds cannot be used. */
+	readonly kind: 'unavailable' | 'unusable';
+	readonly message: string;
+}
+
+/** The snapshot of a store in which nothing was published yet. */
+export const EMPTY_SNAPSHOT: ConfigurationSnapshot = {
+	head: { version: 0, nonce: '', recentNonces: [], parts: emptyNames() },
+	headRevision: 0,
+	configuration: { version: 0, accounts: [], backendServers: [], pools: [], services: [] },
+	cache: new Map(),
+	partRevisions: new Map(),
+};
+
+/**
+ * Reads the head and those parts that the cache lacks.
+ *
+ * @param store the platform's store
+ * @param cache parts that are known already
+ * @param known a head that was read a moment ago, in place of the first read
+ * @returns the snapshot; the empty one when nothing was published yet
+ */
+export function loadSnapshot(
+	store: IKeyValueStore,
+	cache: PartCache,
+	known?: KeyValue,
+): Effect.Effect<ConfigurationSnapshot, LoadError> {
+	return Effect.gen(function* () {
+		// A part disappears when a newer head no longer needs it, so a missing part means that the head is outdated.
+		for (let attempt = 0; attempt < HEAD_READS; attempt++) {
+			const stored = attempt === 0 && known !== undefined ? known : yield* read(store, HEAD_KEY);
+			if (stored === undefined) {
+				return EMPTY_SNAPSHOT;
+			}
+			const head = decodeHead(new TextDecoder().decode(stored.value));
+			if (head.isErr) {
+				return yield* Effect.fail<LoadError>({ kind: 'unusable', message: head.error });
+			}
+			const snapshot = yield* loadParts(store, cache, head.value, stored.revision);
+			if (snapshot !== undefined) {
+				return snapshot;
+			}
+		}
+		return yield* Effect.fail<LoadError>({ kind: 'unusable', message: 'parts of the configuration are missing' });
+	});
+}
+
+/**
+ * Takes a whole configuration apart, so that later changes reread the changed parts only.
+ *
+ * @param configuration a configuration that did not come from the store
+ * @param cache parts that are known already; their items are kept
+ * @returns the configuration and its parts
+ */
+export function adoptConfiguration(
+	configuration: Configuration,
+	cache: PartCache,
+): { readonly configuration: Configuration; readonly cache: PartCache } {
+	const adopted = new Map<string, readonly ConfigurationItem[]>();
+	const digests = new Map<string, string>();
+	for (const { section, bucket, text } of splitIntoParts(configuration)) {
+		const digest = partDigest(text);
+		adopted.set(digest, cache.get(digest) ?? (JSON.parse(text) as readonly ConfigurationItem[]));
+		digests.set(`${section}/${bucket}`, digest);
+	}
+	const content = joinParts((section, bucket) => adopted.get(digests.get(`${section}/${bucket}`) ?? '') ?? []);
+	return { configuration: { version: configuration.version, ...content }, cache: adopted };
+}
+
+function loadParts(
+	store: IKeyValueStore,
+	cache: PartCache,
+	head: ConfigurationHead,
+	headRevision: number,
+): Effect.Effect<ConfigurationSnapshot | undefined, LoadError> {
+	return Effect.gen(function* () {
+		const partRevisions = new Map<string, number>();
+		const needed = new Map<string, readonly ConfigurationItem[]>();
+		for (const { name } of partEntries(head.parts)) {
+			const cached = cache.get(digestOfPart(name));
+			if (cached !== undefined) {
+				needed.set(digestOfPart(name), cached);
+			}
+		}
+		const missing = partEntries(head.parts).filter(({ name }) => !needed.has(digestOfPart(name)));
+		const stored = yield* Effect.forEach(missing, ({ name }) => read(store, partKey(name)), {
+			concurrency: PARALLEL_READS,
+		});
+		for (const [index, { name }] of missing.entries()) {
+			const part = stored[index];
+			if (part === undefined) {
+				return undefined;
+			}
+			partRevisions.set(name, part.revision);
+			needed.set(digestOfPart(name), yield* decodePart(name, new TextDecoder().decode(part.value)));
+		}
+		const content = joinParts((section, bucket) => needed.get(digestOfPart(head.parts[section][bucket] ?? '')) ?? []);
+		return { head, headRevision, configuration: { version: head.version, ...content }, cache: needed, partRevisions };
+	});
+}
+
+function decodePart(name: string, text: string): Effect.Effect<readonly ConfigurationItem[], LoadError> {
+	if (partDigest(text) !== digestOfPart(name)) {
+		return Effect.fail({ kind: 'unusable', message: `the configuration part ${name} does not match its digest` });
+	}
+	return Effect.sync(() => JSON.parse(text) as readonly ConfigurationItem[]);
+}
+
+function read(store: IKeyValueStore, key: string): Effect.Effect<KeyValue | undefined, LoadError> {
+	return Effect.mapError(store.get(key), ({ message }): LoadError => ({ kind: 'unavailable', message }));
+}
+
+function emptyNames(): ConfigurationHead['parts'] {
+	const names = (section: Section): readonly string[] => Array.from({ length: BUCKETS[section] }, () => '');
+	return Object.fromEntries(SECTIONS.map((section) => [section, names(section)])) as ConfigurationHead['parts'];
+}
--- a/src/platform/common/instanceList.ts
+++ b/src/platform/common/instanceList.ts
@@ -9,6 +9,8 @@
 	readonly address: string;
 	readonly failureDomain: string;
 	readonly leaving: boolean;
+	/** `host:port` of a router's admin address, from the label `admin`. */
+	readonly adminAddress?: string;
 }
 
 /** The list could not be read. */
--- a/src/platform/common/keyValueStore.ts
+++ b/src/platform/common/keyValueStore.ts
@@ -26,9 +26,10 @@
 export interface IKeyValueStore {
 	/**
 	 * @param key exact key
+	 * @param options `withoutValue` reads the revision only, and the value is empty
 	 * @returns the value, or undefined when the key is absent
 	 */
-	get(key: string): Effect.Effect<KeyValue | undefined, StoreError>;
+	get(key: string, options?: { readonly withoutValue?: boolean }): Effect.Effect<KeyValue | undefined, StoreError>;
 	/**
 	 * @param prefix start of the keys
 	 * @returns all values below the prefix, in key order
@@ -68,7 +69,13 @@
 	 *
 	 * @param key exact key
 	 * @param onChange called with the new value, or undefined when the key was removed
+	 * @param startRevision first revision of interest, so that no change between a read and the watch is missed; without
+	 * it the watch starts at the present
 	 * @returns fails when the watch breaks
 	 */
-	watch(key: string, onChange: (value: KeyValue | undefined) => void): Effect.Effect<never, StoreError>;
+	watch(
+		key: string,
+		onChange: (value: KeyValue | undefined) => void,
+		startRevision?: number,
+	): Effect.Effect<never, StoreError>;
 }
--- a/src/platform/node/etcdStore.ts
+++ b/src/platform/node/etcdStore.ts
@@ -45,10 +45,12 @@
 		return this.callCount;
 	}
 
-	public get(key: string): Effect.Effect<KeyValue | undefined, StoreError> {
-		return Effect.map(this.post<WireRange>('/v3/kv/range', { key: encode(key) }), (answer) =>
-			fromWire(answer.kvs?.[0]),
-		);
+	public get(
+		key: string,
+		options?: { readonly withoutValue?: boolean },
+	): Effect.Effect<KeyValue | undefined, StoreError> {
+		const body = { key: encode(key), ...(options?.withoutValue === true ? { keys_only: true } : {}) };
+		return Effect.map(this.post<WireRange>('/v3/kv/range', body), (answer) => fromWire(answer.kvs?.[0]));
 	}
 
 	public list(prefix: string): Effect.Effect<readonly KeyValue[], StoreError> {
@@ -86,10 +88,16 @@
 		);
 	}
 
-	public watch(key: string, onChange: (value: KeyValue | undefined) => void): Effect.Effect<never, StoreError> {
+	public watch(
+		key: string,
+		onChange: (value: KeyValue | undefined) => void,
+		startRevision?: number,
+	): Effect.Effect<never, StoreError> {
 		return Effect.callback<never, StoreError>((resume) => {
 			this.callCount++;
-			const payload = JSON.stringify({ create_request: { key: encode(key) } });
+			const payload = JSON.stringify({
+				create_request: { key: encode(key), start_revision: startRevision?.toString() },
+			});
 			const request = http.request(new URL('/v3/watch', this.base), {
 				method: 'POST',
 				agent: false,
--- a/src/platform/node/httpInstanceList.ts
+++ b/src/platform/node/httpInstanceList.ts
@@ -58,5 +58,6 @@
 		address,
 		failureDomain: group.labels.failure_domain ?? '',
 		leaving: group.labels.state === 'leaving',
+		adminAddress: group.labels.admin,
 	}));
 }
--- a/standins/platform/etcdApi.ts
+++ b/standins/platform/etcdApi.ts
@@ -11,6 +11,7 @@
 interface RangeRequest {
 	readonly key: string;
 	readonly range_end?: string;
+	readonly keys_only?: boolean;
 }
 
 interface Compare {
@@ -161,16 +162,18 @@
 				? []
 				: [single]
 			: state.range(request.key, request.range_end);
-	return found.length === 0 ? {} : { kvs: found.map(toWire), count: String(found.length) };
+	return found.length === 0
+		? {}
+		: { kvs: found.map((item) => toWire(item, request.keys_only)), count: String(found.length) };
 }
 
-function toWire(item: StoredValue): unknown {
+function toWire(item: StoredValue, keyOnly = false): unknown {
 	return {
 		key: item.key,
 		create_revision: String(item.createRevision),
 		mod_revision: String(item.modRevision),
 		version: String(item.version),
-		value: item.value,
+		...(keyOnly ? {} : { value: item.value }),
 		...(item.lease === undefined ? {} : { lease: item.lease }),
 	};
 }
