--- a/src/admin/common/explanation.ts
+++ b/src/admin/common/explanation.ts
@@ -27,8 +27,8 @@
 	readonly virtualService: number;
 	/** Lowest virtual service of any backlogged account in the pool, as last known here. */
 	readonly floor: number;
-	/** Highest virtual service at which this router may reuse a slot without asking. */
-	readonly reuseLimit: number;
+	/** Highest virtual service at which this router may reuse a slot without asking; undefined without a limit. */
+	readonly reuseLimit?: number;
 	/** Slots of the pool that this router holds, and how many of them are idle. */
 	readonly slotsHeld: number;
 	readonly slotsIdle: number;
@@ -169,7 +169,7 @@
 
 function explainShare(pool: AccountPoolFacts): WaitReason {
 	const above = pool.virtualService - pool.floor;
-	if (pool.virtualService > pool.reuseLimit) {
+	if (pool.virtualService > (pool.reuseLimit ?? Infinity)) {
 		return {
 			code: 'above-reuse-limit',
 			text: `The account has received ${round(above)} cost units per share more than the account with the least; accounts with less go first.`,
--- /dev/null
+++ b/src/cli/node/dumpCommand.ts
@@ -0,0 +1,12 @@
+import { type AdminOptions, askAdmin } from './adminClient.js';
+
+/**
+ * Prints the state dump of one router as JSON.
+ *
+ * @param options address and certificates
+ * @param print writes to standard output
+ * @throws Error with a sentence for the operator
+ */
+export async function dump(options: AdminOptions, print: (text: string) => void): Promise<void> {
+	print(JSON.stringify(await askAdmin(options, '/state'), undefined, '\t'));
+}
