Let the callers' interface shut down without cutting off requests

A router that is shut down must refuse new connections, wait for every request in progress, and give the ones that it has to end an accurate verdict. The caller server now counts open requests until their last byte is written, asks callers not to reuse connections while it closes, and ends requests on demand.

An interrupted dispatch returns no verdict, and the callers' interface cannot know whether a backend server was called. Dispatch therefore tells the verdict that a request would have if it was given up on now: not-run until a backend server is called, then may-have-run until it refuses. An answer that only has to be written out is not ended.

--- a/src/callers/node/callerServer.ts
+++ b/src/callers/node/callerServer.ts
@@ -3,10 +3,12 @@
 import { Effect, Fiber } from 'effect';
 import type { IAnswerSink } from '../../backends/common/backendClient.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import type { Verdict } from '../../base/common/verdict.js';
 import { logOf } from '../../base/node/log.js';
 import type { IConfigurationService } from '../../configuration/common/configurationService.js';
 import type { ClientAccount, Configuration, Service } from '../../configuration/common/model.js';
 import type { DispatchFailure, IDispatchService } from '../../dispatch/common/dispatchService.js';
+import { OpenRequests } from './openRequests.js';
 import { type Problem, sendProblem } from './problem.js';
 
 const SERVICE_PATH = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
@@ -24,6 +26,8 @@
 /** Serves callers over HTTP/1.1. */
 export class CallerServer extends Disposable {
 	private readonly server: http.Server;
+	private readonly open = OpenRequests.create();
+	private closing = false;
 	private accounts: ReadonlyMap<string, ClientAccount> = new Map();
 
 	private constructor(
@@ -60,6 +64,38 @@
 		});
 	}
 
+	/** Requests that were accepted and whose answer is not complete. */
+	public get requestsInProgress(): number {
+		return this.open.size;
+	}
+
+	/** Completes when no request is in progress. */
+	public get idle(): Effect.Effect<void> {
+		return this.open.idle;
+	}
+
+	/** Goes on accepting, but asks callers not to use their connections again. */
+	public startClosing(): void {
+		this.closing = true;
+	}
+
+	/** Refuses new connections and closes those without a request. */
+	public stopAccepting(): void {
+		this.closing = true;
+		this.server.close();
+		this.server.closeIdleConnections();
+	}
+
+	/**
+	 * Ends the requests in progress: each is answered with its verdict, or its connection breaks when parts of the answer
+	 * were sent.
+	 *
+	 * @returns number of these requests
+	 */
+	public endRequests(): number {
+		return this.open.endAll();
+	}
+
 	private indexTokens(configuration: Configuration): void {
 		this.accounts = new Map(
 			configuration.accounts.flatMap((account) => account.tokenDigests.map((digest) => [digest, account] as const)),
@@ -68,6 +104,10 @@
 
 	private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const requestId = randomUUID();
+		this.open.add(response);
+		if (this.closing) {
+			response.setHeader('connection', 'close');
+		}
 		response.setHeader('masticloom-request-id', requestId);
 		const admitted = this.admit(request);
 		if ('status' in admitted) {
@@ -129,6 +169,7 @@
 	): void {
 		const { account, service, path } = admitted;
 		const method = request.method ?? 'GET';
+		let verdict: Verdict = 'not-run';
 		const program = this.dispatch.dispatch(
 			{
 				id,
@@ -137,6 +178,7 @@
 				idempotent: isIdempotent(service, method, path),
 				costHint: Number(request.headers['masticloom-cost-hint'] ?? NaN),
 				request: { method, path, headers: forwardedHeaders(request.headers, id), body },
+				onDidChangeVerdict: (current) => (verdict = current),
 			},
 			toSink(response),
 		);
@@ -146,6 +188,14 @@
 				onFailure: (failure) => finishFailed(response, id, failure),
 			}),
 		);
+		this.open.setEnd(response, () => {
+			Effect.runFork(Fiber.interrupt(fiber));
+			finishFailed(response, id, {
+				verdict,
+				answerStarted: response.headersSent,
+				message: 'The router is shutting down',
+			});
+		});
 		response.on('close', () => {
 			if (!response.writableFinished) {
 				Effect.runFork(Fiber.interrupt(fiber));
--- a/src/dispatch/common/dispatchService.ts
+++ b/src/dispatch/common/dispatchService.ts
@@ -11,6 +11,11 @@
 	readonly idempotent: boolean;
 	readonly costHint: number | undefined;
 	readonly request: BackendRequest;
+	/**
+	 * Called when the verdict changes that the request would have if it was given up on now; `not-run` before the first
+	 * call.
+	 */
+	readonly onDidChangeVerdict?: (verdict: Verdict) => void;
 }
 
 /** A request that ended without a whole answer. */
--- a/src/dispatch/node/dispatchService.ts
+++ b/src/dispatch/node/dispatchService.ts
@@ -41,6 +41,7 @@
 				}
 				const { failure } = result;
 				verdict = combineVerdicts(verdict, failure.verdict);
+				request.onDidChangeVerdict?.(verdict);
 				const safe = failure.verdict === 'not-run' || request.idempotent;
 				if (failure.answerStarted || !safe || attempt >= MAXIMUM_ATTEMPTS) {
 					return yield* Effect.fail({ ...failure, verdict });
@@ -74,6 +75,7 @@
 				return sink.write(chunk, resume);
 			},
 		};
+		request.onDidChangeVerdict?.('may-have-run');
 		const call = this.client.call(server, request.request, metered);
 		return Effect.onExit(call, (exit) =>
 			Effect.sync(() => {
