--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import { Effect } from 'effect';
+import type { IDisposable } from '../../base/common/lifecycle.js';
 import type { BackendServer } from '../../configuration/common/model.js';
 import type { BackendFailure, BackendRequest, IAttemptSink, IBackendClient } from '../common/backendClient.js';
 
@@ -30,7 +31,7 @@
 type Settle = (result: Effect.Effect<void, BackendFailure>) => void;
 
 /** Calls backend servers over HTTP/1.1 with connections that are kept open. */
-export class HttpBackendClient implements IBackendClient {
+export class HttpBackendClient implements IBackendClient, IDisposable {
 	private readonly agent = new http.Agent({ keepAlive: true, scheduling: 'lifo', timeout: SILENCE_LIMIT_MS });
 	private readonly endpoints = new Map<string, { readonly host: string; readonly port: string }>();
 
--- a/src/callers/node/accountTokens.ts
+++ b/src/callers/node/accountTokens.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import type { ClientAccount, Configuration } from '../../configuration/common/model.js';
 
-const BEARER = /^Bearer +(\S+)$/i;
+const BEARER = /^Bearer +(.+)$/i;
 
 // Hashing each request's token again would cost a few microseconds; the cache holds tokens that were found only.
 const MAXIMUM_CACHED = 50_000;
--- a/src/callers/node/callerAnswer.ts
+++ b/src/callers/node/callerAnswer.ts
@@ -61,12 +61,12 @@
 		this.response.end();
 	}
 
-	/** Breaks the connection, so that the caller sees that the answer is not whole. */
-	public breakOff(): void {
-		this.response.destroy();
-	}
-
-	/** @param problem answer in place of the backend server's */
+	/**
+	 * Answers with a problem, or breaks the connection when parts of an answer were sent, so that the caller sees that it is
+	 * not whole.
+	 *
+	 * @param problem answer in place of the backend server's
+	 */
 	public sendProblem(problem: Problem): void {
 		if (this.response.destroyed || this.response.headersSent) {
 			this.response.destroy();
--- a/src/callers/node/callerServer.ts
+++ b/src/callers/node/callerServer.ts
@@ -1,19 +1,20 @@
 import { randomUUID } from 'node:crypto';
 import * as http from 'node:http';
-import { Effect, type Exit, Fiber } from 'effect';
+import { Effect, type Exit } from 'effect';
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import type { Verdict } from '../../base/common/verdict.js';
 import { logOf } from '../../base/node/log.js';
 import type { IConfigurationService } from '../../configuration/common/configurationService.js';
 import type { ClientAccount, Configuration, Service } from '../../configuration/common/model.js';
-import type { DispatchFailure, DispatchProgress, IDispatchService } from '../../dispatch/common/dispatchService.js';
+import type { DispatchFailure, IDispatchService } from '../../dispatch/common/dispatchService.js';
 import { forwardedHeaders } from '../common/forwardedHeaders.js';
 import { type Problem, problemOf } from '../common/problem.js';
 import { parseHints, type RequestHints } from '../common/requestHints.js';
 import { isIdempotent, parseTarget, type RequestTarget } from '../common/requestTarget.js';
 import { AccountTokens } from './accountTokens.js';
 import { CallerAnswer } from './callerAnswer.js';
+import { OpenRequests } from './openRequests.js';
 import { readBody } from './readBody.js';
 
 /** Pause that callers are told to make when this router cannot take requests, so that they reach another one. */
@@ -41,22 +42,21 @@
 	readonly hints: RequestHints;
 }
 
-interface Running {
-	readonly fiber: Fiber.Fiber<void, DispatchFailure>;
-	readonly progress: DispatchProgress;
-	readonly answer: CallerAnswer;
+/** What is known of a request that is in progress. */
+interface Progress {
+	service: string | undefined;
+	verdict: Verdict;
+	waitMs: number | undefined;
 }
 
 /** Serves callers over HTTP/1.1. */
 export class CallerServer extends Disposable {
 	private readonly server: http.Server;
 	private readonly tokens = AccountTokens.create();
-	private readonly running = new Set<Running>();
+	private readonly open = OpenRequests.create();
 	private readonly finishEmitter = this.register(Emitter.create<FinishedRequest>());
 	private services: ReadonlyMap<string, Service> = new Map();
 	private closing = false;
-	private open = 0;
-	private readonly emptyWaiters: (() => void)[] = [];
 
 	/** Fires when a request has ended in any way. */
 	public readonly onDidFinish = this.finishEmitter.event;
@@ -88,9 +88,36 @@
 		return new CallerServer(configuration, dispatch);
 	}
 
-	/** Requests that were accepted and not yet answered. */
-	public get inProgress(): number {
-		return this.open;
+	/** Requests that were accepted and whose answer is not complete. */
+	public get requestsInProgress(): number {
+		return this.open.size;
+	}
+
+	/** Completes when no request is in progress. */
+	public get idle(): Effect.Effect<void> {
+		return this.open.idle;
+	}
+
+	/** Goes on accepting, but asks callers not to use their connections again. */
+	public startClosing(): void {
+		this.closing = true;
+	}
+
+	/** Refuses new connections and closes those without a request. */
+	public stopAccepting(): void {
+		this.closing = true;
+		this.server.close();
+		this.server.closeIdleConnections();
+	}
+
+	/**
+	 * Ends the requests in progress: each is answered with its verdict, or its connection breaks when parts of the answer
+	 * were sent.
+	 *
+	 * @returns number of these requests
+	 */
+	public endRequests(): number {
+		return this.open.endAll();
 	}
 
 	/**
@@ -109,44 +136,6 @@
 		});
 	}
 
-	/**
-	 * Takes no new connections, closes each one after its next answer, and waits until all requests are answered.
-	 *
-	 * @returns resolves when no request is in progress
-	 */
-	public drain(): Promise<void> {
-		this.closing = true;
-		this.server.close();
-		this.server.closeIdleConnections();
-		return this.open === 0 ? Promise.resolve() : new Promise((resolve) => this.emptyWaiters.push(resolve));
-	}
-
-	/**
-	 * Gives up all requests in progress and tells their callers whether they may have run.
-	 *
-	 * @returns number of requests that were given up
-	 */
-	public abandon(): number {
-		this.closing = true;
-		const abandoned = [...this.running];
-		for (const { fiber, progress, answer } of abandoned) {
-			const { verdict, answerStarted } = progress;
-			fiber.interruptUnsafe();
-			if (answerStarted) {
-				answer.breakOff();
-				continue;
-			}
-			answer.sendProblem({
-				status: verdict === 'not-run' ? 503 : 502,
-				code: 'shutting-down',
-				detail: 'The router ended before the request did.',
-				verdict,
-				retryAfterSeconds: verdict === 'not-run' ? NOT_READY_RETRY_SECONDS : undefined,
-			});
-		}
-		return abandoned.length;
-	}
-
 	private configure(configuration: Configuration): void {
 		this.tokens.configure(configuration);
 		this.services = new Map(configuration.services.map((service) => [service.id, service]));
@@ -154,26 +143,23 @@
 
 	private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const answer = CallerAnswer.create(randomUUID(), response, () => this.closing);
+		const progress: Progress = { service: undefined, verdict: 'not-run', waitMs: undefined };
+		this.open.add(response);
+		response.once('close', () => this.finish(response, progress));
 		const admitted = this.admit(request);
-		const progress: DispatchProgress = { verdict: 'not-run', answerStarted: false };
-		this.open++;
-		response.once('close', () => this.finish(response, admitted, progress));
 		if ('status' in admitted) {
 			request.resume();
 			answer.sendProblem(admitted);
 			return;
 		}
+		progress.service = admitted.service.id;
 		readBody(request, admitted.service.maximumBodyBytes, (body) => {
 			if (typeof body !== 'string') {
 				this.run(admitted, progress, request, response, answer, body);
 			} else if (body === 'too-large') {
 				request.resume();
-				answer.sendProblem({
-					status: 413,
-					code: 'body-too-large',
-					detail: `The body exceeds ${admitted.service.maximumBodyBytes} bytes.`,
-					verdict: 'not-run',
-				});
+				const detail = `The body exceeds ${admitted.service.maximumBodyBytes} bytes.`;
+				answer.sendProblem(refusal(413, 'body-too-large', detail));
 			}
 		});
 	}
@@ -200,7 +186,7 @@
 
 	private run(
 		admitted: Admitted,
-		progress: DispatchProgress,
+		progress: Progress,
 		request: http.IncomingMessage,
 		response: http.ServerResponse,
 		answer: CallerAnswer,
@@ -217,24 +203,25 @@
 				idempotent: isIdempotent(service, method, target.path),
 				...hints,
 				request: { method, path: target.path + target.query, headers, body },
-				progress,
+				onDidChangeVerdict: (verdict) => (progress.verdict = verdict),
+				onDidStart: (waitMs) => (progress.waitMs = waitMs),
 			},
 			answer,
 		);
-		const running: Running = { fiber: Effect.runFork(program), progress, answer };
-		this.running.add(running);
-		running.fiber.addObserver((exit) => {
-			this.running.delete(running);
-			this.answerEnd(exit, progress, answer);
+		const fiber = Effect.runFork(program);
+		fiber.addObserver((exit) => this.answerEnd(exit, progress, answer));
+		this.open.setEnd(response, () => {
+			fiber.interruptUnsafe();
+			answer.sendProblem(shutdownProblem(progress.verdict));
 		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
-				running.fiber.interruptUnsafe();
+				fiber.interruptUnsafe();
 			}
 		});
 	}
 
-	private answerEnd(exit: Exit.Exit<void, DispatchFailure>, progress: DispatchProgress, answer: CallerAnswer): void {
+	private answerEnd(exit: Exit.Exit<void, DispatchFailure>, progress: Progress, answer: CallerAnswer): void {
 		if (exit._tag === 'Success') {
 			progress.verdict = 'completed';
 			answer.end();
@@ -242,41 +229,38 @@
 		}
 		const [reason] = exit.cause.reasons;
 		if (reason === undefined || reason._tag === 'Interrupt') {
-			return; // The caller hung up, or was answered when the request was abandoned.
+			return; // The caller hung up, or was answered when the request was ended early.
 		}
-		const problem = reason._tag === 'Fail' ? problemOf(reason.error) : undefined;
-		if (problem === undefined) {
-			log.error(`Request ${answer.requestId} met an internal error.`, reason);
-		}
-		if (progress.answerStarted) {
-			answer.breakOff();
+		if (reason._tag === 'Fail') {
+			progress.verdict = reason.error.verdict;
+			answer.sendProblem(problemOf(reason.error));
 			return;
 		}
+		log.error(`Request ${answer.requestId} met an internal error.`, reason);
 		const { verdict } = progress;
-		answer.sendProblem(problem ?? { status: 500, code: 'internal-error', detail: 'The router failed.', verdict });
-		progress.verdict = problem?.verdict ?? verdict;
+		answer.sendProblem({ status: 500, code: 'internal-error', detail: 'The router failed.', verdict });
 	}
 
-	private finish(response: http.ServerResponse, admitted: Admitted | Problem, progress: DispatchProgress): void {
-		this.open--;
+	private finish(response: http.ServerResponse, progress: Progress): void {
 		this.finishEmitter.fire({
-			service: 'service' in admitted ? admitted.service.id : undefined,
-			verdict: progress.verdict,
+			...progress,
 			status: response.headersSent ? response.statusCode : undefined,
 			whole: response.writableFinished,
-			waitMs: progress.waitMs,
 		});
-		if (this.open === 0) {
-			this.emptyWaiters.splice(0).forEach((waiter) => waiter());
-		}
 	}
 }
 
-function refusal(
-	status: number,
-	code: 'not-ready' | 'unknown-token' | 'unknown-service' | 'bad-request',
-	detail: string,
-	retryAfterSeconds?: number,
-): Problem {
+function shutdownProblem(verdict: Verdict): Problem {
+	const notRun = verdict === 'not-run';
+	return {
+		status: notRun ? 503 : 502,
+		code: 'shutting-down',
+		detail: 'The router ended before the request did.',
+		verdict,
+		retryAfterSeconds: notRun ? NOT_READY_RETRY_SECONDS : undefined,
+	};
+}
+
+function refusal(status: number, code: Problem['code'], detail: string, retryAfterSeconds?: number): Problem {
 	return { status, code, detail, verdict: 'not-run', retryAfterSeconds };
 }
--- a/src/dispatch/common/dispatchService.ts
+++ b/src/dispatch/common/dispatchService.ts
@@ -3,16 +3,6 @@
 import type { Verdict } from '../../base/common/verdict.js';
 import type { ClientAccount, Service } from '../../configuration/common/model.js';
 
-/** What a caller can be told while its request is still in progress. */
-export interface DispatchProgress {
-	/** Verdict if the request were given up now. */
-	verdict: Verdict;
-	/** Parts of the answer have reached the caller's sink, so no other answer can be given. */
-	answerStarted: boolean;
-	/** Milliseconds from arrival to the first slot; undefined before it. */
-	waitMs?: number;
-}
-
 /** A request that a caller was authenticated for. */
 export interface DispatchRequest {
 	readonly id: string;
@@ -25,8 +15,13 @@
 	/** Milliseconds after which the caller needs no answer any more. */
 	readonly deadlineMs?: number | undefined;
 	readonly request: BackendRequest;
-	/** Kept up to date by the dispatch service. */
-	readonly progress?: DispatchProgress;
+	/**
+	 * Called when the verdict changes that the request would have if it was given up on now; `not-run` before the first
+	 * call.
+	 */
+	readonly onDidChangeVerdict?: (verdict: Verdict) => void;
+	/** Called when the request is first sent, with the milliseconds since its arrival. */
+	readonly onDidStart?: (waitMs: number) => void;
 }
 
 /**
--- a/src/dispatch/node/answerRelay.ts
+++ b/src/dispatch/node/answerRelay.ts
@@ -17,8 +17,6 @@
 	readonly resumable: boolean;
 	/** The answer is kept for resends of the call. */
 	readonly recorded: boolean;
-	/** Called once, before the first part of the answer goes to the caller. */
-	readonly onStarted: () => void;
 }
 
 /** Passes the answer of one request on to its caller, over several attempts where a stream is resumed. */
@@ -139,7 +137,6 @@
 	private start(): void {
 		if (!this.started && this.head !== undefined) {
 			this.started = true;
-			this.options.onStarted();
 			this.sink.head(this.head);
 		}
 	}
--- a/src/dispatch/node/dispatchService.ts
+++ b/src/dispatch/node/dispatchService.ts
@@ -107,7 +107,7 @@
 	private withDeadline(job: Job, program: Program): Program {
 		return Effect.flatMap(Effect.forkChild(program, { startImmediately: true }), (fiber) => {
 			const expire = (): void => {
-				if (!job.progress.answerStarted) {
+				if (!job.relay.answerStarted) {
 					job.expired = true;
 					fiber.interruptUnsafe();
 				}
@@ -117,7 +117,7 @@
 				if (job.expired && Exit.hasInterrupts(exit)) {
 					const waitMs = job.queue.waitMs(job.queue.length);
 					const message = 'the deadline passed before the answer began';
-					return Effect.fail(job.fail('deadline', message, toRetrySeconds(waitMs), job.progress.verdict));
+					return Effect.fail(job.fail('deadline', message, toRetrySeconds(waitMs), job.currentVerdict));
 				}
 				return exit;
 			});
@@ -148,7 +148,7 @@
 			return Effect.uninterruptibleMask((restore) =>
 				Effect.flatMap(this.acquireUsable(job, restore), (usable) => {
 					// From here on the call goes on without its caller, so that a resend finds an outcome.
-					job.progress.verdict = 'may-have-run';
+					job.markDetached();
 					const claimed = Effect.uninterruptible(this.runClaimed(usable, job, call));
 					return Effect.flatMap(Effect.forkDetach(claimed, { startImmediately: true }), (fiber) =>
 						restore(Fiber.join(fiber)),
@@ -302,7 +302,7 @@
 
 	// Without a key, a resend of a call that may have run could run it twice, so no retry is suggested.
 	private retrySecondsOf(job: Job): number | undefined {
-		const safe = job.request.idempotent || job.isRecorded || job.progress.verdict === 'not-run';
+		const safe = job.request.idempotent || job.isRecorded || job.currentVerdict === 'not-run';
 		return safe ? FAILURE_RETRY_SECONDS : undefined;
 	}
 
--- a/src/dispatch/node/job.ts
+++ b/src/dispatch/node/job.ts
@@ -2,12 +2,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { AccountQueue } from '../common/accountQueues.js';
-import type {
-	DispatchFailure,
-	DispatchFailureCode,
-	DispatchProgress,
-	DispatchRequest,
-} from '../common/dispatchService.js';
+import type { DispatchFailure, DispatchFailureCode, DispatchRequest } from '../common/dispatchService.js';
 import type { RetryBudget } from '../common/retryBudget.js';
 import { AnswerRelay } from './answerRelay.js';
 import { fingerprintOf } from './fingerprint.js';
@@ -20,7 +15,6 @@
 
 /** One request on its way from the queue to its verdict. */
 export class Job {
-	public readonly progress: DispatchProgress;
 	public readonly relay: AnswerRelay;
 	public readonly deadlineAt: number;
 	/** Backend servers that brought no whole answer to this request. */
@@ -28,6 +22,8 @@
 	/** The deadline passed before the answer began. */
 	public expired = false;
 	private readonly createdAt: number;
+	private verdictIfGivenUp: Verdict = 'not-run';
+	private started = false;
 	private verdict: Verdict = 'not-run';
 	private attempts = 0;
 	private resumedFrom: string | undefined;
@@ -41,14 +37,12 @@
 		private readonly clock: IClock,
 	) {
 		this.createdAt = clock.now();
-		this.progress = request.progress ?? { verdict: 'not-run', answerStarted: false };
 		this.deadlineAt = this.createdAt + (request.deadlineMs ?? DEFAULT_DEADLINE_MS);
 		const { service } = request;
 		this.relay = AnswerRelay.create(sink, {
 			modelEngine: service.kind === 'model-engine',
 			resumable: service.resumable,
 			recorded: this.isRecorded,
-			onStarted: () => (this.progress.answerStarted = true),
 		});
 	}
 
@@ -87,8 +81,21 @@
 
 	/** Notes that bytes go to a backend server. */
 	public markSent(): void {
-		this.progress.verdict = 'may-have-run';
-		this.progress.waitMs ??= this.clock.now() - this.createdAt;
+		this.setVerdict('may-have-run');
+		if (!this.started) {
+			this.started = true;
+			this.request.onDidStart?.(this.clock.now() - this.createdAt);
+		}
+	}
+
+	/** Verdict if the request were given up now. */
+	public get currentVerdict(): Verdict {
+		return this.verdictIfGivenUp;
+	}
+
+	/** Notes that the call goes on without its caller from now on. */
+	public markDetached(): void {
+		this.setVerdict('may-have-run');
 	}
 
 	/**
@@ -98,7 +105,7 @@
 	 */
 	public markFailed(failure: BackendFailure): void {
 		this.verdict = combineVerdicts(this.verdict, failure.verdict);
-		this.progress.verdict = this.isRecorded ? 'may-have-run' : this.verdict;
+		this.setVerdict(this.isRecorded ? 'may-have-run' : this.verdict);
 		const resumeFrom = this.relay.resumeFrom;
 		if (resumeFrom === undefined || resumeFrom === this.resumedFrom) {
 			this.attempts++;
@@ -136,6 +143,13 @@
 		retryAfterSeconds: number | undefined,
 		verdict: Verdict = this.verdict,
 	): DispatchFailure {
-		return { code, verdict, answerStarted: this.progress.answerStarted, message, retryAfterSeconds };
+		return { code, verdict, answerStarted: this.relay.answerStarted, message, retryAfterSeconds };
+	}
+
+	private setVerdict(verdict: Verdict): void {
+		if (verdict !== this.verdictIfGivenUp) {
+			this.verdictIfGivenUp = verdict;
+			this.request.onDidChangeVerdict?.(verdict);
+		}
 	}
 }
