Authenticate peers and operators with mutual TLS

Outside loopback a stranger could open a stream as a router or read the state of the fleet. Streams need a certificate of the authority on both sides that has the extended key usage serverAuth and names the instance. An operator's certificate has clientAuth only, so it opens the admin address but cannot act as a router.

The peer network takes one more function, refusal; INSECURE_PEERS supplies all three for loopback. The instance name is the TLS target name in place of the IP address.

Checked by 7 tests with generated certificates: no certificate, another authority, an operator, another router's name, and replacement, on both sides of a stream and on the admin address.

--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -19,6 +19,7 @@
 	PeerState,
 	PeerStatus,
 } from '../common/peerNetwork.js';
+import type { PeerSecurity } from './peerSecurity.js';
 import { PeerSession, type SessionEnd } from './peerSession.js';
 
 const RECONNECT_DELAY_MS = 200;
@@ -34,6 +35,8 @@
 
 const log = logOf('peers');
 
+type AuthenticatedCall = Pick<grpc.ServerDuplexStream<PeerFrame, PeerFrame>, 'getAuthContext' | 'getPeer'>;
+
 interface PeerRecord {
 	endpoint: PeerEndpoint;
 	state: PeerState;
@@ -46,15 +49,11 @@
 }
 
 /** Options of a peer network. */
-export interface PeerNetworkOptions {
+export interface PeerNetworkOptions extends PeerSecurity {
 	readonly instance: string;
 	readonly failureDomain: string;
 	/** `host:port` to listen on */
 	readonly address: string;
-	/** Credentials for accepting streams. */
-	readonly serverCredentials: () => grpc.ServerCredentials;
-	/** Credentials for opening streams. */
-	readonly clientCredentials: () => grpc.ChannelCredentials;
 	/** Answers a peer that asks for the configuration. */
 	readonly serveConfiguration: (request: FetchConfigurationRequest) => FetchConfigurationResponse;
 }
@@ -99,7 +98,14 @@
 			fetchConfiguration: (
 				call: grpc.ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
 				reply: grpc.sendUnaryData<FetchConfigurationResponse>,
-			) => reply(null, this.options.serveConfiguration(call.request)),
+			) => {
+				const refusal = this.refusal(call, undefined);
+				if (refusal !== undefined) {
+					reply(refusal);
+					return;
+				}
+				reply(null, this.options.serveConfiguration(call.request));
+			},
 		});
 		return new Promise((resolve, reject) => {
 			this.server.bindAsync(this.options.address, this.options.serverCredentials(), (error, port) => {
@@ -170,7 +176,7 @@
 				resume(Effect.fail({ message: `${instance} is not a known peer` }));
 				return undefined;
 			}
-			const client = this.openClient(record.endpoint.address);
+			const client = this.openClient(record.endpoint);
 			client.fetchConfiguration(
 				{ haveVersion },
 				new grpc.Metadata(),
@@ -188,7 +194,7 @@
 		const self = this;
 		return Effect.gen(function* () {
 			for (;;) {
-				const client = self.openClient(record.endpoint.address);
+				const client = self.openClient(record.endpoint);
 				const end = yield* Effect.ensuring(
 					Effect.suspend(() => self.runSession(client.connect(), record)),
 					Effect.sync(() => client.close()),
@@ -199,8 +205,10 @@
 		});
 	}
 
-	private openClient(address: string): InstanceType<typeof PeerServiceClient> {
-		return new PeerServiceClient(address, this.options.clientCredentials(), CHANNEL_OPTIONS);
+	private openClient({ address, instance }: PeerEndpoint): InstanceType<typeof PeerServiceClient> {
+		// TLS checks the certificate of the answering router against this name in place of its IP address.
+		const options = { ...CHANNEL_OPTIONS, 'grpc.ssl_target_name_override': instance };
+		return new PeerServiceClient(address, this.options.clientCredentials(), options);
 	}
 
 	private runSession(
@@ -221,6 +229,11 @@
 		let record: PeerRecord | undefined;
 		const handle = (frame: PeerFrame): void => {
 			if (record === undefined && frame.hello !== undefined) {
+				const refusal = this.refusal(stream, frame.hello.instance);
+				if (refusal !== undefined) {
+					stream.emit('error', refusal);
+					return;
+				}
 				record = this.recordOf(frame.hello.instance);
 				session.post(this.hello());
 			}
@@ -237,6 +250,15 @@
 		Effect.runFork(program);
 	}
 
+	private refusal(call: AuthenticatedCall, instance: string | undefined): grpc.ServerErrorResponse | undefined {
+		const reason = this.options.refusal(call.getAuthContext().sslPeerCertificate, instance);
+		if (reason === undefined) {
+			return undefined;
+		}
+		log.warn(`Refused a call from ${call.getPeer()}: ${reason}.`);
+		return Object.assign(new Error(reason), { code: grpc.status.PERMISSION_DENIED, details: reason });
+	}
+
 	private handleFrame(record: PeerRecord, session: PeerSession, frame: PeerFrame): void {
 		if (frame.hello !== undefined) {
 			this.startSession(record, session, frame.hello);
