--- a/jest.config.js
+++ b/jest.config.js
@@ -19,7 +19,5 @@
 		],
 	},
 	moduleNameMapper: { '^(\\.{1,2}/.*)\\.js$': '$1' },
-	// The library that makes test certificates defines global accessors; wrapping them at the end recurses without end.
-	testEnvironmentOptions: { globalsCleanup: 'off' },
 	testTimeout: 30_000,
 };
