--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,4 +1,3 @@
-import * as grpc from '@grpc/grpc-js';
 import { Effect, Exit, Fiber, Scope } from 'effect';
 import type { ReadinessCheck } from '../../admin/common/readiness.js';
 import { type AdminSources, serveAdmin } from '../../admin/node/adminServer.js';
@@ -16,6 +15,7 @@
 import { StoredCalls } from '../../idempotency/node/storedCalls.js';
 import { MembershipService } from '../../membership/node/membershipService.js';
 import { GrpcPeerNetwork } from '../../peers/node/grpcPeerNetwork.js';
+import { INSECURE_PEERS } from '../../peers/node/peerSecurity.js';
 import { EtcdStore } from '../../platform/node/etcdStore.js';
 import { HttpInstanceList } from '../../platform/node/httpInstanceList.js';
 import { SlotService } from '../../scheduling/node/slotService.js';
@@ -50,8 +50,7 @@
 				instance: instance.name,
 				failureDomain: instance.failureDomain,
 				address: formatAddress(peers.address),
-				serverCredentials: () => grpc.ServerCredentials.createInsecure(),
-				clientCredentials: () => grpc.credentials.createInsecure(),
+				...INSECURE_PEERS,
 				serveConfiguration: ({ haveVersion }) => follower.documentFor(haveVersion),
 			}),
 		);
