--- a/src/configuration/common/configurationFault.ts
+++ b/src/configuration/common/configurationFault.ts
@@ -12,3 +12,8 @@
 		.join('')
 		.replace(/^\./, '');
 }
+
+/** @returns a fault in one line, such as `accounts[3].share: must be at least 1` */
+export function formatFault(fault: ConfigurationFault): string {
+	return fault.path === '' ? fault.reason : `${fault.path}: ${fault.reason}`;
+}
--- a/standins/platform/storeFaults.ts
+++ b/standins/platform/storeFaults.ts
@@ -1,7 +1,9 @@
-import { seededRandom } from './seededRandom.js';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 const BURST_SECONDS = 0.25;
 const MILLISECONDS = 1_000;
+const DEFAULT_SEED = 1;
 
 /** `refused`: connections are refused. `hanging`: connections are accepted, calls have no effect and no answer. */
 export type StoreMode = 'up' | 'refused' | 'hanging';
@@ -54,7 +56,7 @@
 	public mode: StoreMode = 'up';
 	public delayMs = 0;
 	private loseProbability = 0;
-	private random = seededRandom(1);
+	private random = xoroshiro128plus(DEFAULT_SEED);
 	private writes = new RateLimit(0);
 	private reads = new RateLimit(0);
 
@@ -62,7 +64,7 @@
 		this.mode = settings.mode ?? this.mode;
 		this.delayMs = settings.delay_ms ?? this.delayMs;
 		this.loseProbability = settings.lose_answers ?? this.loseProbability;
-		this.random = settings.seed === undefined ? this.random : seededRandom(settings.seed);
+		this.random = settings.seed === undefined ? this.random : xoroshiro128plus(settings.seed);
 		this.writes = settings.writes_per_s === undefined ? this.writes : new RateLimit(settings.writes_per_s);
 		this.reads = settings.reads_per_s === undefined ? this.reads : new RateLimit(settings.reads_per_s);
 	}
@@ -74,6 +76,6 @@
 
 	/** @returns whether the answer of this write is lost */
 	public loseAnswer(): boolean {
-		return this.loseProbability > 0 && this.random() < this.loseProbability;
+		return this.loseProbability > 0 && uniformFloat64(this.random) < this.loseProbability;
 	}
 }
