--- /dev/null
+++ b/tools/fleet/configuration.ts
@@ -0,0 +1,76 @@
+import { createHash } from 'node:crypto';
+import type { ConfigurationContent } from '../../src/configuration/common/model.js';
+import type { BackendStandIn } from './fleet.js';
+
+/** Pool and service of the model engines. */
+export const MODEL_POOL = 'models';
+export const DRAFTS = 'drafts';
+/** Path of a completion below the routers' `/services/`. */
+export const DRAFTS_PATH = `${DRAFTS}/v1/completions`;
+
+/** Pool and service of the plain services. */
+export const APPLICATION_POOL = 'applications';
+export const ORDERS = 'orders';
+/** Path of an order, which must not run twice. */
+export const ORDERS_PATH = `${ORDERS}/orders`;
+
+const MAXIMUM_BODY_BYTES = 1_048_576;
+
+/** A client account of a run. */
+export interface RunAccount {
+	readonly id: string;
+	readonly share: number;
+	readonly token: string;
+}
+
+/**
+ * @param shares share of each account
+ * @returns accounts with identifiers and tokens of their own
+ */
+export function runAccounts(shares: readonly number[]): readonly RunAccount[] {
+	return shares.map((share, index) => {
+		const id = `account-${String(index + 1).padStart(2, '0')}`;
+		return { id, share, token: `token-of-${id}` };
+	});
+}
+
+/**
+ * Builds the configuration of a run: one pool of model engines with the service of drafts, and one of plain services
+ * with the service of orders.
+ *
+ * @param accounts client accounts
+ * @param backends all backend servers
+ * @param slack slack of both pools, in mean request costs
+ * @returns the whole configuration
+ */
+export function runConfiguration(
+	accounts: readonly RunAccount[],
+	backends: readonly BackendStandIn[],
+	slack: number,
+): ConfigurationContent {
+	return {
+		accounts: accounts.map(({ id, share, token }) => ({
+			id,
+			share,
+			tokenDigests: [createHash('sha256').update(token).digest('hex')],
+			services: [DRAFTS, ORDERS],
+		})),
+		pools: [MODEL_POOL, APPLICATION_POOL].map((id) => ({ id, slack })),
+		services: [
+			{
+				...{ id: DRAFTS, pool: MODEL_POOL, kind: 'model-engine', resumable: false },
+				operations: [{ method: 'POST', path: '/v1/completions', idempotent: true }],
+				maximumBodyBytes: MAXIMUM_BODY_BYTES,
+			},
+			{
+				...{ id: ORDERS, pool: APPLICATION_POOL, kind: 'plain', resumable: false },
+				operations: [{ method: 'POST', path: '/orders', idempotent: false }],
+				maximumBodyBytes: MAXIMUM_BODY_BYTES,
+			},
+		],
+		backendServers: backends.map(({ id, kind, url, slots }) => ({
+			...{ id, url, slots, checksFencing: false },
+			pool: kind === 'plain' ? APPLICATION_POOL : MODEL_POOL,
+		})),
+	};
+}
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -1,9 +1,15 @@
+import { Effect } from 'effect';
+import type { ConfigurationContent } from '../../src/configuration/common/model.js';
+import { ConfigurationPublisher } from '../../src/configuration/node/configurationPublisher.js';
+import { EtcdStore } from '../../src/platform/node/etcdStore.js';
 import { callJson } from './httpJson.js';
 import { orEnded, ProcessGroup, type Program, until } from './processes.js';
 import { routerSettings } from './routerSettings.js';
 
 const ROUTER_PROGRAM = 'src/daemon/node/main.js';
 const READY_LIMIT_MS = 20_000;
+// Well above the 4 s within which a configuration must be in force, which a scenario would check and this does not.
+const APPLY_LIMIT_MS = 15_000;
 const FAILURE_DOMAINS = 4;
 
 /** Number and kind of processes of a fleet. */
@@ -70,6 +76,28 @@
 		}
 	}
 
+	/**
+	 * Publishes a configuration and waits until every router has it.
+	 *
+	 * @param content the whole configuration
+	 * @throws Error when it is not accepted or not in force in time
+	 */
+	public async apply(content: ConfigurationContent): Promise<void> {
+		const publisher = ConfigurationPublisher.create(EtcdStore.create(this.storeUrl));
+		const { version } = await Effect.runPromise(
+			Effect.flatMap(publisher.load(), (base) => publisher.publish(base, content)),
+		);
+		for (const router of this.routers) {
+			const inForce = until(APPLY_LIMIT_MS, `configuration ${version} in force on ${router.name}`, async () => {
+				const state = (await callJson('GET', `${router.adminUrl}/state`)) as {
+					readonly configuration: { readonly version?: number };
+				};
+				return (state.configuration.version ?? 0) >= version;
+			});
+			await orEnded(router.program, inForce);
+		}
+	}
+
 	/** Waits until every router reports that it is ready. */
 	public async waitReady(routers: readonly RouterHandle[] = this.routers): Promise<void> {
 		await Promise.all(
--- a/tools/load/completionCall.ts
+++ b/tools/load/completionCall.ts
@@ -29,6 +29,8 @@
 	readonly path: string;
 	readonly body: string;
 	readonly headers?: Readonly<Record<string, string>>;
+	/** The caller breaks the connection when it hears nothing for this long. */
+	readonly timeoutMs?: number;
 }
 
 /** The parts of a server-sent event of the model engine that are checked. */
@@ -147,6 +149,9 @@
 		const url = new URL(`/services/${call.path}`, call.router);
 		const request = http.request(url, { method: 'POST', agent: call.agent, headers });
 		request.on('error', (error) => resolve(broken(0, undefined, error.message)));
+		if (call.timeoutMs !== undefined) {
+			request.setTimeout(call.timeoutMs, () => request.destroy(new Error('the caller gave up')));
+		}
 		request.on('response', (response) => {
 			const status = response.statusCode ?? 0;
 			const verdict = headerOf(response, 'masticloom-verdict');
--- /dev/null
+++ b/tools/measure/judge.ts
@@ -0,0 +1,229 @@
+import { build as buildHistogram } from 'hdr-histogram-js';
+import type { RequestRecord } from '../load/load.js';
+import { meanCost } from '../load/workload.js';
+import { analyse, type Analysis } from './analysis.js';
+import { computeNaive, computeOracle, type BaselineResult } from './baselines.js';
+import { DELAY_MS, PROCESSING_MS, QUANTUM_FRACTION, ROUTERS, SLOTS, TOKEN_MS } from './fleetShape.js';
+import { gapBound } from './gap.js';
+import { percentile, round, type Outcome } from './results.js';
+import type { RunRecord } from './run.js';
+import type { Scenario } from './scenario.js';
+
+// Connections are opened and means of costs are learned in the first second; slots are watched from then on.
+const WARM_UP_MS = 1_000;
+const RATE_PER_MS = SLOTS / TOKEN_MS;
+const GAP_TARGET_FACTOR = 1.25;
+const UTILISATION_TARGET = 0.99;
+const IDLE_TARGET_MS = 5;
+// A refusal needs no slot, so it is answered as soon as the router's event loop gets to it.
+const REFUSAL_LIMIT_MS = 100;
+
+/**
+ * Computes the figures of a run and compares them with the bounds.
+ *
+ * @param scenario what was run
+ * @param seed its seed
+ * @param run what was recorded
+ * @returns figures, text and broken bounds
+ */
+export function judge(scenario: Scenario, seed: number, run: RunRecord): Outcome {
+	const analysis = analyse(run.load, run.ledgers, {
+		shares: scenario.shares,
+		slots: run.engineSlots,
+		fromMs: run.load.startMs + WARM_UP_MS,
+		untilMs: run.load.endMs,
+		phasesMs: run.phasesMs,
+	});
+	const terms = { ...scenario, seed, slots: SLOTS, routers: ROUTERS, ratePerMs: 1 / TOKEN_MS };
+	const oracle = computeOracle(terms);
+	const naive = computeNaive(terms);
+	const bound = scenarioBound(scenario);
+	const calls = countCalls(scenario, run);
+	const gap = scenario.gapHolds === 'last-phase' ? (analysis.gaps.at(-1) ?? 0) : Math.max(...analysis.gaps);
+	const broken = [...run.failures, ...calls.broken, ...starvation(scenario, analysis, bound)];
+	if (scenario.gapHolds !== 'printed' && gap > bound) {
+		broken.push(`gap ${round(gap)} exceeds its bound ${round(bound)}`);
+	}
+	const { usage } = run;
+	const controlBytes = (2 * usage.peerBytes + usage.storeBytes) / ROUTERS / usage.seconds;
+	return {
+		lines: [
+			...run.notes,
+			...describeFairness(scenario, analysis, { oracle, naive, bound }),
+			...describeSlots(analysis),
+			...describeUsage(run),
+			...calls.lines,
+		],
+		broken,
+		results: {
+			...{ scenario: scenario.name, seed, gap: round(gap), gap_bound: round(bound) },
+			...{ gap_naive: round(naive.gap), gap_oracle: round(oracle.gap) },
+			utilisation: round(analysis.utilisation, 4),
+			utilisation_naive: round(naive.utilisation, 4),
+			idle_while_waiting_ms: round(analysis.idleMs.at(-1) ?? 0),
+			control_bytes_per_node_s: Math.round(controlBytes),
+			store_calls_s: round(usage.storeCalls / usage.seconds, 2),
+			requests: run.load.requests.length,
+			...{ false_not_run: calls.falseNotRun, wrong_or_cut_answers: calls.wrong, lost: calls.lost },
+		},
+	};
+}
+
+/**
+ * Evaluates the bound of design section 4.6 for a scenario.
+ *
+ * @param scenario the scenario
+ * @returns the bound in cost units per share
+ */
+export function scenarioBound(scenario: Scenario): number {
+	const { slack } = scenario;
+	const mean = meanCost(scenario.costs);
+	const totalShare = scenario.shares.reduce((sum, share) => sum + share, 0);
+	return gapBound({
+		...{ shares: scenario.shares, slots: SLOTS, entries: ROUTERS, ratePerMs: RATE_PER_MS, slack },
+		...{ meanCost: mean, largestCost: scenario.costs.largest, delayMs: DELAY_MS + PROCESSING_MS },
+		quantum: (QUANTUM_FRACTION * Math.max(slack, 0.5) * mean * scenario.shares.length) / totalShare,
+	});
+}
+
+/** An account that waits while every other one may gain the bound has got nothing for bound·Σw/R. */
+function starvation(scenario: Scenario, analysis: Analysis, bound: number): readonly string[] {
+	const totalShare = scenario.shares.reduce((sum, share) => sum + share, 0);
+	const limitMs = (bound * totalShare) / RATE_PER_MS;
+	return analysis.longestWithoutServiceMs.flatMap((longestMs, account) =>
+		longestMs > limitMs
+			? [`account ${account + 1} was backlogged for ${Math.round(longestMs)} ms without service`]
+			: [],
+	);
+}
+
+interface Baselines {
+	readonly oracle: BaselineResult;
+	readonly naive: BaselineResult;
+	readonly bound: number;
+}
+
+function describeFairness(scenario: Scenario, analysis: Analysis, baselines: Baselines): readonly string[] {
+	const { oracle, naive, bound } = baselines;
+	const mean = meanCost(scenario.costs);
+	const units = (gap: number): string => `${round(gap)} (${round(gap / mean)} mean costs)`;
+	const pair = analysis.worstPair?.map((account) => account + 1).join(' and ') ?? 'none';
+	const limit = oracle.gap * GAP_TARGET_FACTOR;
+	const normalised = analysis.service.map((service, account) => Math.round(service / (scenario.shares[account] ?? 1)));
+	return [
+		`gap by phase: ${analysis.gaps.map(units).join(', ')}; last worst pair: accounts ${pair}`,
+		`gap of oracle ${units(oracle.gap)}, of naive ${units(naive.gap)}; bound ${units(bound)}`,
+		`target ${round(limit)}: ${Math.max(...analysis.gaps) <= limit ? 'met' : 'missed'}`,
+		`service per share: ${normalised.join(' ')}`,
+		`longest time without service while backlogged: ${Math.round(Math.max(...analysis.longestWithoutServiceMs))} ms`,
+	];
+}
+
+function describeSlots(analysis: Analysis): readonly string[] {
+	const { idleMs, utilisation } = analysis;
+	const parts = [50, 99, 99.9, 100].map((percent) => `p${percent} ${round(percentile(idleMs, percent), 2)} ms`);
+	const beyond = idleMs.filter((time) => time > IDLE_TARGET_MS).length;
+	return [
+		`utilisation while work waits: ${round(100 * utilisation, 2)} %, target 99 %: ${
+			utilisation >= UTILISATION_TARGET ? 'met' : 'missed'
+		}`,
+		`slot free while work waits: ${parts.join(', ')}; ${beyond} of ${idleMs.length} beyond ${IDLE_TARGET_MS} ms`,
+	];
+}
+
+function describeUsage(run: RunRecord): readonly string[] {
+	const { usage, load } = run;
+	const perNode = usage.peerBytes / usage.seconds / ROUTERS;
+	const completed = load.requests.filter((request) => request.outcome?.result === 'whole').length;
+	const cpu =
+		usage.cpuSeconds === undefined
+			? []
+			: [
+					`router CPU, callers' traffic included: ${round((100 * usage.cpuSeconds) / usage.seconds / ROUTERS)} % ` +
+						`of a core each, ${round((1000 * usage.cpuSeconds) / completed, 2)} ms per completed request`,
+				];
+	return [
+		`peer traffic: ${Math.round(perNode)} bytes sent per node and second, ` +
+			`${Math.round(usage.peerBytes / completed)} bytes per completed request`,
+		`store: ${usage.storeCalls} calls, ${usage.storeBytes} bytes of bodies in ${round(usage.seconds)} s`,
+		...cpu,
+	];
+}
+
+interface CallCounts {
+	readonly falseNotRun: number;
+	readonly wrong: number;
+	readonly lost: number;
+	readonly lines: readonly string[];
+	readonly broken: readonly string[];
+}
+
+function countCalls(scenario: Scenario, run: RunRecord): CallCounts {
+	const started = new Set(run.ledgers.map((entry) => entry.requestId));
+	const { requests } = run.load;
+	const mayBreak = (request: RequestRecord): boolean => scenario.breaksBackends || run.excused.has(request.router);
+	const cut = requests.filter(({ outcome }) => outcome?.result === 'broken' && outcome.status !== 0);
+	const wrong = requests.filter(({ outcome }) => outcome?.result === 'wrong');
+	const unexcused = cut.filter((request) => !mayBreak(request));
+	const falseNotRun = requests.filter(({ id, outcome }) => outcome?.verdict === 'not-run' && started.has(id)).length;
+	const lost = requests.filter(({ outcome }) => outcome === undefined).length;
+	const refusedModest = requests.filter(
+		({ account, outcome }) => outcome?.status === 429 && !scenario.flooding.includes(account),
+	).length;
+	const refusals = requests.filter(({ outcome }) => outcome?.status === 429);
+	const refusalMs = refusals.map(({ sentMs, endMs }) => (endMs ?? Infinity) - sentMs).sort((one, other) => one - other);
+	const bounds: readonly (readonly [boolean, string])[] = [
+		[falseNotRun > 0, `${falseNotRun} requests reported as not run were run`],
+		[wrong.length > 0, `${wrong.length} wrong answers, the first: ${wrong[0]?.outcome?.detail ?? ''}`],
+		[unexcused.length > 0, `${unexcused.length} answers were cut without a fault of their router`],
+		[lost > 0, `${lost} requests got no answer and no broken connection`],
+		[
+			scenario.flooding.length > 0 && refusedModest > 0,
+			`${refusedModest} requests of accounts within their share were refused`,
+		],
+		[
+			scenario.flooding.length > 0 && percentile(refusalMs, 99) > REFUSAL_LIMIT_MS,
+			`p99 of refusals is ${round(percentile(refusalMs, 99))} ms`,
+		],
+	];
+	return {
+		...{ falseNotRun, lost, wrong: wrong.length + unexcused.length },
+		lines: [
+			`outcomes: ${describeOutcomes(requests)}`,
+			...describeLatencies(scenario, requests),
+			...(refusals.length === 0
+				? []
+				: [`refusals: p50 ${round(percentile(refusalMs, 50))} ms, p99 ${round(percentile(refusalMs, 99))} ms`]),
+		],
+		broken: bounds.flatMap(([isBroken, reason]) => (isBroken ? [reason] : [])),
+	};
+}
+
+function describeOutcomes(requests: readonly RequestRecord[]): string {
+	const counts = new Map<string, number>();
+	for (const { outcome } of requests) {
+		const key = outcome === undefined ? 'lost' : `${outcome.result} ${outcome.status} ${outcome.verdict ?? ''}`.trim();
+		counts.set(key, (counts.get(key) ?? 0) + 1);
+	}
+	return [...counts].map(([key, count]) => `${count} ${key}`).join(', ');
+}
+
+function describeLatencies(scenario: Scenario, requests: readonly RequestRecord[]): readonly string[] {
+	const groups: readonly (readonly [string, (account: number) => boolean])[] =
+		scenario.flooding.length === 0
+			? [['all accounts', () => true]]
+			: [
+					['flooding accounts', (account) => scenario.flooding.includes(account)],
+					['other accounts', (account) => !scenario.flooding.includes(account)],
+				];
+	return groups.map(([label, isMember]) => {
+		const histogram = buildHistogram();
+		for (const { account, firstTokenMs, sentMs } of requests) {
+			if (firstTokenMs !== undefined && isMember(account)) {
+				histogram.recordValue(Math.round(firstTokenMs - sentMs));
+			}
+		}
+		const parts = [50, 95, 99].map((percent) => `p${percent} ${histogram.getValueAtPercentile(percent)} ms`);
+		return `time to first token, ${label}: ${parts.join(', ')}`;
+	});
+}
--- /dev/null
+++ b/tools/measure/main.ts
@@ -0,0 +1,69 @@
+/** `measure --list` lists the scenarios; `measure SCENARIO [--seed N]` runs one and exits 1 when a bound is broken. */
+import sade from 'sade';
+import { runOnce } from './once.js';
+import type { Outcome } from './results.js';
+import { runScenario } from './run.js';
+import { SCENARIOS } from './scenarios.js';
+import { runSlackCurve } from './slackCurve.js';
+
+const DEFAULT_SEED = 1;
+
+interface Command {
+	readonly name: string;
+	readonly purpose: string;
+	readonly run: (seed: number) => Promise<Outcome>;
+}
+
+const COMMANDS: readonly Command[] = [
+	...SCENARIOS.map((scenario) => ({
+		name: scenario.name,
+		purpose: scenario.purpose,
+		run: (seed: number) => runScenario(scenario, seed),
+	})),
+	{
+		name: 'slack-curve',
+		purpose: 'skew with one slack after another',
+		run: async (seed) => {
+			const skew = SCENARIOS.find((scenario) => scenario.name === 'skew');
+			if (skew === undefined) {
+				throw new Error('there is no scenario skew');
+			}
+			return runSlackCurve(skew, seed);
+		},
+	},
+	{ name: 'once', purpose: '10,000 keyed calls that must not be repeated, under random faults', run: runOnce },
+];
+
+async function main(
+	name: string | undefined,
+	options: { readonly list?: boolean; readonly seed?: number | string },
+): Promise<void> {
+	if (options.list === true) {
+		for (const command of COMMANDS) {
+			process.stdout.write(`${command.name.padEnd(18)}${command.purpose}\n`);
+		}
+		return;
+	}
+	const command = COMMANDS.find((item) => item.name === name);
+	if (command === undefined) {
+		process.stderr.write(`There is no scenario ${name ?? ''}; --list lists them.\n`);
+		process.exitCode = 2;
+		return;
+	}
+	const { lines, broken, results } = await command.run(Number(options.seed ?? DEFAULT_SEED));
+	process.stdout.write(`${command.name}: ${command.purpose}\n`);
+	for (const line of lines) {
+		process.stdout.write(`  ${line}\n`);
+	}
+	for (const reason of broken) {
+		process.stdout.write(`  BROKEN: ${reason}\n`);
+	}
+	process.stdout.write(`${JSON.stringify(results)}\n`);
+	process.exitCode = broken.length > 0 ? 1 : 0;
+}
+
+sade('measure [scenario]', true)
+	.option('--list', 'list the scenarios')
+	.option('--seed', 'seed of costs and arrivals', DEFAULT_SEED)
+	.action(main)
+	.parse(process.argv);
--- /dev/null
+++ b/tools/measure/once.ts
@@ -0,0 +1,241 @@
+import * as http from 'node:http';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { ORDERS_PATH, runAccounts } from '../fleet/configuration.js';
+import type { Fleet } from '../fleet/fleet.js';
+import { callJson } from '../fleet/httpJson.js';
+import { sleep, within } from '../fleet/processes.js';
+import { callPlain, type CallOutcome } from '../load/completionCall.js';
+import { ACCOUNTS, ROUTERS } from './fleetShape.js';
+import type { Outcome } from './results.js';
+import { startFleet } from './run.js';
+
+const CALLS = 10_000;
+const CALLS_PER_SECOND = 300;
+const MAXIMUM_ATTEMPTS = 8;
+const CALLER_TIMEOUT_MS = 4_000;
+const RESEND_PAUSE_MS = 250;
+const SERVICE_MS = 4;
+const PAUSE_BETWEEN_FAULTS_MS = 300;
+const RESTART_LIMIT_MS = 10_000;
+const SETTLE_MS = 3_000;
+
+/** What the caller of one keyed call saw, one outcome for each time it was sent. */
+interface KeyedCall {
+	readonly key: string;
+	readonly outcomes: CallOutcome[];
+}
+
+/** What all plain services did for one key. */
+interface KeyLedger {
+	started: number;
+	finished: number;
+}
+
+type RandomFault = (fleet: Fleet, draw: (below: number) => number) => Promise<void>;
+
+/** Faults that are drawn one after another while the calls run; each heals what it broke. */
+const FAULTS: Readonly<Record<string, RandomFault>> = {
+	'router killed': async (fleet, draw) => {
+		const router = pick(fleet.routers, draw);
+		router.program.process.kill('SIGKILL');
+		await router.program.exit;
+		fleet.restart(router);
+		await within(RESTART_LIMIT_MS, `${router.name} was not ready again`, fleet.waitReady([router]));
+	},
+	'router frozen': async (fleet, draw) => {
+		const { process } = pick(fleet.routers, draw).program;
+		process.kill('SIGSTOP');
+		await sleep(1_500);
+		process.kill('SIGCONT');
+	},
+	partition: async (fleet) => {
+		const names = fleet.routers.map((router) => router.name);
+		await fleet.partition([names.slice(0, ROUTERS / 2), names.slice(ROUTERS / 2)]);
+		await sleep(1_500);
+		await fleet.partition([]);
+	},
+	'service crash': (fleet, draw) => command(fleet, draw, 'crash', { downMs: 300 }),
+	'crash before the work': (fleet, draw) => command(fleet, draw, 'fault', { fault: 'crash-before' }),
+	'crash during the work': (fleet, draw) => command(fleet, draw, 'fault', { fault: 'crash-during' }),
+	'crash after the work': (fleet, draw) => command(fleet, draw, 'fault', { fault: 'crash-after' }),
+	'no answer': (fleet, draw) => command(fleet, draw, 'fault', { fault: 'hang' }),
+	'answer cut': (fleet, draw) => command(fleet, draw, 'fault', { fault: 'cut', count: 5 }),
+	'store loses answers': (fleet) => storeFault(fleet, { lose_answers: 0.2 }, { lose_answers: 0 }),
+	'store slow': (fleet) => storeFault(fleet, { delay_ms: 200 }, { delay_ms: 0 }),
+	'store refuses': (fleet) => storeFault(fleet, { mode: 'refused' }, { mode: 'up' }),
+	'store hangs': (fleet) => storeFault(fleet, { mode: 'hanging' }, { mode: 'up' }),
+};
+
+/**
+ * Runs keyed calls of a plain service under random faults. Callers send a call again, with its key and to another
+ * router, until they have its answer. The services' ledgers tell how often each call was started.
+ *
+ * @param seed seed of the faults
+ * @returns figures and broken bounds
+ */
+export async function runOnce(seed: number): Promise<Outcome> {
+	const fleet = await startFleet(new Array<number>(ACCOUNTS).fill(1));
+	try {
+		const calls: KeyedCall[] = [];
+		const faults = new FaultLoop(fleet, seed);
+		const faulting = faults.run();
+		await sendAll(fleet, calls);
+		faults.stop();
+		await faulting;
+		await sleep(SETTLE_MS);
+		return judgeOnce(seed, calls, await readKeys(fleet), faults.counts);
+	} finally {
+		await fleet.end();
+	}
+}
+
+class FaultLoop {
+	public readonly counts = new Map<string, number>();
+	private stopped = false;
+
+	public constructor(
+		private readonly fleet: Fleet,
+		private readonly seed: number,
+	) {}
+
+	public async run(): Promise<void> {
+		const generator = xoroshiro128plus(this.seed);
+		const draw = (below: number): number => uniformInt(generator, 0, below - 1);
+		const names = Object.keys(FAULTS);
+		while (!this.stopped) {
+			const name = names[draw(names.length)] ?? '';
+			this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+			await FAULTS[name]?.(this.fleet, draw);
+			await sleep(PAUSE_BETWEEN_FAULTS_MS);
+		}
+	}
+
+	public stop(): void {
+		this.stopped = true;
+	}
+}
+
+async function sendAll(fleet: Fleet, calls: KeyedCall[]): Promise<void> {
+	const agent = new http.Agent({ keepAlive: true });
+	const running: Promise<void>[] = [];
+	const start = performance.now();
+	for (let index = 0; index < CALLS; index++) {
+		const wait = start + (index * 1000) / CALLS_PER_SECOND - performance.now();
+		if (wait > 1) {
+			await sleep(wait);
+		}
+		const call: KeyedCall = { key: `order-${index}`, outcomes: [] };
+		calls.push(call);
+		running.push(sendUntilAnswered(fleet, agent, call, index));
+	}
+	await Promise.all(running);
+	agent.destroy();
+}
+
+async function sendUntilAnswered(fleet: Fleet, agent: http.Agent, call: KeyedCall, index: number): Promise<void> {
+	const accounts = runAccounts(new Array<number>(ACCOUNTS).fill(1));
+	for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
+		const outcome = await callPlain({
+			router: new URL(fleet.routers[(index + attempt) % ROUTERS]?.callersUrl ?? ''),
+			agent,
+			token: accounts[index % ACCOUNTS]?.token ?? '',
+			path: ORDERS_PATH,
+			body: JSON.stringify({ order: call.key, service_ms: SERVICE_MS }),
+			headers: { 'idempotency-key': call.key },
+			timeoutMs: CALLER_TIMEOUT_MS,
+		});
+		call.outcomes.push(outcome);
+		if (outcome.result === 'whole' || outcome.result === 'wrong') {
+			return;
+		}
+		await sleep(RESEND_PAUSE_MS * (attempt + 1));
+	}
+}
+
+async function readKeys(fleet: Fleet): Promise<ReadonlyMap<string, KeyLedger>> {
+	const keys = new Map<string, KeyLedger>();
+	for (const service of fleet.backends.filter((backend) => backend.kind === 'plain')) {
+		const { entries } = (await callJson('GET', `${service.url}/control/ledger`)) as {
+			readonly entries: readonly (KeyLedger & { readonly idempotencyKey?: string })[];
+		};
+		for (const { idempotencyKey, started, finished } of entries) {
+			const total = keys.get(idempotencyKey ?? '') ?? { started: 0, finished: 0 };
+			keys.set(idempotencyKey ?? '', {
+				started: total.started + started,
+				finished: total.finished + finished,
+			});
+		}
+	}
+	return keys;
+}
+
+/**
+ * Compares what callers were told with what the services did.
+ *
+ * @param seed seed of the run
+ * @param calls outcomes by key
+ * @param ledger starts and ends by key
+ * @param faults number of faults by name
+ * @returns figures and broken bounds
+ */
+export function judgeOnce(
+	seed: number,
+	calls: readonly KeyedCall[],
+	ledger: ReadonlyMap<string, KeyLedger>,
+	faults: ReadonlyMap<string, number>,
+): Outcome {
+	const of = (call: KeyedCall): KeyLedger => ledger.get(call.key) ?? { started: 0, finished: 0 };
+	const has = (call: KeyedCall, result: CallOutcome['result']): boolean =>
+		call.outcomes.some((outcome) => outcome.result === result);
+	const duplicates = [...ledger.values()].reduce((sum, { started }) => sum + Math.max(0, started - 1), 0);
+	const falseNotRun = calls.filter(
+		(call) => of(call).started > 0 && call.outcomes.every((outcome) => outcome.verdict === 'not-run'),
+	).length;
+	const wrong = calls.filter((call) => has(call, 'wrong') || (has(call, 'whole') && of(call).finished === 0)).length;
+	const lost = calls.filter((call) => call.outcomes.length === 0).length;
+	const whole = calls.filter((call) => has(call, 'whole')).length;
+	const notRun = calls.filter((call) => of(call).started === 0 && !has(call, 'whole')).length;
+	const bounds: readonly (readonly [number, string])[] = [
+		[duplicates, 'starts of calls that had been started before'],
+		[falseNotRun, 'calls were reported as not run and were run'],
+		[wrong, 'answers were wrong, or whole without the work'],
+		[lost, 'calls ended without any outcome'],
+	];
+	return {
+		lines: [
+			`faults: ${[...faults].map(([name, count]) => `${name} ${count}`).join(', ')}`,
+			`${calls.length} keyed calls, ${calls.reduce((sum, call) => sum + call.outcomes.length, 0)} requests`,
+			`${whole} answered whole, ${notRun} never run, ${calls.length - whole - notRun} run with an unknown outcome`,
+		],
+		broken: bounds.flatMap(([count, reason]) => (count > 0 ? [`${count} ${reason}`] : [])),
+		results: {
+			...{ scenario: 'once', seed, requests: calls.length, duplicates, lost },
+			...{ false_not_run: falseNotRun, wrong_or_cut_answers: wrong },
+		},
+	};
+}
+
+async function command(
+	fleet: Fleet,
+	draw: (below: number) => number,
+	name: 'crash' | 'fault',
+	body: Readonly<Record<string, unknown>>,
+): Promise<void> {
+	const services = fleet.backends.filter((backend) => backend.kind === 'plain');
+	try {
+		await callJson('POST', `${pick(services, draw).url}/control/${name}`, body);
+	} catch {
+		// The service is down after an earlier crash, which is a fault as well.
+	}
+}
+
+async function storeFault(fleet: Fleet, fault: object, repair: object): Promise<void> {
+	await callJson('POST', `${fleet.platformUrl}/control/store`, fault);
+	await sleep(1_000);
+	await callJson('POST', `${fleet.platformUrl}/control/store`, repair);
+}
+
+function pick<T>(items: readonly T[], draw: (below: number) => number): T {
+	return items[draw(items.length)] as T;
+}
--- /dev/null
+++ b/tools/measure/run.ts
@@ -0,0 +1,188 @@
+import { DRAFTS_PATH, MODEL_POOL, runAccounts, runConfiguration } from '../fleet/configuration.js';
+import { Fleet, type RouterHandle } from '../fleet/fleet.js';
+import { callJson } from '../fleet/httpJson.js';
+import { sleep } from '../fleet/processes.js';
+import { cpuSeconds } from '../fleet/processStatistics.js';
+import { epochNow, Load, type LoadRecord } from '../load/load.js';
+import type { LedgerSpans } from './analysis.js';
+import { DELAY_MS, ENGINE_SLOTS, PLAIN_SLOTS, ROUTERS, SLACK, TOKEN_MS } from './fleetShape.js';
+import { judge } from './judge.js';
+import type { Outcome } from './results.js';
+import type { FaultContext, Scenario } from './scenario.js';
+
+// Longer than any request of the load can take once it runs.
+const DRAIN_MS = 15_000;
+
+/** Traffic and CPU of the routers during the load. */
+export interface Usage {
+	readonly seconds: number;
+	/** Bytes that routers sent to each other. */
+	readonly peerBytes: number;
+	readonly storeBytes: number;
+	readonly storeCalls: number;
+	/** CPU time of all routers, callers' traffic included; undefined when a router was restarted. */
+	readonly cpuSeconds: number | undefined;
+}
+
+/** Everything that a run recorded. */
+export interface RunRecord {
+	readonly load: LoadRecord;
+	readonly ledgers: readonly LedgerSpans[];
+	readonly engineSlots: ReadonlyMap<string, number>;
+	readonly usage: Usage;
+	readonly phasesMs: readonly number[];
+	/** Indices of routers whose callers may see broken answers. */
+	readonly excused: ReadonlySet<number>;
+	readonly notes: readonly string[];
+	readonly failures: readonly string[];
+}
+
+/**
+ * Starts the standard fleet.
+ *
+ * @param shares share of each account
+ * @param slack slack of both pools, in mean request costs
+ * @returns a fleet that is ready
+ */
+export async function startFleet(shares: readonly number[], slack: number = SLACK): Promise<Fleet> {
+	const fleet = await Fleet.start({
+		routers: ROUTERS,
+		engineSlots: ENGINE_SLOTS,
+		plainSlots: PLAIN_SLOTS,
+		tokenMs: TOKEN_MS,
+		delayMs: DELAY_MS,
+	});
+	try {
+		await fleet.apply(runConfiguration(runAccounts(shares), fleet.backends, slack));
+		await fleet.waitReady();
+		return fleet;
+	} catch (error) {
+		await fleet.end();
+		throw error;
+	}
+}
+
+/**
+ * Runs a scenario on a fleet of its own.
+ *
+ * @param scenario what to run
+ * @param seed seed of costs and arrivals
+ * @returns figures and broken bounds
+ */
+export async function runScenario(scenario: Scenario, seed: number): Promise<Outcome> {
+	const fleet = await startFleet(scenario.shares, scenario.slack);
+	try {
+		return judge(scenario, seed, await record(fleet, scenario, seed));
+	} finally {
+		await fleet.end();
+	}
+}
+
+/**
+ * Runs a scenario's load and faults over a fleet that is ready.
+ *
+ * @param fleet the fleet
+ * @param scenario what to run
+ * @param seed seed of costs and arrivals
+ * @returns what was recorded
+ */
+export async function record(fleet: Fleet, scenario: Scenario, seed: number): Promise<RunRecord> {
+	const phasesMs: number[] = [];
+	const excused = new Set<number>();
+	const notes: string[] = [];
+	const failures: string[] = [];
+	const context: FaultContext = {
+		fleet,
+		scheduler: () => findScheduler(fleet),
+		endPhase: () => phasesMs.push(epochNow()),
+		excuse: (router) => excused.add(fleet.routers.indexOf(router)),
+		note: (line) => notes.push(line),
+		fail: (reason) => failures.push(reason),
+	};
+	const load = Load.create({
+		seed,
+		sources: scenario.sources,
+		costs: scenario.costs,
+		routers: fleet.routers.map((router) => router.callersUrl),
+		tokens: runAccounts(scenario.shares).map((account) => account.token),
+		path: DRAFTS_PATH,
+		durationMs: scenario.durationMs,
+	});
+	const engines = fleet.backends.filter((backend) => backend.kind === 'model-engine');
+	await Promise.all(engines.map((engine) => callJson('DELETE', `${engine.url}/control/ledger`)));
+	const usage = await startUsage(fleet);
+	const running = load.run(DRAIN_MS);
+	const faults = Promise.all(
+		scenario.faults.map(async (fault) => {
+			await sleep(fault.atMs);
+			await fault.run(context);
+		}),
+	);
+	await Promise.all([sleep(scenario.durationMs), faults]);
+	const used = await usage();
+	const loadRecord = await running;
+	const ledgers = await Promise.all(engines.map((engine) => readLedger(engine.id, engine.url)));
+	return {
+		load: loadRecord,
+		ledgers: ledgers.flat(),
+		engineSlots: new Map(engines.map((engine) => [engine.id, engine.slots])),
+		usage: used,
+		...{ phasesMs, excused, notes, failures },
+	};
+}
+
+/**
+ * Reads what a backend stand-in did.
+ *
+ * @param backend identifier of the backend server
+ * @param url its base URL
+ * @returns one item per request that it started
+ */
+export async function readLedger(backend: string, url: string): Promise<readonly LedgerSpans[]> {
+	const { entries } = (await callJson('GET', `${url}/control/ledger`)) as {
+		readonly entries: readonly Omit<LedgerSpans, 'backend'>[];
+	};
+	return entries.map((entry) => ({ ...entry, backend }));
+}
+
+/** Asks the routers which of them is scheduler of the pool of model engines. */
+async function findScheduler(fleet: Fleet): Promise<RouterHandle> {
+	const { scheduling } = (await callJson('GET', `${fleet.routers[0]?.adminUrl ?? ''}/state`)) as {
+		readonly scheduling: readonly { readonly pool: string; readonly scheduler?: string }[];
+	};
+	const name = scheduling.find(({ pool }) => pool === MODEL_POOL)?.scheduler;
+	const found = fleet.routers.find((router) => router.name === name);
+	if (found === undefined) {
+		throw new Error(`the scheduler is ${name ?? 'not known'}`);
+	}
+	return found;
+}
+
+async function startUsage(fleet: Fleet): Promise<() => Promise<Usage>> {
+	interface Counters {
+		readonly calls: number;
+		readonly bytesReceived: number;
+		readonly bytesSent: number;
+	}
+	const read = async (): Promise<{ readonly at: number; readonly peers: number; readonly store: Counters }> => ({
+		at: epochNow(),
+		peers: await fleet.peerBytes(),
+		store: (await callJson('GET', `${fleet.platformUrl}/control/counters`)) as Counters,
+	});
+	const programs = fleet.routers.map((router) => router.program);
+	const cpu = (): number => programs.reduce((sum, program) => sum + cpuSeconds(program.process.pid ?? 0), 0);
+	const before = await read();
+	const cpuBefore = cpu();
+	return async () => {
+		const after = await read();
+		const restarted = fleet.routers.some((router, index) => router.program !== programs[index]);
+		return {
+			seconds: (after.at - before.at) / 1000,
+			peerBytes: after.peers - before.peers,
+			storeBytes:
+				after.store.bytesReceived + after.store.bytesSent - before.store.bytesReceived - before.store.bytesSent,
+			storeCalls: after.store.calls - before.store.calls,
+			cpuSeconds: restarted ? undefined : cpu() - cpuBefore,
+		};
+	};
+}
--- /dev/null
+++ b/tools/measure/scenario.ts
@@ -0,0 +1,43 @@
+import type { Fleet, RouterHandle } from '../fleet/fleet.js';
+import type { CostRange, Source } from '../load/workload.js';
+
+/** What a fault may use while the load runs. */
+export interface FaultContext {
+	readonly fleet: Fleet;
+	/** @returns the router that is scheduler of the pool of model engines now */
+	readonly scheduler: () => Promise<RouterHandle>;
+	/** Ends a phase of the gap now; intervals begin anew. */
+	readonly endPhase: () => void;
+	/** Allows broken answers at callers of this router, which holds their connections. */
+	readonly excuse: (router: RouterHandle) => void;
+	/** Adds a line to the printed results. */
+	readonly note: (line: string) => void;
+	/** Adds a broken bound. */
+	readonly fail: (reason: string) => void;
+}
+
+/** Something that is done to the fleet while the load runs. */
+export interface Fault {
+	/** Milliseconds from the start of the load. */
+	readonly atMs: number;
+	readonly run: (context: FaultContext) => Promise<void>;
+}
+
+/** One measured run: a load over the standard fleet, with faults. */
+export interface Scenario {
+	readonly name: string;
+	readonly purpose: string;
+	readonly durationMs: number;
+	readonly costs: CostRange;
+	readonly shares: readonly number[];
+	readonly sources: readonly Source[];
+	readonly faults: readonly Fault[];
+	/** Accounts that send more than they are entitled to; refusals of the others break a bound. */
+	readonly flooding: readonly number[];
+	/** Broken answers on all routers are allowed, since backend servers are crashed. */
+	readonly breaksBackends: boolean;
+	/** The gap holds in all phases, or only after the last fault, or is only printed. */
+	readonly gapHolds: 'always' | 'last-phase' | 'printed';
+	/** Slack of the pools, in mean request costs. */
+	readonly slack: number;
+}
--- /dev/null
+++ b/tools/measure/scenarios.ts
@@ -0,0 +1,248 @@
+import { callJson } from '../fleet/httpJson.js';
+import { sleep } from '../fleet/processes.js';
+import { meanCost, type CostRange, type Source } from '../load/workload.js';
+import { ACCOUNTS, ROUTERS, SLACK, SLOTS, TOKEN_MS } from './fleetShape.js';
+import type { Fault, FaultContext, Scenario } from './scenario.js';
+
+const COSTS: CostRange = { least: 1, largest: 100 };
+const SHORT_COSTS: CostRange = { least: 1, largest: 40 };
+const EQUAL_SHARES: readonly number[] = new Array<number>(ACCOUNTS).fill(1);
+const UNEQUAL_SHARES: readonly number[] = [8, 4, 4, 2, 2, 2, ...new Array<number>(ACCOUNTS - 6).fill(1)];
+
+const EXIT_LIMIT_MS = 15_000;
+const FAULT_AT_MS = 6_000;
+
+/** Requests per second of one account when all accounts of equal share are backlogged. */
+const ENTITLED_PER_SECOND = (SLOTS * 1000) / TOKEN_MS / meanCost(COSTS) / ACCOUNTS;
+const FLOOD_FACTOR = 50;
+const MODEST_FACTOR = 0.8;
+
+const accounts = Array.from({ length: ACCOUNTS }, (_, account) => account);
+const routers = Array.from({ length: ROUTERS }, (_, router) => router);
+
+function everywhere(inProgressOf: (account: number) => number): readonly Source[] {
+	return accounts.flatMap((account) =>
+		routers.map((router) => ({ account, router, inProgress: inProgressOf(account) })),
+	);
+}
+
+/** The large account has its whole backlog on router 0; the small ones are on the others. */
+function skewed(): readonly Source[] {
+	const small = accounts
+		.slice(1)
+		.flatMap((account) => routers.slice(1).map((router) => ({ account, router, inProgress: 3 })));
+	return [{ account: 0, router: 0, inProgress: 48 }, ...small];
+}
+
+function flooded(): readonly Source[] {
+	return everywhere(() => 0).map((source) => {
+		const factor = source.account === 0 ? FLOOD_FACTOR : MODEST_FACTOR;
+		return { ...source, ratePerSecond: (ENTITLED_PER_SECOND * factor) / ROUTERS };
+	});
+}
+
+/** Half of the accounts stay; the others come for two seconds at different times and are idle in between. */
+function bursts(durationMs: number): readonly Source[] {
+	const onMs = 2_000;
+	return everywhere(() => 2).flatMap((source): readonly Source[] => {
+		if (source.account < ACCOUNTS / 2) {
+			return [source];
+		}
+		const stepMs = 500 * (source.account - ACCOUNTS / 2);
+		const bursting: Source[] = [];
+		for (let fromMs = stepMs; fromMs + onMs <= durationMs; fromMs += 2 * onMs) {
+			bursting.push({ ...source, fromMs, untilMs: fromMs + onMs });
+		}
+		return bursting;
+	});
+}
+
+const killRouter: Fault = {
+	atMs: FAULT_AT_MS,
+	run: async (context) => {
+		const scheduler = await context.scheduler();
+		const victim = context.fleet.routers.find((router) => router !== scheduler);
+		await killAndRestart(context, victim ?? scheduler);
+	},
+};
+
+const killScheduler: Fault = {
+	atMs: FAULT_AT_MS,
+	run: async (context) => killAndRestart(context, await context.scheduler()),
+};
+
+async function killAndRestart(context: FaultContext, router: FaultContext['fleet']['routers'][number]): Promise<void> {
+	context.note(`${router.name} is killed, and started again 4 s later`);
+	context.excuse(router);
+	router.program.process.kill('SIGKILL');
+	await router.program.exit;
+	await sleep(4_000);
+	context.fleet.restart(router);
+	await context.fleet.waitReady([router]);
+	context.endPhase();
+}
+
+const freezeScheduler: Fault = {
+	atMs: FAULT_AT_MS,
+	run: async (context) => {
+		const router = await context.scheduler();
+		context.note(`${router.name} is stopped for 4 s`);
+		router.program.process.kill('SIGSTOP');
+		await sleep(4_000);
+		router.program.process.kill('SIGCONT');
+		await sleep(1_000);
+		context.endPhase();
+	},
+};
+
+const partitionAndHeal: Fault = {
+	atMs: FAULT_AT_MS,
+	run: async (context) => {
+		const names = context.fleet.routers.map((router) => router.name);
+		context.note('the routers are cut in two halves for 5 s');
+		await context.fleet.partition([names.slice(0, ROUTERS / 2), names.slice(ROUTERS / 2)]);
+		await sleep(5_000);
+		await context.fleet.partition([]);
+		// The gap must be back under its bound within 5 s of the rejoin.
+		await sleep(5_000);
+		context.endPhase();
+	},
+};
+
+const restartAll: Fault = {
+	atMs: 2_000,
+	run: async (context) => {
+		for (const router of context.fleet.routers) {
+			router.program.process.kill('SIGTERM');
+			const status = await Promise.race([router.program.exit, sleep(EXIT_LIMIT_MS)]);
+			if (status !== 0) {
+				context.fail(`${router.name} did not exit with 0 after SIGTERM but ${status ?? 'went on'}`);
+				router.program.process.kill('SIGKILL');
+				await router.program.exit;
+			}
+			context.fleet.restart(router);
+			await context.fleet.waitReady([router]);
+		}
+		context.endPhase();
+		context.note('all routers were restarted one after another');
+	},
+};
+
+const platformOutage: readonly Fault[] = [
+	{
+		atMs: 0,
+		run: async ({ fleet, note }) => {
+			await callJson('POST', `${fleet.platformUrl}/control/store`, { mode: 'refused' });
+			await callJson('POST', `${fleet.platformUrl}/control/list`, { mode: 'failing' });
+			note('the store and the instance list are down from the start of the load');
+		},
+	},
+	{
+		atMs: FAULT_AT_MS,
+		run: async (context) => {
+			const router = context.fleet.routers.at(-1);
+			if (router !== undefined) {
+				await killAndRestart(context, router);
+			}
+		},
+	},
+];
+
+const crashBackend: Fault = {
+	atMs: FAULT_AT_MS,
+	run: async ({ fleet, note }) => {
+		const engine = fleet.backends[0];
+		await callJson('POST', `${engine?.url ?? ''}/control/crash`, { downMs: 4_000 });
+		note(`${engine?.id ?? ''} crashes and is down for 4 s`);
+	},
+};
+
+const standard: Scenario = {
+	name: '',
+	purpose: '',
+	durationMs: 20_000,
+	costs: COSTS,
+	shares: EQUAL_SHARES,
+	sources: everywhere(() => 2),
+	faults: [],
+	flooding: [],
+	breaksBackends: false,
+	gapHolds: 'always',
+	slack: SLACK,
+};
+
+/** Scenarios that run the load over the standard fleet, by their order of importance. */
+export const SCENARIOS: readonly Scenario[] = [
+	{
+		...standard,
+		name: 'skew',
+		purpose: 'one large account backlogged on one router only, fifteen small ones on the others',
+		sources: skewed(),
+	},
+	{
+		...standard,
+		name: 'shares',
+		purpose: 'unequal shares, all accounts backlogged on all routers',
+		shares: UNEQUAL_SHARES,
+		sources: everywhere((account) => 1 + (UNEQUAL_SHARES[account] ?? 1)),
+	},
+	{
+		...standard,
+		name: 'flood',
+		purpose: `one account sends ${FLOOD_FACTOR} times what it is entitled to through every router`,
+		durationMs: 15_000,
+		sources: flooded(),
+		flooding: [0],
+	},
+	{
+		...standard,
+		name: 'bursty',
+		purpose: 'half of the accounts come and go',
+		sources: bursts(standard.durationMs),
+	},
+	{ ...standard, name: 'router-kill', purpose: 'a router is killed and started again', faults: [killRouter] },
+	{ ...standard, name: 'scheduler-kill', purpose: 'the scheduler is killed', faults: [killScheduler] },
+	{
+		...standard,
+		name: 'scheduler-freeze',
+		purpose: 'the scheduler is stopped for 4 s and continued',
+		faults: [freezeScheduler],
+		gapHolds: 'last-phase',
+	},
+	{
+		...standard,
+		name: 'partition',
+		purpose: 'the routers are cut in two halves for 5 s and rejoin',
+		durationMs: 25_000,
+		faults: [partitionAndHeal],
+		gapHolds: 'last-phase',
+	},
+	{
+		...standard,
+		name: 'restart-all',
+		purpose: 'all routers are terminated and started again one after another',
+		durationMs: 40_000,
+		faults: [restartAll],
+		gapHolds: 'printed',
+	},
+	{
+		...standard,
+		name: 'platform-outage',
+		purpose: 'the store and the instance list are down during the whole run; one router is killed meanwhile',
+		faults: platformOutage,
+	},
+	{
+		...standard,
+		name: 'backend-kill',
+		purpose: 'a model engine crashes and comes back',
+		faults: [crashBackend],
+		breaksBackends: true,
+	},
+	{
+		...standard,
+		name: 'whole-answers',
+		purpose: 'at least 10,000 streams, each checked for its digest and its request',
+		durationMs: 40_000,
+		costs: SHORT_COSTS,
+	},
+];
--- /dev/null
+++ b/tools/measure/slackCurve.ts
@@ -0,0 +1,51 @@
+import { runAccounts, runConfiguration } from '../fleet/configuration.js';
+import { SLACK } from './fleetShape.js';
+import { judge } from './judge.js';
+import type { Outcome } from './results.js';
+import { record, startFleet } from './run.js';
+import type { Scenario } from './scenario.js';
+
+const SLACKS = [0, 0.5, 1, 2, 4, 8];
+const DURATION_MS = 7_000;
+
+/**
+ * Runs a scenario with one slack after another, on the same fleet, and prints gap, utilisation and traffic of each.
+ *
+ * @param scenario the scenario to shorten and repeat
+ * @param seed seed of costs and arrivals
+ * @returns the figures of the standard slack, and a line for each slack
+ */
+export async function runSlackCurve(scenario: Scenario, seed: number): Promise<Outcome> {
+	const fleet = await startFleet(scenario.shares);
+	const lines: string[] = [];
+	const broken: string[] = [];
+	let results: Outcome['results'] = { scenario: 'slack-curve', seed };
+	try {
+		for (const slack of SLACKS) {
+			await fleet.apply(runConfiguration(runAccounts(scenario.shares), fleet.backends, slack));
+			const short = { ...scenario, name: 'slack-curve', durationMs: DURATION_MS, slack };
+			const run = await record(fleet, short, seed);
+			const outcome = judge(short, seed, run);
+			const {
+				gap,
+				gap_bound: bound,
+				gap_oracle: oracle,
+				utilisation,
+				control_bytes_per_node_s: bytes,
+			} = outcome.results;
+			const perRequest = run.usage.peerBytes / run.load.requests.length;
+			lines.push(
+				`slack ${slack}: gap ${gap ?? ''} (oracle ${oracle ?? ''}, bound ${bound ?? ''}), utilisation ` +
+					`${utilisation ?? ''}, ${bytes ?? ''} control bytes per node and second, ` +
+					`${Math.round(perRequest)} peer bytes per request`,
+			);
+			broken.push(...outcome.broken.map((reason) => `slack ${slack}: ${reason}`));
+			if (slack === SLACK) {
+				results = outcome.results;
+			}
+		}
+		return { lines, broken, results };
+	} finally {
+		await fleet.end();
+	}
+}
