Add the slopes scenario of the measure tool

docs/CAPACITY.md needs CPU, bytes and memory per message, peer, account, backend server, request and configuration change, from real router processes. Figures of /proc were preferred over an extra counter in the router, since they include what a counter would miss.

--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -77,16 +77,28 @@
 	}
 
 	/**
-	 * Publishes a configuration and waits until every router has it.
+	 * Publishes a configuration.
 	 *
 	 * @param content the whole configuration
-	 * @throws Error when it is not accepted or not in force in time
+	 * @returns the accepted version
+	 * @throws Error when it is not accepted
 	 */
-	public async apply(content: ConfigurationContent): Promise<void> {
+	public async publish(content: ConfigurationContent): Promise<number> {
 		const publisher = ConfigurationPublisher.create(EtcdStore.create(this.storeUrl));
 		const { version } = await Effect.runPromise(
 			Effect.flatMap(publisher.load(), (base) => publisher.publish(base, content)),
 		);
+		return version;
+	}
+
+	/**
+	 * Publishes a configuration and waits until every router has it.
+	 *
+	 * @param content the whole configuration
+	 * @throws Error when it is not accepted or not in force in time
+	 */
+	public async apply(content: ConfigurationContent): Promise<void> {
+		const version = await this.publish(content);
 		for (const router of this.routers) {
 			const inForce = until(APPLY_LIMIT_MS, `configuration ${version} in force on ${router.name}`, async () => {
 				const state = (await callJson('GET', `${router.adminUrl}/state`)) as {
--- a/tools/measure/main.ts
+++ b/tools/measure/main.ts
@@ -4,6 +4,7 @@
 import type { Outcome } from './results.js';
 import { runScenario } from './run.js';
 import { SCENARIOS } from './scenarios.js';
+import { runSlopes } from '../slopes/slopes.js';
 import { runSlackCurve } from './slackCurve.js';
 
 const DEFAULT_SEED = 1;
@@ -31,6 +32,7 @@
 			return runSlackCurve(skew, seed);
 		},
 	},
+	{ name: 'slopes', purpose: 'CPU, bytes and memory for docs/CAPACITY.md', run: runSlopes },
 	{ name: 'once', purpose: '10,000 keyed calls that must not be repeated, under random faults', run: runOnce },
 ];
 
--- /dev/null
+++ b/tools/slopes/messageSlopes.ts
@@ -0,0 +1,103 @@
+import { randomUUID } from 'node:crypto';
+import type { PoolReport } from '../../src/peers/common/generated/masticloom/peers/v1/peers.js';
+import { PoolScheduler } from '../../src/scheduling/common/poolScheduler.js';
+import { ProcessGroup } from '../fleet/processes.js';
+import { type Slope, type SlopePoint, slopeOf } from './slope.js';
+
+const UPDATE_RATES = [250, 1_000, 4_000];
+const BATCHES = [1, 4, 16];
+const SECONDS = 4;
+const BACKLOGGED_COUNTS = [100, 500, 1_000, 1_900];
+const REPORTS_PER_POINT = 2_000;
+const BACKENDS = 11;
+const SLOTS = 100_000;
+
+interface TrafficResult {
+	readonly cpuMsPerSecond: number;
+	readonly seconds: number;
+	readonly sent?: number;
+	readonly writtenBytes?: number;
+}
+
+/** @returns CPU of the sender against the rate of updates, one slope for each number of updates in a frame */
+export async function measureMessages(): Promise<readonly Slope[]> {
+	const slopes: Slope[] = [];
+	const bytes: SlopePoint[] = [];
+	for (const batch of BATCHES) {
+		const cpu: SlopePoint[] = [];
+		for (const rate of UPDATE_RATES) {
+			const { sender, receiver } = await runTraffic(rate, batch);
+			cpu.push({ x: rate, y: sender.cpuMsPerSecond + receiver.cpuMsPerSecond });
+			if (rate === UPDATE_RATES[1]) {
+				bytes.push({ x: batch, y: (sender.writtenBytes ?? 0) / (sender.sent ?? 1) });
+			}
+		}
+		const labels = { x: 'updates per second', y: `CPU of both ends, ms/s, ${batch} updates a frame` };
+		slopes.push(slopeOf(`messages-cpu-${batch}`, labels, cpu));
+	}
+	return [...slopes, slopeOf('messages-bytes', { x: 'updates a frame', y: 'bytes on the wire per update' }, bytes)];
+}
+
+async function runTraffic(
+	rate: number,
+	batch: number,
+): Promise<{ readonly sender: TrafficResult; readonly receiver: TrafficResult }> {
+	const group = ProcessGroup.create();
+	try {
+		const script = 'tools/slopes/peerTraffic.js';
+		const receiver = await group.startStandIn('receiver', script, ['--role', 'receive']);
+		const port = String(receiver.ready.address).split(':')[1] ?? '';
+		const options = { role: 'send', port, rate: String(rate), batch: String(batch), seconds: String(SECONDS) };
+		const sender = group.start(
+			'sender',
+			script,
+			Object.entries(options).flatMap(([name, value]) => [`--${name}`, value]),
+		);
+		await Promise.all([sender.exit, receiver.program.exit]);
+		const last = (lines: readonly string[]): TrafficResult => JSON.parse(lines.at(-1) ?? '{}') as TrafficResult;
+		return { sender: last(sender.lastLines), receiver: last(receiver.program.lastLines) };
+	} finally {
+		await group.end();
+	}
+}
+
+/** @returns CPU of the scheduler per report that returns one slot and is answered by a grant, against backlogged accounts */
+export function measureDecisions(): readonly Slope[] {
+	const points = BACKLOGGED_COUNTS.map((count): SlopePoint => ({ x: count, y: timeDecisions(count) }));
+	return [slopeOf('decisions-cpu', { x: 'backlogged accounts', y: 'scheduler CPU per report and grant, µs' }, points)];
+}
+
+function timeDecisions(backlogged: number): number {
+	const slotLimits = new Map(Array.from({ length: BACKENDS }, (_, index) => [index + 1, SLOTS]));
+	const scheduler = PoolScheduler.create(1, 1, { slack: 2, slotLimits, shareOf: () => 1 });
+	const incarnation = randomUUID();
+	const report = (queued: number, complete: boolean, accounts: number): PoolReport => ({
+		pool: 1,
+		term: 1,
+		acknowledged: Number.MAX_SAFE_INTEGER,
+		complete,
+		accounts: Array.from({ length: accounts }, (_, index) => ({
+			account: index + 1,
+			queued,
+			running: 0,
+			charged: 0,
+			expected: 100,
+			virtualService: 0,
+		})),
+		slots: [],
+	});
+	scheduler.applyReport('entry', incarnation, report(1, true, backlogged));
+	scheduler.finishRebuild();
+	scheduler.takeUpdate('entry');
+	const startedAt = process.cpuUsage();
+	for (let round = 0; round < REPORTS_PER_POINT; round++) {
+		const one = report(1, false, 1);
+		const changed = one.accounts.map((account) => ({ ...account, account: (round % backlogged) + 1, charged: round }));
+		scheduler.applyReport('entry', incarnation, { ...one, accounts: changed });
+		for (const instance of scheduler.entriesToUpdate()) {
+			scheduler.takeUpdate(instance);
+		}
+	}
+	const used = process.cpuUsage(startedAt);
+	return (used.user + used.system) / REPORTS_PER_POINT;
+}
--- /dev/null
+++ b/tools/slopes/peerTraffic.ts
@@ -0,0 +1,117 @@
+/**
+ * Measures the cost of control messages: `--role receive` prints its port and counts frames; `--role send` connects to
+ * `--port` and sends `--rate` updates a second, `--batch` of them in each frame, for `--seconds`. Both print what they
+ * used as one JSON line at the end.
+ */
+import { parseArgs } from 'node:util';
+import type { PoolUpdate } from '../../src/peers/common/generated/masticloom/peers/v1/peers.js';
+import { INSECURE_PEERS } from '../../src/peers/node/peerSecurity.js';
+import { GrpcPeerNetwork } from '../../src/peers/node/grpcPeerNetwork.js';
+import { shortKey } from '../../src/base/common/shortKey.js';
+import { sleep } from '../fleet/processes.js';
+import { writtenBytes } from './processUsage.js';
+
+const { values } = parseArgs({
+	options: {
+		role: { type: 'string', default: 'receive' },
+		port: { type: 'string', default: '0' },
+		rate: { type: 'string', default: '100' },
+		batch: { type: 'string', default: '1' },
+		seconds: { type: 'string', default: '5' },
+	},
+});
+
+/** Ticks a second in which the sender writes what is due; a multiple of the frame rates in use. */
+const TICK_MS = 4;
+const SETTLE_MS = 500;
+const GRANTS_PER_UPDATE = 2;
+const BASES_PER_UPDATE = 2;
+
+function updateNumber(sequence: number): PoolUpdate {
+	const list = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => index);
+	return {
+		pool: shortKey('models'),
+		term: 3,
+		sequence,
+		grants: list(GRANTS_PER_UPDATE).map((index) => ({ backend: shortKey(`engine-${index}`), count: 1 })),
+		recalls: [],
+		bases: list(BASES_PER_UPDATE).map((index) => ({ account: shortKey(`account-${index}`), base: sequence * 1.1 })),
+		floor: sequence * 1.2,
+		reuseLimit: sequence * 1.3,
+		quantum: 1.5,
+		contended: true,
+		reportRequested: false,
+	};
+}
+
+async function open(instance: string): Promise<readonly [GrpcPeerNetwork, number]> {
+	const network = GrpcPeerNetwork.create({
+		instance,
+		failureDomain: 'east-1',
+		address: '127.0.0.1:0',
+		...INSECURE_PEERS,
+		serveConfiguration: () => ({ version: 0, document: new Uint8Array() }),
+	});
+	return [network, await network.listen()];
+}
+
+async function send(): Promise<void> {
+	const [network] = await open('a-sender');
+	network.setEndpoints([{ instance: 'b-receiver', address: `127.0.0.1:${values.port}` }]);
+	await sleep(SETTLE_MS);
+	const rate = Number(values.rate);
+	const batch = Number(values.batch);
+	const startedAt = performance.now();
+	const startCpu = process.cpuUsage();
+	const startBytes = writtenBytes(process.pid);
+	const end = startedAt + Number(values.seconds) * 1_000;
+	let sent = 0;
+	let frames = 0;
+	while (performance.now() < end) {
+		const due = Math.floor(((performance.now() - startedAt) / 1_000) * rate);
+		while (due - sent >= batch) {
+			const updates = Array.from({ length: batch }, () => updateNumber(++sent));
+			network.send('b-receiver', { updates });
+			frames++;
+			// The network merges what is sent within one turn, so each frame gets a turn of its own.
+			await new Promise((resolve) => setImmediate(resolve));
+			await new Promise((resolve) => setImmediate(resolve));
+		}
+		await sleep(TICK_MS);
+	}
+	print(startCpu, startedAt, { sent, frames, writtenBytes: writtenBytes(process.pid) - startBytes });
+	await sleep(SETTLE_MS);
+	network.dispose();
+	process.exit(0);
+}
+
+async function receive(): Promise<void> {
+	const [network, port] = await open('b-receiver');
+	let received = 0;
+	let startCpu = process.cpuUsage();
+	let startedAt = performance.now();
+	network.onDidReceive(({ frame }) => {
+		if (frame.updates.length > 0 && received === 0) {
+			startCpu = process.cpuUsage();
+			startedAt = performance.now();
+		}
+		received += frame.updates.length;
+	});
+	network.onDidChangePeer((peer) => {
+		if (peer.state === 'gone') {
+			print(startCpu, startedAt, { received });
+			process.exit(0);
+		}
+	});
+	process.stdout.write(`${JSON.stringify({ address: `127.0.0.1:${port}` })}\n`);
+	await Promise.resolve();
+}
+
+function print(startCpu: NodeJS.CpuUsage, startedAt: number, counts: Readonly<Record<string, number>>): void {
+	const used = process.cpuUsage(startCpu);
+	const seconds = (performance.now() - startedAt) / 1_000;
+	const cpuMsPerSecond = (used.user + used.system) / 1_000 / seconds;
+	process.stdout.write(`${JSON.stringify({ cpuMsPerSecond, seconds, ...counts })}\n`);
+}
+
+await (values.role === 'send' ? send() : receive());
