Add check, apply and status to the command line

Operators need to check a configuration, put it in force and see that every router has it. Each command is in its own file; commandLine.ts defines the options.

--- /dev/null
+++ b/src/cli/node/applyCommand.ts
@@ -0,0 +1,149 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Effect, Result } from 'effect';
+import {
+	compareContent,
+	formatChange,
+	type ConfigurationChange,
+} from '../../configuration/common/configurationChanges.js';
+import type { ConfigurationContent } from '../../configuration/common/model.js';
+import type { ConfigurationPublisher, PublishError } from '../../configuration/node/configurationPublisher.js';
+import { readConfigurationFile } from './configurationFile.js';
+import { EXIT_FAILED, EXIT_OK, EXIT_USAGE, type Output } from './exitCodes.js';
+import { askRouters, findRouters, type RouterReport, type RouterSource } from './fleetStatus.js';
+
+const POLL_MS = 200;
+const CHANGES_SHOWN = 20;
+
+/** Options of the command. */
+export interface ApplyOptions {
+	/** The version that the file was made from; another version in the store is a conflict. */
+	readonly base?: number;
+	/** Waits until every router has the version in force. */
+	readonly wait: boolean;
+	/** Longest wait in milliseconds. */
+	readonly waitLimitMs: number;
+	readonly routers: RouterSource;
+}
+
+/**
+ * Publishes a configuration file.
+ *
+ * @param file path
+ * @param publisher writes to the store
+ * @param options base version and wait
+ * @param output where messages go
+ * @returns the exit code
+ */
+export async function apply(
+	file: string,
+	publisher: ConfigurationPublisher,
+	options: ApplyOptions,
+	output: Output,
+): Promise<number> {
+	const content = readConfigurationFile(file);
+	if (content.isErr) {
+		content.error.forEach(output.complain);
+		return EXIT_USAGE;
+	}
+	const version = await publish(content.value, publisher, options, output);
+	if (version === undefined) {
+		return EXIT_FAILED;
+	}
+	return options.wait ? waitForRouters(version, options, output) : EXIT_OK;
+}
+
+async function publish(
+	content: ConfigurationContent,
+	publisher: ConfigurationPublisher,
+	options: ApplyOptions,
+	output: Output,
+): Promise<number | undefined> {
+	const base = await Effect.runPromise(Effect.result(publisher.load()));
+	if (Result.isFailure(base)) {
+		output.complain(`Not applied: ${base.failure.message}.`);
+		return undefined;
+	}
+	const stored = base.success.head.version;
+	if (options.base !== undefined && options.base !== stored) {
+		output.complain(`Not applied: the store has version ${stored}, the file was made from version ${options.base}.`);
+		output.complain('From the file to the store:');
+		printChanges(compareContent(content, base.success.configuration), output.complain);
+		return undefined;
+	}
+	const published = await Effect.runPromise(Effect.result(publisher.publish(base.success, content)));
+	if (Result.isFailure(published)) {
+		explainFailure(published.failure, output);
+		return undefined;
+	}
+	const { version, changes } = published.success;
+	output.print(
+		changes.length === 0 ? `Version ${version} has the same content already.` : `Applied version ${version}:`,
+	);
+	printChanges(changes, output.print);
+	return version;
+}
+
+function explainFailure(error: PublishError, output: Output): void {
+	switch (error.kind) {
+		case 'conflict':
+			output.complain(`Not applied: ${error.message}:`);
+			printChanges(error.changes, output.complain);
+			output.complain('Bring these changes into your file and apply it again.');
+			return;
+		case 'not-published':
+			output.complain(`Not applied: ${error.message}.`);
+			return;
+		case 'unknown':
+			output.complain(`It is not known whether the configuration was applied: ${error.message}.`);
+			output.complain('Run the same command again: it changes nothing if the configuration was applied.');
+	}
+}
+
+function printChanges(changes: readonly ConfigurationChange[], write: (line: string) => void): void {
+	for (const change of changes.slice(0, CHANGES_SHOWN)) {
+		write(`  ${formatChange(change)}`);
+	}
+	if (changes.length > CHANGES_SHOWN) {
+		write(`  and ${changes.length - CHANGES_SHOWN} more`);
+	}
+}
+
+async function waitForRouters(version: number, options: ApplyOptions, output: Output): Promise<number> {
+	const startedAt = performance.now();
+	for (;;) {
+		const lacking = await findLacking(version, options.routers);
+		if (lacking.length === 0) {
+			const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+			output.print(`Version ${version} is in force on every router (after ${seconds} s).`);
+			return EXIT_OK;
+		}
+		if (performance.now() - startedAt > options.waitLimitMs) {
+			output.complain(`Version ${version} is stored, and it is not in force on every router:`);
+			lacking.forEach((reason) => output.complain(`  ${reason}`));
+			return EXIT_FAILED;
+		}
+		await sleep(POLL_MS);
+	}
+}
+
+/** @returns why the version is not in force everywhere, one line per router; empty when it is */
+async function findLacking(version: number, source: RouterSource): Promise<readonly string[]> {
+	try {
+		const reports = await askRouters(await findRouters(source), source.certificates);
+		if (reports.length === 0) {
+			return ['the instance list has no router'];
+		}
+		return reports.filter((report) => !hasVersion(report, version)).map(describeLacking);
+	} catch (error) {
+		return [(error as Error).message];
+	}
+}
+
+// A leaving router that no longer answers takes no requests, so nothing is in force there.
+function hasVersion(report: RouterReport, version: number): boolean {
+	return report.version === undefined ? report.leaving : report.version >= version;
+}
+
+function describeLacking({ name, version, problem }: RouterReport): string {
+	return version === undefined ? `${name}: ${problem ?? 'has no configuration'}` : `${name}: has version ${version}`;
+}
--- /dev/null
+++ b/src/cli/node/commandLine.ts
@@ -0,0 +1,192 @@
+import sade from 'sade';
+import { ConfigurationPublisher } from '../../configuration/node/configurationPublisher.js';
+import { EtcdStore } from '../../platform/node/etcdStore.js';
+import { HttpInstanceList } from '../../platform/node/httpInstanceList.js';
+import { type AdminOptions, DEFAULT_ADMIN_ADDRESS } from './adminClient.js';
+import { apply } from './applyCommand.js';
+import { check } from './checkCommand.js';
+import { dump } from './dumpCommand.js';
+import { EXIT_FAILED, EXIT_OK, EXIT_USAGE, type Output, UsageError } from './exitCodes.js';
+import { explain } from './explainCommand.js';
+import type { RouterSource } from './fleetStatus.js';
+import { status } from './statusCommand.js';
+
+const DEFAULT_WAIT_LIMIT_MS = 30_000;
+const DEFAULT_STORE_LIMIT_MS = 30_000;
+
+const TEXT_OPTIONS = [
+	'store',
+	'instances',
+	'admin',
+	'certificate',
+	'key',
+	'authority',
+	'base',
+	'wait-limit-ms',
+	'store-limit-ms',
+];
+
+type Command = (...parameters: readonly unknown[]) => Promise<number>;
+
+/** Values of options by name; an option that is given more than once has a list. */
+type Values = Readonly<Record<string, string | boolean | readonly string[] | undefined>>;
+
+/**
+ * Runs one command.
+ *
+ * @param argv arguments as in `process.argv`
+ * @param output where messages go
+ * @returns the exit code
+ */
+export async function runCommandLine(argv: readonly string[], output: Output): Promise<number> {
+	const command = parseCommand(argv, output);
+	if (command === undefined) {
+		return EXIT_OK;
+	}
+	try {
+		return await command();
+	} catch (error) {
+		output.complain(`masticloom: ${(error as Error).message}`);
+		return error instanceof UsageError ? EXIT_USAGE : EXIT_FAILED;
+	}
+}
+
+/** @returns the command to run, or undefined when help was printed */
+function parseCommand(argv: readonly string[], output: Output): (() => Promise<number>) | undefined {
+	// The library prints a message and ends the process with code 1 when the usage is wrong.
+	const useUsageCode = (): void => {
+		process.exitCode = EXIT_USAGE;
+	};
+	process.once('exit', useUsageCode);
+	// Undefined, other than the library's types say, after help was printed.
+	const parsed = defineCommands(output).parse([...argv], {
+		lazy: true,
+		string: TEXT_OPTIONS,
+		unknown: (flag) => `Unknown option ${flag}`,
+	}) as { readonly handler: Command; readonly args: readonly unknown[] } | undefined;
+	process.off('exit', useUsageCode);
+	return parsed && (() => parsed.handler(...parsed.args));
+}
+
+function defineCommands(output: Output): ReturnType<typeof sade> {
+	const program = sade('masticloom').describe('Applies configurations to a fleet of routers and shows its state.');
+	program
+		.command('check <file>', 'Check a configuration file.')
+		.action((file: string) => Promise.resolve(check(file, output)));
+	withRouterOptions(program.command('apply <file>', 'Put a configuration file in force.'))
+		.option('--store', 'URL of the key-value store (required)')
+		.option('--base', 'Version that the file was made from; refuse when the store has another one')
+		.option('--wait', 'Wait until every router has the version in force', false)
+		.option('--wait-limit-ms', `Longest wait for routers (default ${DEFAULT_WAIT_LIMIT_MS})`)
+		.option('--store-limit-ms', `Longest time to try while the store fails (default ${DEFAULT_STORE_LIMIT_MS})`)
+		.action(async (file: string, values: Values) => {
+			const wait = values.wait === true;
+			const options = {
+				base: wholeNumber(values, 'base'),
+				wait,
+				waitLimitMs: wholeNumber(values, 'wait-limit-ms') ?? DEFAULT_WAIT_LIMIT_MS,
+				routers: routerSource(values, wait),
+			};
+			return apply(file, publisherOf(requiredUrl(values, 'store'), values), options, output);
+		});
+	withRouterOptions(program.command('status', 'Show the version in the store and in each router.'))
+		.option('--store', 'URL of the key-value store')
+		.option('--store-limit-ms', `Longest time to try while the store fails (default ${DEFAULT_STORE_LIMIT_MS})`)
+		.action(async (values: Values) => {
+			const publisher = values.store === undefined ? undefined : publisherOf(requiredUrl(values, 'store'), values);
+			return status(publisher, routerSource(values, true), output);
+		});
+	defineRouterCommands(program, output);
+	return program;
+}
+
+/** Commands that ask one router. */
+function defineRouterCommands(program: ReturnType<typeof sade>, output: Output): void {
+	withCertificateOptions(program.command('dump', 'Print the state of one router as JSON.'))
+		.option('--admin', `Admin address of the router (default ${DEFAULT_ADMIN_ADDRESS})`)
+		.action(async (values: Values) => {
+			await dump(adminOptions(values), output.print);
+			return EXIT_OK;
+		});
+	withCertificateOptions(program.command('explain <account>', 'Say why requests of an account wait at one router.'))
+		.option('--admin', `Admin address of the router (default ${DEFAULT_ADMIN_ADDRESS})`)
+		.option('--json', 'Print JSON in place of text', false)
+		.action(async (account: string, values: Values) => {
+			await explain(account, { ...adminOptions(values), json: values.json === true }, output.print);
+			return EXIT_OK;
+		});
+}
+
+function withRouterOptions(program: ReturnType<typeof sade>): ReturnType<typeof sade> {
+	return withCertificateOptions(program)
+		.option('--instances', 'URL of the instance list, whose label admin gives the admin address of each router')
+		.option('--admin', 'Admin addresses of the routers, separated by commas, in place of the instance list');
+}
+
+function withCertificateOptions(program: ReturnType<typeof sade>): ReturnType<typeof sade> {
+	return program
+		.option('--certificate', 'PEM file with your certificate for admin addresses')
+		.option('--key', 'PEM file with its key')
+		.option('--authority', 'PEM file with the authority that signs the certificates of the routers');
+}
+
+function routerSource(values: Values, required: boolean): RouterSource {
+	const addresses = [values.admin ?? []].flat().flatMap((item) => String(item).split(','));
+	const list = values.instances === undefined ? undefined : HttpInstanceList.create(requiredUrl(values, 'instances'));
+	if (required && addresses.length === 0 && list === undefined) {
+		throw new UsageError('--instances or --admin is required to find the routers');
+	}
+	return { addresses, list, certificates: certificateOptions(values) };
+}
+
+function adminOptions(values: Values): AdminOptions {
+	return { admin: text(values, 'admin') ?? DEFAULT_ADMIN_ADDRESS, ...certificateOptions(values) };
+}
+
+function certificateOptions(values: Values): Omit<AdminOptions, 'admin'> {
+	const files = {
+		certificate: text(values, 'certificate'),
+		key: text(values, 'key'),
+		authority: text(values, 'authority'),
+	};
+	const given = Object.values(files).filter((file) => file !== undefined).length;
+	if (given !== 0 && given !== Object.keys(files).length) {
+		throw new UsageError('--certificate, --key and --authority are only useful together');
+	}
+	return files;
+}
+
+function publisherOf(storeUrl: string, values: Values): ConfigurationPublisher {
+	const limit = wholeNumber(values, 'store-limit-ms') ?? DEFAULT_STORE_LIMIT_MS;
+	return ConfigurationPublisher.create(EtcdStore.create(storeUrl), limit);
+}
+
+function requiredUrl(values: Values, name: string): string {
+	const value = text(values, name);
+	if (value === undefined) {
+		throw new UsageError(`--${name} is required`);
+	}
+	if (!URL.canParse(value)) {
+		throw new UsageError(`--${name}: '${value}' is not a URL`);
+	}
+	return value;
+}
+
+function wholeNumber(values: Values, name: string): number | undefined {
+	const value = text(values, name);
+	if (value !== undefined && !/^\d+$/.test(value)) {
+		throw new UsageError(`--${name}: '${value}' is not a whole number`);
+	}
+	return value === undefined ? undefined : Number(value);
+}
+
+function text(values: Values, name: string): string | undefined {
+	const value = values[name];
+	if (value === undefined) {
+		return undefined;
+	}
+	if (typeof value !== 'string' || value === '') {
+		throw new UsageError(`--${name} takes one value`);
+	}
+	return value;
+}
--- /dev/null
+++ b/src/cli/node/statusCommand.ts
@@ -0,0 +1,52 @@
+import { Effect, Result } from 'effect';
+import type { ConfigurationPublisher } from '../../configuration/node/configurationPublisher.js';
+import { EXIT_FAILED, EXIT_OK, type Output } from './exitCodes.js';
+import { askRouters, findRouters, type RouterReport, type RouterSource } from './fleetStatus.js';
+
+const COLUMN_GAP = 2;
+
+/**
+ * Shows the version in the store and what each router reports.
+ *
+ * @param publisher reads the store
+ * @param source where the routers' admin addresses come from
+ * @param output where the table goes
+ * @returns 0 when every router is ready and has the version of the store
+ */
+export async function status(
+	publisher: ConfigurationPublisher | undefined,
+	source: RouterSource,
+	output: Output,
+): Promise<number> {
+	const stored = publisher && (await Effect.runPromise(Effect.result(publisher.storedVersion())));
+	const version = stored && Result.isSuccess(stored) ? stored.success : undefined;
+	if (stored !== undefined) {
+		const text = Result.isSuccess(stored) ? `version ${version ?? 0}` : `not readable: ${stored.failure.message}`;
+		output.print(`store: ${text}`);
+	}
+	const reports = await askRouters(await findRouters(source), source.certificates);
+	formatTable(reports).forEach(output.print);
+	const storeIsRead = stored === undefined || version !== undefined;
+	const behind = reports.filter((report) => !report.ready || (version !== undefined && report.version !== version));
+	return storeIsRead && reports.length > 0 && behind.length === 0 ? EXIT_OK : EXIT_FAILED;
+}
+
+function formatTable(reports: readonly RouterReport[]): readonly string[] {
+	if (reports.length === 0) {
+		return ['no router is known'];
+	}
+	const rows = reports.map(({ name, version, ready, leaving, problem }) => [
+		name,
+		version === undefined ? '-' : String(version),
+		leaving ? 'leaving' : ready ? 'ready' : 'not ready',
+		problem ?? '',
+	]);
+	const table = [['router', 'version', 'state', ''], ...rows];
+	const widths = [0, 1, 2].map((column) => Math.max(...table.map((row) => row[column]?.length ?? 0)) + COLUMN_GAP);
+	return table.map((row) =>
+		row
+			.map((cell, column) => cell.padEnd(widths[column] ?? 0))
+			.join('')
+			.trimEnd(),
+	);
+}
--- a/src/configuration/node/configurationPublisher.ts
+++ b/src/configuration/node/configurationPublisher.ts
@@ -17,7 +17,13 @@
 } from '../common/configurationHead.js';
 import { canonicalContent, type Section, SECTIONS, splitIntoParts } from '../common/configurationParts.js';
 import type { ConfigurationContent } from '../common/model.js';
-import { type ConfigurationSnapshot, loadSnapshot, type LoadError, type PartCache } from './configurationSnapshot.js';
+import {
+	type ConfigurationSnapshot,
+	loadSnapshot,
+	type LoadError,
+	type PartCache,
+	readHead,
+} from './configurationSnapshot.js';
 import { partDigest } from './partDigest.js';
 
 const NONCE_BYTES = 9;
@@ -83,6 +89,14 @@
 		return untilAnswered(load, deadline, ({ kind }) => kind === 'unavailable');
 	}
 
+	/** @returns the version in the store, without reading the parts; 0 when nothing was published yet */
+	public storedVersion(): Effect.Effect<number, LoadError> {
+		const deadline = performance.now() + this.patienceMs;
+		return untilAnswered(readHead(this.store), deadline, ({ kind }) => kind === 'unavailable').pipe(
+			Effect.map((stored) => stored?.head.version ?? 0),
+		);
+	}
+
 	/**
 	 * Replaces the configuration, provided that nobody changed it since it was read.
 	 *
--- a/src/configuration/node/configurationSnapshot.ts
+++ b/src/configuration/node/configurationSnapshot.ts
@@ -68,15 +68,11 @@
 	return Effect.gen(function* () {
 		// A part disappears when a newer head no longer needs it, so a missing part means that the head is outdated.
 		for (let attempt = 0; attempt < HEAD_READS; attempt++) {
-			const stored = attempt === 0 && known !== undefined ? known : yield* read(store, HEAD_KEY);
+			const stored = yield* readHead(store, attempt === 0 ? known : undefined);
 			if (stored === undefined) {
 				return EMPTY_SNAPSHOT;
 			}
-			const head = decodeHead(new TextDecoder().decode(stored.value));
-			if (head.isErr) {
-				return yield* Effect.fail<LoadError>({ kind: 'unusable', message: head.error });
-			}
-			const snapshot = yield* loadParts(store, cache, head.value, stored.revision);
+			const snapshot = yield* loadParts(store, cache, stored.head, stored.revision);
 			if (snapshot !== undefined) {
 				return snapshot;
 			}
@@ -85,6 +81,30 @@
 	});
 }
 
+/**
+ * Reads the head alone.
+ *
+ * @param store the platform's store
+ * @param known a head that was read a moment ago, in place of the read
+ * @returns the head and its store revision, or undefined when nothing was published yet
+ */
+export function readHead(
+	store: IKeyValueStore,
+	known?: KeyValue,
+): Effect.Effect<{ readonly head: ConfigurationHead; readonly revision: number } | undefined, LoadError> {
+	return Effect.gen(function* () {
+		const stored = known ?? (yield* read(store, HEAD_KEY));
+		if (stored === undefined) {
+			return undefined;
+		}
+		const head = decodeHead(new TextDecoder().decode(stored.value));
+		if (head.isErr) {
+			return yield* Effect.fail<LoadError>({ kind: 'unusable', message: head.error });
+		}
+		return { head: head.value, revision: stored.revision };
+	});
+}
+
 /**
  * Takes a whole configuration apart, so that later changes reread the changed parts only.
  *
