--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,16 +1,21 @@
-import * as grpc from '@grpc/grpc-js';
 import { Effect, Exit, Fiber, Scope } from 'effect';
 import type { ReadinessCheck } from '../../admin/common/readiness.js';
 import { type AdminSources, serveAdmin } from '../../admin/node/adminServer.js';
 import { RouterMetrics } from '../../admin/node/routerMetrics.js';
+import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { BackendMonitor } from '../../backends/node/backendMonitor.js';
 import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
+import { SuspectExchange } from '../../backends/node/suspectExchange.js';
+import { systemClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { logOf } from '../../base/node/log.js';
 import { CallerServer } from '../../callers/node/callerServer.js';
 import { ConfigurationFollower } from '../../configuration/node/configurationFollower.js';
 import { DispatchService } from '../../dispatch/node/dispatchService.js';
+import { StoredCalls } from '../../idempotency/node/storedCalls.js';
 import { MembershipService } from '../../membership/node/membershipService.js';
 import { GrpcPeerNetwork } from '../../peers/node/grpcPeerNetwork.js';
+import { INSECURE_PEERS } from '../../peers/node/peerSecurity.js';
 import { EtcdStore } from '../../platform/node/etcdStore.js';
 import { HttpInstanceList } from '../../platform/node/httpInstanceList.js';
 import { SlotService } from '../../scheduling/node/slotService.js';
@@ -45,8 +50,7 @@
 				instance: instance.name,
 				failureDomain: instance.failureDomain,
 				address: formatAddress(peers.address),
-				serverCredentials: () => grpc.ServerCredentials.createInsecure(),
-				clientCredentials: () => grpc.credentials.createInsecure(),
+				...INSECURE_PEERS,
 				serveConfiguration: ({ haveVersion }) => follower.documentFor(haveVersion),
 			}),
 		);
@@ -79,17 +83,27 @@
 			}),
 		);
 		this.register(follower.onDidChange(({ version }) => network.announce({ configurationVersion: version })));
+		const monitor = this.register(BackendMonitor.create(follower, membership, instance.name));
 		const slots = this.register(
 			SlotService.create({
 				local,
 				configuration: follower,
 				membership,
 				network,
-				slotLimit: (server, configured) => (membership.isLeaving(server) ? 0 : configured),
-				onBackendFailure: (server) => log.warn(`An entry saw ${server} fail.`),
+				slotLimit: (server, configured) => monitor.slotLimit(server, configured),
+				onBackendFailure: (server) => monitor.signalFailure(server),
 			}),
 		);
-		const dispatch = DispatchService.create(follower, slots, HttpBackendClient.create());
+		this.register(monitor.onDidChange(() => slots.refreshLimits()));
+		const suspects = CrashSuspects.create(systemClock);
+		this.register(SuspectExchange.create(suspects, network));
+		const dispatch = DispatchService.create({
+			configuration: follower,
+			slots,
+			client: this.register(HttpBackendClient.create()),
+			suspects,
+			idempotency: StoredCalls.create(store),
+		});
 		const server = this.register(CallerServer.create(follower, dispatch));
 		const readiness: readonly ReadinessCheck[] = [
 			{ name: 'configuration', missing: () => (follower.current ? undefined : 'no configuration was read yet') },
@@ -101,6 +115,7 @@
 				configuration: () => ({ version: follower.current?.version }),
 				peers: () => network.peers(),
 				scheduling: () => slots.dump(),
+				suspects: () => suspects.list(),
 			},
 			accountFacts: () => undefined,
 			metrics: RouterMetrics.create({}),
