Claim crash suspects among all routers before they run

A router now announces to its peers that it wants to run a suspect, and runs it when no other claim has come within 50 ms; of crossing claims the lowest instance name prevails. Copies that waited are refused once the fingerprint is quarantined; without that check they ran on, one after the other. Copies that are already running when the first server dies cannot be stopped and are not covered.

--- a/src/backends/common/crashSuspects.ts
+++ b/src/backends/common/crashSuspects.ts
@@ -14,6 +14,12 @@
 // An account that sends many different requests to a crashing server must not fill the router's memory.
 const MAXIMUM_SUSPECTS = 10_000;
 
+/** A router that runs a suspect claims it among its peers for at most this long. */
+const CLAIM_MS = 600_000;
+
+/** Time for claims of several routers to cross; the lowest instance name prevails. */
+const CLAIM_SETTLE_MS = 50;
+
 /** What is known of a fingerprint that was in progress when a backend server died. */
 export interface SuspectState {
 	readonly fingerprint: string;
@@ -21,14 +27,20 @@
 	readonly deaths: number;
 	/** Milliseconds of quarantine left. */
 	readonly quarantineMs: number;
+	/** Milliseconds for which the reporting router claims to be the only one that runs it. */
+	readonly claimMs: number;
 }
 
 interface Suspect {
 	deaths: number;
 	quarantinedUntil: number;
 	seenAt: number;
+	/** When this router announced that it wants to run the request. */
+	announcedAt: number | undefined;
 	/** A copy of the request runs on this router. */
 	running: boolean;
+	/** Claim of another router. */
+	peerClaim: { readonly instance: string; readonly until: number } | undefined;
 }
 
 /** Request fingerprints that may crash backend servers, as this router and its peers have seen them. */
@@ -40,14 +52,18 @@
 	/** Fires when this router learned something that its peers have to know. */
 	public readonly onDidLearn: Event<SuspectState> = this.changeEmitter.event;
 
-	private constructor(private readonly clock: IClock) {}
+	private constructor(
+		private readonly instance: string,
+		private readonly clock: IClock,
+	) {}
 
 	/**
+	 * @param instance name of this router
 	 * @param clock measures quarantine
 	 * @returns a register without suspects
 	 */
-	public static create(clock: IClock): CrashSuspects {
-		return new CrashSuspects(clock);
+	public static create(instance: string, clock: IClock): CrashSuspects {
+		return new CrashSuspects(instance, clock);
 	}
 
 	/** False while there are no suspects, so that requests need no fingerprint. */
@@ -64,38 +80,71 @@
 	}
 
 	/**
-	 * Reserves a backend server for a suspect. Each server runs one suspect at a time, and one copy of a suspect runs at a
-	 * time, so that it is known which suspect a server died of.
+	 * Claims a suspect among all routers. One copy of it runs at a time, so that no two backend servers die of it before
+	 * both deaths are known.
 	 *
-	 * @param fingerprint of a request that got a slot
-	 * @param backendServer server of the slot
-	 * @returns `clear` when it is no suspect, `entered` when {@link leave} must be called, `occupied` when it must wait
+	 * @param fingerprint of a request that wants to run
+	 * @returns `clear` when it is no suspect, `claimed` when {@link release} must be called, `wait` to ask again soon,
+	 * `quarantined` when it must not run
 	 */
-	public tryEnter(fingerprint: string, backendServer: string): 'clear' | 'entered' | 'occupied' {
+	public tryClaim(fingerprint: string): 'clear' | 'claimed' | 'wait' | 'quarantined' {
 		const suspect = this.find(fingerprint);
 		if (suspect === undefined) {
 			return 'clear';
 		}
-		if (suspect.running || this.occupiedServers.has(backendServer)) {
-			return 'occupied';
+		const now = this.clock.now();
+		if (suspect.quarantinedUntil > now) {
+			return 'quarantined';
+		}
+		if (suspect.running || (suspect.peerClaim !== undefined && suspect.peerClaim.until > now)) {
+			return 'wait';
+		}
+		if (suspect.announcedAt === undefined) {
+			suspect.announcedAt = now;
+			this.changeEmitter.fire(this.toState(fingerprint, suspect));
+			return 'wait';
+		}
+		if (now - suspect.announcedAt < CLAIM_SETTLE_MS) {
+			return 'wait';
 		}
 		suspect.running = true;
-		this.occupiedServers.add(backendServer);
-		return 'entered';
+		return 'claimed';
 	}
 
 	/**
-	 * Ends a reservation.
+	 * Ends a claim.
 	 *
 	 * @param fingerprint of the suspect
-	 * @param backendServer server that it ran on
 	 */
-	public leave(fingerprint: string, backendServer: string): void {
-		this.occupiedServers.delete(backendServer);
+	public release(fingerprint: string): void {
 		const suspect = this.suspects.get(fingerprint);
-		if (suspect !== undefined) {
-			suspect.running = false;
+		if (suspect === undefined) {
+			return;
+		}
+		suspect.running = false;
+		suspect.announcedAt = undefined;
+		if (suspect.quarantinedUntil <= this.clock.now()) {
+			this.changeEmitter.fire(this.toState(fingerprint, suspect));
+		}
+	}
+
+	/**
+	 * Reserves a backend server for a suspect, so that it is known which suspect the server died of.
+	 *
+	 * @param backendServer server of the slot that the suspect got
+	 * @returns false when another suspect runs on it
+	 */
+	public tryOccupy(backendServer: string): boolean {
+		if (this.occupiedServers.has(backendServer)) {
+			return false;
 		}
+		this.occupiedServers.add(backendServer);
+		return true;
+	}
+
+	/** @param backendServer server on which the suspect has ended */
+	public vacate(backendServer: string): void {
+		this.occupiedServers.delete(backendServer);
 	}
 
 	/** @param fingerprint of a request that was in progress when its backend server died */
@@ -117,16 +166,17 @@
 			return;
 		}
 		this.suspects.delete(fingerprint);
-		this.changeEmitter.fire({ fingerprint, deaths: 0, quarantineMs: 0 });
+		this.changeEmitter.fire({ fingerprint, deaths: 0, quarantineMs: 0, claimMs: 0 });
 	}
 
 	/**
 	 * Takes over what a peer has learned. Peers that saw the same death must not count it twice, so the higher number of
 	 * deaths counts.
 	 *
-	 * @param state what the peer sent
+	 * @param instance name of the peer
+	 * @param state what it sent
 	 */
-	public applyNotice(state: SuspectState): void {
+	public applyNotice(instance: string, state: SuspectState): void {
 		const known = this.find(state.fingerprint);
 		if (state.deaths === 0) {
 			if (known !== undefined && known.quarantinedUntil <= this.clock.now()) {
@@ -141,6 +191,20 @@
 		if (quarantineMs > 0) {
 			suspect.quarantinedUntil = Math.max(suspect.quarantinedUntil, this.clock.now() + quarantineMs);
 		}
+		this.applyClaim(instance, suspect, state.claimMs);
+	}
+
+	/**
+	 * Drops the claims of a router that is not connected any more.
+	 *
+	 * @param instance name of the peer
+	 */
+	public dropClaimsOf(instance: string): void {
+		for (const suspect of this.suspects.values()) {
+			if (suspect.peerClaim?.instance === instance) {
+				suspect.peerClaim = undefined;
+			}
+		}
 	}
 
 	/** @returns all suspects, for a peer that has just connected and for the state dump */
@@ -148,6 +212,20 @@
 		return [...this.suspects].map(([fingerprint, suspect]) => this.toState(fingerprint, suspect));
 	}
 
+	private applyClaim(instance: string, suspect: Suspect, claimMs: number): void {
+		if (claimMs === 0) {
+			if (suspect.peerClaim?.instance === instance) {
+				suspect.peerClaim = undefined;
+			}
+			return;
+		}
+		const prevails = suspect.running || (suspect.announcedAt !== undefined && this.instance < instance);
+		if (!prevails) {
+			suspect.announcedAt = undefined;
+			suspect.peerClaim = { instance, until: this.clock.now() + Math.min(claimMs, CLAIM_MS) };
+		}
+	}
+
 	private find(fingerprint: string): Suspect | undefined {
 		const suspect = this.suspects.get(fingerprint);
 		if (suspect !== undefined && this.isForgotten(suspect)) {
@@ -166,7 +244,14 @@
 		if (this.suspects.size >= MAXIMUM_SUSPECTS) {
 			this.makeRoom();
 		}
-		const suspect: Suspect = { deaths: 0, quarantinedUntil: 0, seenAt: this.clock.now(), running: false };
+		const suspect: Suspect = {
+			deaths: 0,
+			quarantinedUntil: 0,
+			seenAt: this.clock.now(),
+			announcedAt: undefined,
+			running: false,
+			peerClaim: undefined,
+		};
 		this.suspects.set(fingerprint, suspect);
 		return suspect;
 	}
@@ -189,6 +274,7 @@
 
 	private toState(fingerprint: string, suspect: Suspect): SuspectState {
 		const quarantineMs = Math.max(0, Math.ceil(suspect.quarantinedUntil - this.clock.now()));
-		return { fingerprint, deaths: suspect.deaths, quarantineMs };
+		const claimMs = suspect.announcedAt === undefined || quarantineMs > 0 ? 0 : CLAIM_MS;
+		return { fingerprint, deaths: suspect.deaths, quarantineMs, claimMs };
 	}
 }
--- a/src/backends/node/suspectExchange.ts
+++ b/src/backends/node/suspectExchange.ts
@@ -19,7 +19,7 @@
 		this.register(
 			network.onDidReceive((message) => {
 				for (const notice of message.frame.suspects) {
-					suspects.applyNotice(fromNotice(notice));
+					suspects.applyNotice(message.instance, fromNotice(notice));
 				}
 			}),
 		);
@@ -27,6 +27,7 @@
 			network.onDidChangePeer((peer) => {
 				if (peer.state !== 'connected') {
 					this.connected.delete(peer.instance);
+					suspects.dropClaimsOf(peer.instance);
 				} else if (this.connected.get(peer.instance) !== peer.incarnation) {
 					this.connected.set(peer.instance, peer.incarnation);
 					this.tellEverything(peer.instance);
@@ -68,6 +69,7 @@
 		fingerprint: Buffer.from(state.fingerprint, 'hex'),
 		deaths: state.deaths,
 		quarantineMs: state.quarantineMs,
+		claimMs: state.claimMs,
 	};
 }
 
@@ -76,5 +78,6 @@
 		fingerprint: Buffer.from(notice.fingerprint).toString('hex'),
 		deaths: notice.deaths,
 		quarantineMs: notice.quarantineMs,
+		claimMs: notice.claimMs,
 	};
 }
--- a/src/callers/test/routerFixture.ts
+++ b/src/callers/test/routerFixture.ts
@@ -156,11 +156,12 @@
 
 /** What a test changes about a router. */
 export interface RouterOptions {
+	/** Name among its peers. */
+	readonly name?: string;
 	readonly configuration: Configuration;
 	readonly store?: FaultyStore;
 	readonly idempotency?: IIdempotencyService;
 	readonly network?: IPeerNetwork;
-	readonly slots?: ISlotService;
 }
 
 /** Callers' interface, dispatch and backend calls of one router, with a simple queue. */
@@ -168,7 +169,7 @@
 	private constructor(
 		public readonly url: string,
 		public readonly server: CallerServer,
-		public readonly slots: ISlotService,
+		private readonly slots: OrderlySlots,
 		public readonly suspects: CrashSuspects,
 		private readonly client: HttpBackendClient,
 	) {}
@@ -181,11 +182,11 @@
 		const changes = Emitter.create<Configuration>();
 		const configuration = { current: options.configuration, onDidChange: changes.event };
 		const client = HttpBackendClient.create();
-		const suspects = CrashSuspects.create(systemClock);
+		const suspects = CrashSuspects.create(options.name ?? 'router', systemClock);
 		if (options.network !== undefined) {
 			SuspectExchange.create(suspects, options.network);
 		}
-		const slots = options.slots ?? OrderlySlots.create(options.configuration);
+		const slots = OrderlySlots.create(options.configuration);
 		const times = { firstPauseMs: 1, settleLimitMs: 5_000 };
 		const dispatch = DispatchService.create({
 			configuration,
@@ -213,6 +214,14 @@
 		});
 	}
 
+	/**
+	 * @param server identifier of a backend server
+	 * @returns its slots that are not in use
+	 */
+	public freeSlots(server: string): number {
+		return this.slots.free.get(server) ?? 0;
+	}
+
 	/** Ends the router. */
 	public stop(): void {
 		this.server.dispose();
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -96,7 +96,7 @@
 			}),
 		);
 		this.register(monitor.onDidChange(() => slots.refreshLimits()));
-		const suspects = CrashSuspects.create(systemClock);
+		const suspects = CrashSuspects.create(instance.name, systemClock);
 		this.register(SuspectExchange.create(suspects, network));
 		const dispatch = DispatchService.create({
 			configuration: follower,
--- a/src/dispatch/node/dispatchService.ts
+++ b/src/dispatch/node/dispatchService.ts
@@ -20,6 +20,9 @@
 /** Pause before a request that got a slot it cannot use queues again. */
 const UNUSABLE_SLOT_PAUSE_MS = 5;
 
+/** Pause before a suspect asks again whether it may run. */
+const SUSPECT_PAUSE_MS = 10;
+
 /** Pause that callers are told to make after backend servers failed. */
 const FAILURE_RETRY_SECONDS = 1;
 
@@ -215,10 +218,36 @@
 		});
 	}
 
-	private acquireUsable(job: Job, restore: Restore): Effect.Effect<UsableSlot> {
+	private acquireUsable(job: Job, restore: Restore): Effect.Effect<UsableSlot, DispatchFailure> {
+		return Effect.suspend(() =>
+			this.options.suspects.any ? this.acquireForSuspect(job, restore) : this.acquireSlot(job, restore, false),
+		);
+	}
+
+	private acquireForSuspect(job: Job, restore: Restore): Effect.Effect<UsableSlot, DispatchFailure> {
+		const { suspects } = this.options;
+		const pause = restore(Effect.sleep(SUSPECT_PAUSE_MS));
+		const next: Effect.Effect<UsableSlot, DispatchFailure> = Effect.suspend(() => {
+			switch (suspects.tryClaim(job.fingerprint)) {
+				case 'clear':
+					return this.acquireSlot(job, restore, false);
+				case 'quarantined':
+					return Effect.fail(this.quarantineFailure(job, suspects.quarantineOf(job.fingerprint)));
+				case 'wait':
+					return Effect.andThen(pause, next);
+				case 'claimed':
+					return Effect.onInterrupt(this.acquireSlot(job, restore, true), () =>
+						Effect.sync(() => suspects.release(job.fingerprint)),
+					);
+			}
+		});
+		return next;
+	}
+
+	private acquireSlot(job: Job, restore: Restore, suspect: boolean): Effect.Effect<UsableSlot> {
 		const wait = restore(this.waitInQueue(job));
 		const next: Effect.Effect<UsableSlot> = Effect.flatMap(wait, (slot) => {
-			const usable = this.attempts.check(slot, job);
+			const usable = this.attempts.check(slot, job, suspect);
 			if (usable !== undefined) {
 				return Effect.succeed(usable);
 			}
@@ -267,7 +296,7 @@
 		});
 	}
 
-	private acquireBeforeDeadline(job: Job, restore: Restore): Effect.Effect<UsableSlot | undefined> {
+	private acquireBeforeDeadline(job: Job, restore: Restore): Effect.Effect<UsableSlot | undefined, DispatchFailure> {
 		if (!job.isRecorded) {
 			return this.acquireUsable(job, restore);
 		}
--- a/src/dispatch/node/slotAttempt.ts
+++ b/src/dispatch/node/slotAttempt.ts
@@ -27,7 +27,7 @@
 export interface UsableSlot {
 	readonly slot: Slot;
 	readonly server: BackendServer;
-	/** The request is a suspect that has the server reserved. */
+	/** The request is a suspect, which this router has claimed and for which the server is reserved. */
 	readonly suspect: boolean;
 }
 
@@ -62,10 +62,11 @@
 	 *
 	 * @param slot slot that the request got
 	 * @param job the request
+	 * @param suspect the request is a suspect that this router has claimed
 	 * @returns the slot, or undefined when the request needs another one
 	 */
-	public check(slot: Slot, job: Job): UsableSlot | undefined {
-		const { configuration, suspects } = this.options;
+	public check(slot: Slot, job: Job, suspect: boolean): UsableSlot | undefined {
+		const { configuration } = this.options;
 		const server = configuration.current?.backendServers.find((item) => item.id === slot.backendServer);
 		if (server === undefined) {
 			slot.release(true);
@@ -77,15 +78,11 @@
 			releaseLater(slot, avoidanceMs);
 			return undefined;
 		}
-		if (!suspects.any) {
-			return { slot, server, suspect: false };
-		}
-		const entry = suspects.tryEnter(job.fingerprint, server.id);
-		if (entry === 'occupied') {
-			slot.release(true);
+		if (suspect && !this.options.suspects.tryOccupy(server.id)) {
+			releaseLater(slot, REFUSED_AVOIDANCE_MS);
 			return undefined;
 		}
-		return { slot, server, suspect: entry === 'entered' };
+		return { slot, server, suspect };
 	}
 
 	/**
@@ -133,10 +130,15 @@
 	 * @param job the request
 	 */
 	public giveBack(usable: UsableSlot, job: Job): void {
+		this.endSuspicion(usable, job);
+		usable.slot.release(true);
+	}
+
+	private endSuspicion(usable: UsableSlot, job: Job): void {
 		if (usable.suspect) {
-			this.options.suspects.leave(job.fingerprint, usable.server.id);
+			this.options.suspects.vacate(usable.server.id);
+			this.options.suspects.release(job.fingerprint);
 		}
-		usable.slot.release(true);
 	}
 
 	// A request tries each server of its pool once before it returns to one that has failed it.
@@ -166,9 +168,7 @@
 		if (suspects.any && ended && failure === undefined) {
 			suspects.recordCompletion(job.fingerprint);
 		}
-		if (usable.suspect) {
-			suspects.leave(job.fingerprint, server.id);
-		}
+		this.endSuspicion(usable, job);
 		if (failure === undefined) {
 			slot.release(false);
 			return;
