--- a/src/dispatch/node/eventStream.ts
+++ b/src/dispatch/node/eventStream.ts
@@ -1,4 +1,5 @@
-const EVENT_START = Buffer.from('data:');
+const DATA_FIELD = Buffer.from('data:');
+const DATA_LINE_START = Buffer.from('\ndata:');
 const EVENT_END = Buffer.from('\n\n');
 const EVENT_END_WITH_RETURNS = Buffer.from('\r\n\r\n');
 const ID_START = Buffer.from('id:');
@@ -101,8 +102,8 @@
  * @returns number of events that begin in them
  */
 export function countEvents(chunk: Buffer): number {
-	let count = 0;
-	for (let at = chunk.indexOf(EVENT_START); at >= 0; at = chunk.indexOf(EVENT_START, at + EVENT_START.length)) {
+	let count = chunk.subarray(0, DATA_FIELD.length).equals(DATA_FIELD) ? 1 : 0;
+	for (let at = chunk.indexOf(DATA_LINE_START); at >= 0; at = chunk.indexOf(DATA_LINE_START, at + 1)) {
 		count++;
 	}
 	return count;
--- /dev/null
+++ b/src/dispatch/test/eventStream.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, test } from '@jest/globals';
+import fc from 'fast-check';
+import { countEvents, EventStream } from '../node/eventStream.js';
+
+const MARKER = 'data: [DONE]\n\n';
+
+function eventsOf(texts: readonly string[]): string {
+	return texts.map((text, index) => `id: ${index + 1}\ndata: ${JSON.stringify({ text })}\n\n`).join('');
+}
+
+function cut(bytes: Buffer, at: readonly number[]): readonly Buffer[] {
+	const points = [...new Set([0, ...at.map((point) => point % (bytes.length + 1)), bytes.length])].sort(
+		(a, b) => a - b,
+	);
+	return points.slice(1).map((end, index) => bytes.subarray(points[index], end));
+}
+
+describe('EventStream', () => {
+	// Guards against bytes that are lost or doubled, or a cut stream that counts as whole, however the network cuts it.
+	test('passes every byte on and knows the end, for any cut into chunks', () => {
+		const inputs = [
+			fc.array(fc.string(), { maxLength: 6 }),
+			fc.array(fc.nat(), { maxLength: 8 }),
+			fc.boolean(),
+			fc.nat(),
+		] as const;
+		fc.assert(
+			fc.property(...inputs, (texts, points, resumable, lost) => {
+				const whole = Buffer.from(eventsOf(texts) + MARKER);
+				const end = whole.length - (lost % (whole.length + 1));
+				const stream = EventStream.create(resumable);
+				const passed = cut(whole.subarray(0, end), points).map((chunk) => stream.push(chunk) ?? Buffer.alloc(0));
+				// The marker's own line ends carry no content.
+				expect(stream.isWhole).toBe(end >= whole.length - 2);
+				const all = Buffer.concat([...passed, stream.takeHeld() ?? Buffer.alloc(0)]);
+				expect(all.equals(whole.subarray(0, end))).toBe(true);
+			}),
+			{ seed: 11, numRuns: 500 },
+		);
+	});
+
+	// Guards against a stream that is resumed in the middle of an event, or after the wrong one.
+	test('resumes after the last whole event, for any cut', () => {
+		const texts = fc.array(fc.constantFrom('a', 'id: 9', '\nid: 9\n', 'data:'), { minLength: 1, maxLength: 6 });
+		fc.assert(
+			fc.property(texts, fc.array(fc.nat(), { maxLength: 8 }), fc.nat(), (list, points, lost) => {
+				const whole = Buffer.from(eventsOf(list));
+				const end = whole.length - (lost % whole.length);
+				const stream = EventStream.create(true);
+				const passed = cut(whole.subarray(0, end), points).map((chunk) => stream.push(chunk) ?? Buffer.alloc(0));
+				const text = Buffer.concat(passed).toString('utf8');
+				const count = text.split('\n\n').length - 1;
+				expect(stream.lastEventId).toBe(count === 0 ? undefined : String(count));
+				expect(text).toBe(eventsOf(list.slice(0, count)));
+			}),
+			{ seed: 11, numRuns: 500 },
+		);
+	});
+
+	// Guards against tokens that are charged twice or not at all when a chunk holds several events.
+	test('counts the events of a chunk', () => {
+		expect(countEvents(Buffer.from(eventsOf(['a', 'data: b', 'c'])))).toBe(3);
+	});
+});
