--- a/tools/measure/judge.ts
+++ b/tools/measure/judge.ts
@@ -11,6 +11,8 @@
 
 // Connections are opened and means of costs are learned in the first second; slots are watched from then on.
 const WARM_UP_MS = 1_000;
+// Expected costs are unknown at first; the gap from here on shows what remains without this.
+const SETTLED_MS = 3_000;
 const RATE_PER_MS = SLOTS / TOKEN_MS;
 const GAP_TARGET_FACTOR = 1.25;
 const UTILISATION_TARGET = 0.99;
@@ -27,13 +29,11 @@
  * @returns figures, text and broken bounds
  */
 export function judge(scenario: Scenario, seed: number, run: RunRecord): Outcome {
-	const analysis = analyse(run.load, run.ledgers, {
-		shares: scenario.shares,
-		slots: run.engineSlots,
-		fromMs: run.load.startMs + WARM_UP_MS,
-		untilMs: run.load.endMs,
-		phasesMs: run.phasesMs,
-	});
+	const times = { fromMs: run.load.startMs + WARM_UP_MS, untilMs: run.load.endMs };
+	const analysisTerms = { shares: scenario.shares, slots: run.engineSlots, ...times };
+	const analysis = analyse(run.load, run.ledgers, { ...analysisTerms, phasesMs: run.phasesMs });
+	const settledMs = run.load.startMs + SETTLED_MS;
+	const settled = analyse(run.load, run.ledgers, { ...analysisTerms, phasesMs: [settledMs] }).gaps[1] ?? 0;
 	const terms = { ...scenario, seed, slots: SLOTS, routers: ROUTERS, ratePerMs: 1 / TOKEN_MS };
 	const oracle = computeOracle(terms);
 	const naive = computeNaive(terms);
@@ -50,7 +50,9 @@
 		lines: [
 			...run.notes,
 			...describeFairness(scenario, analysis, { oracle, naive, bound }),
+			`gap without the first ${SETTLED_MS / 1000} s: ${round(settled)}`,
 			...describeSlots(analysis),
+			...describeRouters(run),
 			...describeUsage(run),
 			...calls.lines,
 		],
@@ -131,6 +133,26 @@
 	];
 }
 
+function describeRouters(run: RunRecord): readonly string[] {
+	const routers = Array.from({ length: ROUTERS }, (_, router) =>
+		run.load.requests.filter((request) => request.router === router && request.outcome?.result === 'whole'),
+	);
+	const waits = routers.map((requests) => {
+		const waitMs = requests.map(({ firstTokenMs, sentMs }) => (firstTokenMs ?? sentMs) - sentMs);
+		return (
+			percentile(
+				waitMs.sort((one, other) => one - other),
+				95,
+			) / 1000
+		).toFixed(1);
+	});
+	return [
+		`whole answers by router: ${routers.map((requests) => requests.length).join(' ')}`,
+		`p95 of time to first token by router, in s: ${waits.join(' ')}`,
+		`scheduler term after the load: ${run.term}`,
+	];
+}
+
 function describeUsage(run: RunRecord): readonly string[] {
 	const { usage, load } = run;
 	const perNode = usage.peerBytes / usage.seconds / ROUTERS;
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -31,6 +31,8 @@
 	readonly engineSlots: ReadonlyMap<string, number>;
 	readonly usage: Usage;
 	readonly phasesMs: readonly number[];
+	/** Highest scheduler term that any router knows after the load; 1 when the scheduler never changed. */
+	readonly term: number;
 	/** Indices of routers whose callers may see broken answers. */
 	readonly excused: ReadonlySet<number>;
 	readonly notes: readonly string[];
@@ -122,7 +124,9 @@
 	const used = await usage();
 	const loadRecord = await running;
 	const ledgers = await Promise.all(engines.map((engine) => readLedger(engine.id, engine.url)));
+	const pools = await Promise.all(fleet.routers.map(readPool));
 	return {
+		term: Math.max(...pools.map((pool) => pool?.entry.term ?? 0)),
 		load: loadRecord,
 		ledgers: ledgers.flat(),
 		engineSlots: new Map(engines.map((engine) => [engine.id, engine.slots])),
@@ -145,12 +149,23 @@
 	return entries.map((entry) => ({ ...entry, backend }));
 }
 
-/** Asks the routers which of them is scheduler of the pool of model engines. */
-async function findScheduler(fleet: Fleet): Promise<RouterHandle> {
-	const { scheduling } = (await callJson('GET', `${fleet.routers[0]?.adminUrl ?? ''}/state`)) as {
-		readonly scheduling: readonly { readonly pool: string; readonly scheduler?: string }[];
+interface PoolState {
+	readonly pool: string;
+	readonly scheduler?: string;
+	readonly entry: { readonly term: number };
+}
+
+async function readPool(router: RouterHandle): Promise<PoolState | undefined> {
+	const { scheduling } = (await callJson('GET', `${router.adminUrl}/state`)) as {
+		readonly scheduling: readonly PoolState[];
 	};
-	const name = scheduling.find(({ pool }) => pool === MODEL_POOL)?.scheduler;
+	return scheduling.find(({ pool }) => pool === MODEL_POOL);
+}
+
+/** Asks a router which of them is scheduler of the pool of model engines. */
+async function findScheduler(fleet: Fleet): Promise<RouterHandle> {
+	const [first] = fleet.routers;
+	const name = first && (await readPool(first))?.scheduler;
 	const found = fleet.routers.find((router) => router.name === name);
 	if (found === undefined) {
 		throw new Error(`the scheduler is ${name ?? 'not known'}`);
