Take the daemon over: TLS, start faults, readiness, shutdown

The thin daemon ended at once on SIGTERM, had no TLS, and stopped at the first address in use. Its parts are now built in one place and run by one effect: settings and certificates are checked first; then the admin, peer and caller addresses are tried, and every fault is listed with exit code 2. Readiness needs a configuration that is as new as any peer's and all listed peers connected or tried. Once caught up, a newer version does not make a router unready, since that would make the whole fleet unready at each change. SIGTERM runs the graceful shutdown.

State dumps of the scheduling slice have types, so that the metrics and explanations can be read from them. The metric of the gap bound is gone, because a router does not know the largest cost; the slack takes its place.

--- a/src/admin/common/explanation.ts
+++ b/src/admin/common/explanation.ts
@@ -19,7 +19,7 @@
 	readonly queued: number;
 	readonly running: number;
 	/** Requests that may be queued on this router before the next is refused. */
-	readonly queueLimit: number;
+	readonly queueLimit?: number;
 	readonly oldestWaitMs?: number;
 	/** Service delivered by this router since its start. */
 	readonly deliveredService: number;
@@ -111,7 +111,7 @@
 }
 
 function explainQueue(pool: AccountPoolFacts): WaitReason | undefined {
-	if (pool.queued < pool.queueLimit) {
+	if (pool.queueLimit === undefined || pool.queued < pool.queueLimit) {
 		return undefined;
 	}
 	return {
--- a/src/admin/common/metricFamilies.ts
+++ b/src/admin/common/metricFamilies.ts
@@ -22,9 +22,9 @@
 		'Difference between the highest and lowest virtual service of backlogged accounts, at the scheduler of the pool.',
 		['pool'],
 	),
-	fairnessGapBound: gauge(
-		'masticloom_fairness_gap_bound_cost_units',
-		'Bound of the fairness gap for the accounts backlogged now, at the scheduler of the pool.',
+	slack: gauge(
+		'masticloom_slack_cost_units',
+		'How far above the floor an account may be and still reuse a slot, at the scheduler of the pool.',
 		['pool'],
 	),
 	accountVirtualService: gauge(
@@ -82,9 +82,9 @@
 		['pool', 'state'],
 	),
 	poolContended: gauge('masticloom_pool_contended', '1 while a pool has unmet demand and no free slot.', ['pool']),
-	idleWhileWaiting: counter(
-		'masticloom_idle_slot_seconds_while_waiting_total',
-		'Slot time that was idle at the scheduler or this router while a request that could use it waited.',
+	idleWhileWaiting: gauge(
+		'masticloom_idle_slots_while_waiting',
+		'Slots that are idle at this router or free at the scheduler while a request that could use them waits.',
 		['pool'],
 	),
 	controlBytes: counter(
@@ -100,7 +100,7 @@
 		'Calls to the key-value store; a waiting watch counts as one.',
 		[],
 	),
-	peers: gauge('masticloom_peers', 'Other routers by state (connected, listed).', ['state']),
+	peers: gauge('masticloom_peers', 'Other routers by state (connecting, connected, silent, gone).', ['state']),
 	schedulerTerm: gauge('masticloom_scheduler_term', 'Highest scheduler term heard of.', ['pool']),
 	schedulerRole: gauge('masticloom_scheduler_role', '1 while this router is the scheduler of the pool.', ['pool']),
 	ready: gauge('masticloom_ready', '1 while the router is ready for traffic.', []),
--- a/src/cli/node/explainCommand.ts
+++ b/src/cli/node/explainCommand.ts
@@ -44,7 +44,7 @@
 	);
 	return [
 		`Pool ${pool.pool}, scheduler ${pool.scheduler ?? 'unknown'}`,
-		`  requests on this router: ${pool.queued} of at most ${pool.queueLimit} queued${wait}; ${pool.running} running`,
+		`  requests on this router: ${pool.queued} of at most ${pool.queueLimit ?? 'any number'} queued${wait}; ${pool.running} running`,
 		`  service by share: ${round(pool.virtualService)}, floor ${round(pool.floor)}, reuse limit ${reuseLimit}`,
 		`  service by this router: ${round(pool.deliveredService)} cost units`,
 		`  slots of this router: ${pool.slotsHeld} held, ${pool.slotsIdle} idle`,
--- /dev/null
+++ b/src/daemon/node/accountFacts.ts
@@ -0,0 +1,72 @@
+import type { AccountFacts, AccountPoolFacts, BackendFacts } from '../../admin/common/explanation.js';
+import { shortKey } from '../../base/common/shortKey.js';
+import type { BackendServer, ClientAccount, Configuration } from '../../configuration/common/model.js';
+import type { PoolDump } from '../../scheduling/common/schedulingDump.js';
+import type { RouterParts } from './routerParts.js';
+
+/**
+ * Collects what this router knows about a client account.
+ *
+ * @param parts parts of the router
+ * @param id identifier of the account
+ * @returns the facts, or undefined when the configuration in force does not list the account
+ */
+export function describeAccount(parts: RouterParts, id: string): AccountFacts | undefined {
+	const configuration = parts.follower.current;
+	const account = configuration?.accounts.find((candidate) => candidate.id === id);
+	if (configuration === undefined || account === undefined) {
+		return undefined;
+	}
+	const pools = new Set(
+		configuration.services.filter(({ id: service }) => account.services.includes(service)).map(({ pool }) => pool),
+	);
+	return {
+		account: id,
+		share: account.share,
+		services: account.services,
+		pools: parts.slots
+			.dump()
+			.filter((dump) => pools.has(dump.pool))
+			.map((dump) => describePool(parts, configuration, account, dump)),
+	};
+}
+
+function describePool(
+	parts: RouterParts,
+	configuration: Configuration,
+	account: ClientAccount,
+	{ pool, scheduler, entry, schedulerState }: PoolDump,
+): AccountPoolFacts {
+	const state = entry.accounts.find((candidate) => candidate.id === account.id);
+	const held = Object.values(entry.slots);
+	return {
+		pool,
+		scheduler,
+		schedulerReachable: entry.hasScheduler,
+		queued: state?.queued ?? 0,
+		running: state?.running ?? 0,
+		deliveredService: state?.charged ?? 0,
+		virtualService: state?.virtualService ?? entry.floor,
+		floor: entry.floor,
+		reuseLimit: entry.reuseLimit ?? undefined,
+		slotsHeld: held.reduce((sum, slot) => sum + slot.held, 0),
+		slotsIdle: held.reduce((sum, slot) => sum + slot.idle, 0),
+		contended: entry.contended,
+		backendServers: configuration.backendServers
+			.filter((server) => server.pool === pool)
+			.map((server) => describeBackend(parts, server, schedulerState?.slotLimits)),
+	};
+}
+
+function describeBackend(
+	{ membership }: RouterParts,
+	{ id, slots }: BackendServer,
+	limits: Readonly<Record<string, number>> | undefined,
+): BackendFacts {
+	return {
+		id,
+		status: membership.isLeaving(id) ? 'leaving' : 'live',
+		configuredSlots: slots,
+		slotLimit: limits?.[String(shortKey(id))],
+	};
+}
--- /dev/null
+++ b/src/daemon/node/adminSources.ts
@@ -0,0 +1,72 @@
+import type { AccountFacts } from '../../admin/common/explanation.js';
+import type { ReadinessCheck } from '../../admin/common/readiness.js';
+import { evaluateReadiness } from '../../admin/common/readiness.js';
+import type { AdminSources } from '../../admin/node/adminServer.js';
+import { RouterMetrics } from '../../admin/node/routerMetrics.js';
+import type { CertificateStore } from '../../peers/node/certificateStore.js';
+import type { Settings } from '../../settings/common/settings.js';
+import { describeAccount } from './accountFacts.js';
+import { createMetricReaders } from './metricReaders.js';
+import type { RouterParts } from './routerParts.js';
+
+/**
+ * Collects what the parts of a router supply to its admin address.
+ *
+ * @param settings settings of the router
+ * @param parts its parts
+ * @param certificates its certificates, if it has any
+ * @param isLeaving whether the router is shutting down
+ * @returns the sources for the admin server
+ */
+export function createAdminSources(
+	settings: Settings,
+	parts: RouterParts,
+	certificates: CertificateStore | undefined,
+	isLeaving: () => boolean,
+): AdminSources {
+	const { network, membership, follower, slots, callers, store } = parts;
+	const readiness = createReadiness(parts, isLeaving);
+	const isReady = (): boolean => evaluateReadiness(readiness).ready;
+	return {
+		readiness,
+		dumps: {
+			router: () => ({ ...settings.instance, incarnation: network.incarnation, leaving: isLeaving() }),
+			configuration: () => ({ version: follower.version, watchesStore: follower.isWatcher }),
+			peers: () => network.peers(),
+			membership: () => ({ live: membership.liveRouters(), silent: membership.silentRouters() }),
+			scheduling: () => slots.dump(),
+			callers: () => ({ requestsInProgress: callers.requestsInProgress }),
+			store: () => ({ calls: store.calls }),
+		},
+		accountFacts: (account): AccountFacts | undefined => describeAccount(parts, account),
+		metrics: RouterMetrics.create(createMetricReaders(parts, certificates, isReady)),
+	};
+}
+
+/**
+ * A router must be ready neither before it has the highest version that its peers know, nor while it is leaving. Once it
+ * has caught up, a newer version does not make it unready: it would make the whole fleet unready at each change.
+ */
+function createReadiness(
+	{ follower, membership, network }: RouterParts,
+	isLeaving: () => boolean,
+): readonly ReadinessCheck[] {
+	let caughtUp = false;
+	const missingVersion = (): string | undefined => {
+		if (follower.current === undefined) {
+			return 'no configuration is in force';
+		}
+		const newest = Math.max(0, ...network.peers().map((peer) => peer.configurationVersion));
+		caughtUp ||= follower.version >= newest;
+		return caughtUp ? undefined : `a peer has version ${newest}, this router has ${follower.version}`;
+	};
+	return [
+		{ name: 'running', missing: () => (isLeaving() ? 'the router is shutting down' : undefined) },
+		{ name: 'configuration', missing: missingVersion },
+		{
+			name: 'peers',
+			missing: () =>
+				membership.isSettled() ? undefined : 'the instance list was not read, or listed routers were not tried yet',
+		},
+	];
+}
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,122 +1,112 @@
-import * as grpc from '@grpc/grpc-js';
-import { Effect, Exit, Fiber, Scope } from 'effect';
-import type { ReadinessCheck } from '../../admin/common/readiness.js';
-import { type AdminSources, serveAdmin } from '../../admin/node/adminServer.js';
-import { RouterMetrics } from '../../admin/node/routerMetrics.js';
-import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
-import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { Effect, type Scope } from 'effect';
+import { type HttpServerFactory, serveAdmin } from '../../admin/node/adminServer.js';
+import { createTlsServerFactory } from '../../admin/node/tlsServer.js';
+import { DisposableStore } from '../../base/common/lifecycle.js';
 import { logOf } from '../../base/node/log.js';
-import { CallerServer } from '../../callers/node/callerServer.js';
-import { ConfigurationFollower } from '../../configuration/node/configurationFollower.js';
-import { DispatchService } from '../../dispatch/node/dispatchService.js';
-import { MembershipService } from '../../membership/node/membershipService.js';
-import { GrpcPeerNetwork } from '../../peers/node/grpcPeerNetwork.js';
-import { EtcdStore } from '../../platform/node/etcdStore.js';
-import { HttpInstanceList } from '../../platform/node/httpInstanceList.js';
-import { SlotService } from '../../scheduling/node/slotService.js';
-import { formatAddress, type Settings } from '../../settings/common/settings.js';
+import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
+import { shutDown, type ShutdownResult, type ShutdownSteps } from '../common/shutdown.js';
+import { createAdminSources } from './adminSources.js';
+import { createParts, type RouterParts } from './routerParts.js';
+import type { EndSignals } from './signals.js';
+import type { StartUp } from './startUp.js';
+
+/** Peers take over the scheduler role as soon as they hear of the leave, which takes a heartbeat and a rebuild. */
+const HANDOVER_MS = 500;
 
 const log = logOf('daemon');
 
-/** One router: builds its parts, connects them and owns them. */
-export class Daemon extends Disposable {
-	private constructor(private readonly settings: Settings) {
-		super();
-	}
+/**
+ * Runs a router from its start until it has left.
+ *
+ * @param startUp checked settings and certificates
+ * @param signals when to leave
+ * @returns how the shutdown ended; fails with one line per address that cannot be used
+ */
+export function runDaemon(startUp: StartUp, signals: EndSignals): Effect.Effect<ShutdownResult, readonly string[]> {
+	return Effect.scoped(
+		Effect.gen(function* () {
+			const owner = yield* Effect.acquireRelease(
+				Effect.sync(() => DisposableStore.create()),
+				(store) => Effect.sync(() => store.dispose()),
+			);
+			const parts = createParts(startUp, owner);
+			const state = { leaving: false };
+			yield* listenEverywhere(startUp, parts, () => state.leaving);
+			parts.membership.start();
+			yield* Effect.forkScoped(parts.follower.run());
+			if (startUp.certificates !== undefined) {
+				yield* Effect.forkScoped(startUp.certificates.follow());
+			}
+			yield* signals.first;
+			const { shutdown } = startUp.settings;
+			return yield* shutDown(
+				toSteps(parts, () => (state.leaving = true)),
+				shutdown,
+				signals.second,
+			);
+		}),
+	);
+}
 
-	/**
-	 * @param settings checked settings
-	 * @returns a router that is not started
-	 */
-	public static create(settings: Settings): Daemon {
-		return new Daemon(settings);
-	}
+function listenEverywhere(
+	{ settings, certificates }: StartUp,
+	parts: RouterParts,
+	isLeaving: () => boolean,
+): Effect.Effect<void, readonly string[], Scope.Scope> {
+	const { callers, peers, admin } = settings;
+	const createServer: HttpServerFactory | undefined = certificates && createTlsServerFactory(certificates);
+	const sources = createAdminSources(settings, parts, certificates, isLeaving);
+	// The admin address comes first, so that readiness can be asked for during the rest of the start.
+	const attempts = [
+		serveAdmin(admin.address, sources, createServer).pipe(
+			Effect.tap((address) => Effect.sync(() => log.info(`The admin address is ${formatAddress(address)}.`))),
+			Effect.mapError(({ message }) => message),
+		),
+		listen('peer', peers.address, () => parts.network.listen()),
+		listen('caller', callers.address, () => parts.callers.listen(callers.address.host, callers.address.port)),
+	];
+	return Effect.gen(function* () {
+		const faults: string[] = [];
+		for (const attempt of attempts) {
+			const result = yield* Effect.result(attempt);
+			if (result._tag === 'Failure') {
+				faults.push(result.failure);
+			}
+		}
+		if (faults.length > 0) {
+			return yield* Effect.fail(faults);
+		}
+	});
+}
 
-	/**
-	 * Opens the addresses and starts to follow the platform.
-	 *
-	 * @throws Error when an address cannot be bound
-	 */
-	public async start(): Promise<void> {
-		const { instance, callers, peers, platform } = this.settings;
-		const store = EtcdStore.create(platform.storeUrl);
-		const network: GrpcPeerNetwork = this.register(
-			GrpcPeerNetwork.create({
-				instance: instance.name,
-				failureDomain: instance.failureDomain,
-				address: formatAddress(peers.address),
-				serverCredentials: () => grpc.ServerCredentials.createInsecure(),
-				clientCredentials: () => grpc.credentials.createInsecure(),
-				serveConfiguration: ({ haveVersion }) => follower.documentFor(haveVersion),
-			}),
-		);
-		const local = {
-			instance: instance.name,
-			incarnation: network.incarnation,
-			failureDomain: instance.failureDomain,
-		};
-		const list = HttpInstanceList.create(platform.instanceListUrl);
-		const membership = this.register(MembershipService.create(local, network, list));
-		const follower: ConfigurationFollower = this.register(
-			ConfigurationFollower.create({
-				store,
-				self: { name: instance.name, failureDomain: instance.failureDomain },
-				liveRouters: () =>
-					membership.liveRouters().map((router) => ({ name: router.instance, failureDomain: router.failureDomain })),
-				fetchDocument: (peer, haveVersion) =>
-					Effect.map(network.fetchConfiguration(peer, haveVersion), ({ document }) =>
-						document.length > 0 ? document : undefined,
-					),
-			}),
-		);
-		this.register(
-			network.onDidChangePeer((peer) => {
-				if (peer.state === 'connected') {
-					follower.noticeVersion(peer.instance, peer.configurationVersion);
-				} else {
-					follower.forgetPeer(peer.instance);
-				}
-			}),
-		);
-		this.register(follower.onDidChange(({ version }) => network.announce({ configurationVersion: version })));
-		const slots = this.register(
-			SlotService.create({
-				local,
-				configuration: follower,
-				membership,
-				network,
-				slotLimit: (server, configured) => (membership.isLeaving(server) ? 0 : configured),
-				onBackendFailure: (server) => log.warn(`An entry saw ${server} fail.`),
-			}),
-		);
-		const dispatch = DispatchService.create(follower, slots, HttpBackendClient.create());
-		const server = this.register(CallerServer.create(follower, dispatch));
-		const readiness: readonly ReadinessCheck[] = [
-			{ name: 'configuration', missing: () => (follower.current ? undefined : 'no configuration was read yet') },
-			{ name: 'peers', missing: () => (membership.isSettled() ? undefined : 'listed routers were not tried yet') },
-		];
-		const sources: AdminSources = {
-			readiness,
-			dumps: {
-				configuration: () => ({ version: follower.current?.version }),
-				peers: () => network.peers(),
-				scheduling: () => slots.dump(),
-			},
-			accountFacts: () => undefined,
-			metrics: RouterMetrics.create({}),
-		};
-		await network.listen();
-		membership.start();
-		const following = Effect.runFork(follower.run());
-		this.register(toDisposable(() => Effect.runFork(Fiber.interrupt(following))));
-		await this.serveAdmin(sources);
-		const port = await server.listen(callers.address.host, callers.address.port);
-		log.info(`Router ${instance.name} accepts callers on port ${port}.`);
-	}
+function listen(
+	name: string,
+	address: SocketAddress,
+	open: () => Promise<number>,
+): Effect.Effect<SocketAddress, string> {
+	return Effect.tryPromise({
+		try: async () => {
+			const port = await open();
+			log.info(`The ${name} address is ${formatAddress({ ...address, port })}.`);
+			return { ...address, port };
+		},
+		catch: (error) =>
+			`cannot listen on the ${name} address ${formatAddress(address)}: ${error instanceof Error ? error.message : String(error)}`,
+	});
+}
 
-	private async serveAdmin(sources: AdminSources): Promise<void> {
-		const scope = Effect.runSync(Scope.make());
-		this.register(toDisposable(() => void Effect.runPromise(Scope.close(scope, Exit.void))));
-		await Effect.runPromise(Scope.provide(serveAdmin(this.settings.admin.address, sources), scope));
-	}
+function toSteps({ callers, membership }: RouterParts, setLeaving: () => void): ShutdownSteps {
+	return {
+		announce: () => {
+			setLeaving();
+			callers.startClosing();
+		},
+		stopAccepting: () => callers.stopAccepting(),
+		idle: callers.idle,
+		endRequests: () => callers.endRequests(),
+		leave: Effect.andThen(
+			Effect.sync(() => membership.leave()),
+			Effect.sleep(HANDOVER_MS),
+		),
+	};
 }
--- a/src/daemon/node/main.ts
+++ b/src/daemon/node/main.ts
@@ -1,41 +1,48 @@
 #!/usr/bin/env node
+import { Effect } from 'effect';
 import sade from 'sade';
-import { setLogLevel, logOf } from '../../base/node/log.js';
-import { formatFault } from '../../settings/common/settings.js';
-import { readSettings } from '../../settings/node/parseSettings.js';
-import { Daemon } from './daemon.js';
+import { logOf, setLogLevel } from '../../base/node/log.js';
+import { runDaemon } from './daemon.js';
+import { watchSignals } from './signals.js';
+import { prepareStart } from './startUp.js';
 
-const EXIT_BAD_SETTINGS = 2;
-const EXIT_FAILED = 1;
+/** Bad settings, files that cannot be read and addresses that are in use: another start meets them again. */
+const EXIT_CANNOT_START = 2;
+/** Requests were ended before their answer was complete. */
+const EXIT_CUT_REQUESTS = 1;
 
 const log = logOf('daemon');
 
+interface Options {
+	readonly settings?: unknown;
+}
+
 sade('masticloomd', true)
 	.describe('Runs one masticloom router.')
-	.option('--settings', 'INI file with the settings of this router')
-	.action(async (options: { readonly settings?: string }) => {
-		if (options.settings === undefined) {
-			process.stderr.write('masticloomd: --settings FILE is required; see masticloomd --help\n');
-			process.exit(EXIT_BAD_SETTINGS);
-		}
-		const settings = readSettings(options.settings);
-		if (settings.isErr) {
-			for (const fault of settings.error) {
-				process.stderr.write(`masticloomd: ${formatFault(fault)}\n`);
-			}
-			process.exit(EXIT_BAD_SETTINGS);
-		}
-		setLogLevel(settings.value.log.level);
-		const daemon = Daemon.create(settings.value);
-		try {
-			await daemon.start();
-		} catch (error) {
-			log.error(`The router cannot start: ${error instanceof Error ? error.message : String(error)}.`);
-			process.exit(EXIT_FAILED);
-		}
-		process.once('SIGTERM', () => {
-			daemon.dispose();
-			process.exit(0);
-		});
-	})
-	.parse(process.argv);
+	.option('--settings', 'INI file with the settings of this router (required)')
+	.example('--settings /etc/masticloom/router.ini')
+	.action(start)
+	.parse(process.argv, { unknown: (flag: string) => refuse([`unknown option ${flag}; see masticloomd --help`]) });
+
+async function start({ settings: path }: Options): Promise<void> {
+	if (typeof path !== 'string') {
+		return refuse(['--settings FILE is required; see masticloomd --help']);
+	}
+	const prepared = prepareStart(path);
+	if (prepared.isErr) {
+		return refuse(prepared.error);
+	}
+	setLogLevel(prepared.value.settings.log.level);
+	const result = await Effect.runPromise(Effect.result(runDaemon(prepared.value, watchSignals())));
+	if (result._tag === 'Failure') {
+		return refuse(result.failure);
+	}
+	const { end, cut } = result.success;
+	log.info(cut === 0 ? 'All requests were answered.' : `${cut} requests were ended early (${end}).`);
+	process.exit(cut === 0 ? 0 : EXIT_CUT_REQUESTS);
+}
+
+function refuse(faults: readonly string[]): never {
+	process.stderr.write(faults.map((fault) => `masticloomd: ${fault}\n`).join(''));
+	process.exit(EXIT_CANNOT_START);
+}
--- /dev/null
+++ b/src/daemon/node/metricReaders.ts
@@ -0,0 +1,103 @@
+import type { MetricReaders, MetricSample } from '../../admin/common/metricFamilies.js';
+import type { CertificateStore } from '../../peers/node/certificateStore.js';
+import type { EntryDump, PoolDump, SchedulerDump } from '../../scheduling/common/schedulingDump.js';
+import type { RouterParts } from './routerParts.js';
+
+/** Accounts per pool that get their own time series; the others are shown by `/explain`. */
+const MAXIMUM_ACCOUNT_SERIES = 100;
+
+/**
+ * @param parts parts of the router
+ * @param certificates its certificates, if it has any
+ * @param isReady whether it is ready for traffic
+ * @returns functions that read the present values of its metrics
+ */
+export function createMetricReaders(
+	parts: RouterParts,
+	certificates: CertificateStore | undefined,
+	isReady: () => boolean,
+): MetricReaders {
+	const { follower, network, store, callers } = parts;
+	return {
+		...createPoolReaders(() => parts.slots.dump()),
+		requestsInProgress: () => [{ value: callers.requestsInProgress }],
+		configurationVersion: () => [{ value: follower.version }],
+		storeCalls: () => [{ value: store.calls }],
+		peers: () => countPeers(network.peers()),
+		ready: () => [{ value: isReady() ? 1 : 0 }],
+		...(certificates !== undefined && {
+			certificateExpiry: () => [{ value: Date.parse(certificates.current.leaf.validTo) / 1_000 }],
+		}),
+	};
+}
+
+function createPoolReaders(dump: () => readonly PoolDump[]): MetricReaders {
+	const perPool = (read: (pool: PoolDump) => number) => () =>
+		dump().map((pool) => ({ labels: { pool: pool.pool }, value: read(pool) }));
+	const perScheduled = (read: (scheduler: SchedulerDump) => number) => () =>
+		dump().flatMap(({ pool, schedulerState }) =>
+			schedulerState === undefined ? [] : [{ labels: { pool }, value: read(schedulerState) }],
+		);
+	const perAccount = (read: (account: EntryDump['accounts'][number]) => number) => () =>
+		dump().flatMap(({ pool, entry }) =>
+			busiestAccounts(entry).map((account) => ({ labels: { pool, account: account.id }, value: read(account) })),
+		);
+	return {
+		virtualServiceSpread: perScheduled(spreadOf),
+		slack: perScheduled(({ slack }) => slack),
+		accountVirtualService: perAccount(({ virtualService }) => virtualService),
+		accountService: perAccount(({ charged }) => charged),
+		accountQueued: perAccount(({ queued }) => queued),
+		slots: () => dump().flatMap(readSlots),
+		idleWhileWaiting: perPool(countIdleWhileWaiting),
+		poolContended: perPool(({ entry }) => (entry.contended ? 1 : 0)),
+		schedulerTerm: perPool(({ entry }) => entry.term),
+		schedulerRole: perPool(({ schedulerState }) => (schedulerState === undefined ? 0 : 1)),
+	};
+}
+
+function spreadOf({ accounts }: SchedulerDump): number {
+	const services = accounts.filter(({ queued }) => queued > 0).map(({ virtualService }) => virtualService);
+	return services.length < 2 ? 0 : Math.max(...services) - Math.min(...services);
+}
+
+function busiestAccounts({ accounts }: EntryDump): EntryDump['accounts'] {
+	if (accounts.length <= MAXIMUM_ACCOUNT_SERIES) {
+		return accounts;
+	}
+	const load = (account: EntryDump['accounts'][number]): number => account.queued + account.running;
+	return [...accounts].sort((first, second) => load(second) - load(first)).slice(0, MAXIMUM_ACCOUNT_SERIES);
+}
+
+function readSlots({ pool, entry, schedulerState }: PoolDump): readonly MetricSample[] {
+	const held = Object.values(entry.slots);
+	const figures: Record<string, number> = {
+		held: held.reduce((sum, slot) => sum + slot.held, 0),
+		idle: held.reduce((sum, slot) => sum + slot.idle, 0),
+	};
+	if (schedulerState !== undefined) {
+		figures.limit = sum(schedulerState.slotLimits);
+		figures.leased = sum(schedulerState.leased);
+	}
+	return Object.entries(figures).map(([state, value]) => ({ labels: { pool, state }, value }));
+}
+
+function countIdleWhileWaiting({ entry, schedulerState }: PoolDump): number {
+	const waitsHere = entry.accounts.some(({ queued }) => queued > 0);
+	const idleHere = waitsHere ? Object.values(entry.slots).reduce((total, { idle }) => total + idle, 0) : 0;
+	const waitsElsewhere = schedulerState?.accounts.some(({ queued }) => queued > 0) ?? false;
+	const free = schedulerState === undefined ? 0 : sum(schedulerState.slotLimits) - sum(schedulerState.leased);
+	return idleHere + (waitsElsewhere ? Math.max(0, free) : 0);
+}
+
+function countPeers(peers: ReturnType<RouterParts['network']['peers']>): readonly MetricSample[] {
+	const counts = { connecting: 0, connected: 0, silent: 0, gone: 0 };
+	for (const { state } of peers) {
+		counts[state]++;
+	}
+	return Object.entries(counts).map(([state, value]) => ({ labels: { state }, value }));
+}
+
+function sum(values: Readonly<Record<string, number>>): number {
+	return Object.values(values).reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/src/daemon/node/routerParts.ts
@@ -0,0 +1,92 @@
+import { Effect } from 'effect';
+import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
+import { DisposableStore } from '../../base/common/lifecycle.js';
+import { logOf } from '../../base/node/log.js';
+import { CallerServer } from '../../callers/node/callerServer.js';
+import { ConfigurationFollower } from '../../configuration/node/configurationFollower.js';
+import { DispatchService } from '../../dispatch/node/dispatchService.js';
+import { MembershipService } from '../../membership/node/membershipService.js';
+import { GrpcPeerNetwork } from '../../peers/node/grpcPeerNetwork.js';
+import { createMutualTls, INSECURE_PEERS } from '../../peers/node/peerSecurity.js';
+import { EtcdStore } from '../../platform/node/etcdStore.js';
+import { HttpInstanceList } from '../../platform/node/httpInstanceList.js';
+import { SlotService } from '../../scheduling/node/slotService.js';
+import { formatAddress, type Settings } from '../../settings/common/settings.js';
+import type { StartUp } from './startUp.js';
+
+const log = logOf('daemon');
+
+/** The connected parts of one router. They are disposed with the owner that was passed in. */
+export interface RouterParts {
+	readonly store: EtcdStore;
+	readonly network: GrpcPeerNetwork;
+	readonly membership: MembershipService;
+	readonly follower: ConfigurationFollower;
+	readonly slots: SlotService;
+	readonly callers: CallerServer;
+}
+
+/**
+ * Builds the parts of a router and connects them. Nothing listens or calls the platform yet.
+ *
+ * @param startUp checked settings and certificates
+ * @param owner disposes the parts
+ * @returns the parts
+ */
+export function createParts({ settings, certificates }: StartUp, owner: DisposableStore): RouterParts {
+	const { instance, peers, platform } = settings;
+	const store = EtcdStore.create(platform.storeUrl);
+	const network: GrpcPeerNetwork = owner.add(
+		GrpcPeerNetwork.create({
+			...(certificates === undefined ? INSECURE_PEERS : createMutualTls(certificates)),
+			instance: instance.name,
+			failureDomain: instance.failureDomain,
+			address: formatAddress(peers.address),
+			serveConfiguration: ({ haveVersion }) => follower.documentFor(haveVersion),
+		}),
+	);
+	const local = { instance: instance.name, incarnation: network.incarnation, failureDomain: instance.failureDomain };
+	const list = HttpInstanceList.create(platform.instanceListUrl);
+	const membership = owner.add(MembershipService.create(local, network, list));
+	const follower = owner.add(createFollower(settings, store, network, membership));
+	const slots = owner.add(
+		SlotService.create({
+			local,
+			configuration: follower,
+			membership,
+			network,
+			slotLimit: (server, configured) => (membership.isLeaving(server) ? 0 : configured),
+			onBackendFailure: (server) => log.warn(`An entry saw ${server} fail.`),
+		}),
+	);
+	const dispatch = DispatchService.create(follower, slots, HttpBackendClient.create());
+	const callers = owner.add(CallerServer.create(follower, dispatch));
+	return { store, network, membership, follower, slots, callers };
+}
+
+function createFollower(
+	{ instance }: Settings,
+	store: EtcdStore,
+	network: GrpcPeerNetwork,
+	membership: MembershipService,
+): ConfigurationFollower {
+	const follower = ConfigurationFollower.create({
+		store,
+		self: { name: instance.name, failureDomain: instance.failureDomain },
+		liveRouters: () =>
+			membership.liveRouters().map((router) => ({ name: router.instance, failureDomain: router.failureDomain })),
+		fetchDocument: (peer, haveVersion) =>
+			Effect.map(network.fetchConfiguration(peer, haveVersion), ({ document }) =>
+				document.length > 0 ? document : undefined,
+			),
+	});
+	network.onDidChangePeer((peer) => {
+		if (peer.state === 'connected') {
+			follower.noticeVersion(peer.instance, peer.configurationVersion);
+		} else {
+			follower.forgetPeer(peer.instance);
+		}
+	});
+	follower.onDidChange(({ version }) => network.announce({ configurationVersion: version }));
+	return follower;
+}
--- a/src/scheduling/common/poolEntry.ts
+++ b/src/scheduling/common/poolEntry.ts
@@ -5,6 +5,7 @@
 	PoolUpdate,
 } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
 import { type AccountState, FairQueue, virtualService } from './fairQueue.js';
+import type { EntryDump } from './schedulingDump.js';
 
 /** How soon the scheduler has to hear of a change. */
 export type Urgency = 'now' | 'soon';
@@ -190,7 +191,7 @@
 	}
 
 	/** @returns figures for the state dump */
-	public dump(): unknown {
+	public dump(): EntryDump {
 		return {
 			term: this.schedulerTerm,
 			hasScheduler: this.hasScheduler,
--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -1,4 +1,5 @@
 import type { AccountDemand, PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { SchedulerDump } from './schedulingDump.js';
 
 /** Smallest slack that the reporting quantum is derived from, in mean request costs. */
 const MINIMUM_QUANTUM_SLACK = 0.5;
@@ -251,7 +252,7 @@
 	}
 
 	/** @returns figures for the state dump */
-	public dump(): unknown {
+	public dump(): SchedulerDump {
 		return {
 			term: this.term,
 			rebuilding: this.rebuilding,
--- a/src/scheduling/node/slotService.ts
+++ b/src/scheduling/node/slotService.ts
@@ -9,6 +9,7 @@
 import type { IPeerNetwork, PeerMessage, PeerStatus } from '../../peers/common/peerNetwork.js';
 import { type PendingRequest, PoolEntry, type SlotLease, type Urgency } from '../common/poolEntry.js';
 import { type PoolLimits, PoolScheduler } from '../common/poolScheduler.js';
+import type { PoolDump } from '../common/schedulingDump.js';
 import type { ISlotService, Slot, SlotRequest } from '../common/slotService.js';
 
 /** Changes that are not urgent are reported after this time, together. */
@@ -128,7 +129,7 @@
 	}
 
 	/** @returns figures for the state dump */
-	public dump(): unknown {
+	public dump(): readonly PoolDump[] {
 		return [...this.pools.values()].map((pool) => ({
 			pool: pool.id,
 			scheduler: pool.schedulerInstance,
