--- a/src/daemon/node/accountFacts.ts
+++ b/src/daemon/node/accountFacts.ts
@@ -45,6 +45,7 @@
 		schedulerReachable: entry.hasScheduler,
 		queued: state?.queued ?? 0,
 		running: state?.running ?? 0,
+		queueLimit: parts.dispatch.queues.limitOf(pool, account.id),
 		deliveredService: state?.charged ?? 0,
 		virtualService: state?.virtualService ?? entry.floor,
 		floor: entry.floor,
@@ -59,13 +60,13 @@
 }
 
 function describeBackend(
-	{ membership }: RouterParts,
+	{ monitor }: RouterParts,
 	{ id, slots }: BackendServer,
 	limits: Readonly<Record<string, number>> | undefined,
 ): BackendFacts {
 	return {
 		id,
-		status: membership.isLeaving(id) ? 'leaving' : 'live',
+		status: monitor.stateOf(id),
 		configuredSlots: slots,
 		slotLimit: limits?.[String(shortKey(id))],
 	};
--- a/src/daemon/node/adminSources.ts
+++ b/src/daemon/node/adminSources.ts
@@ -24,9 +24,11 @@
 	certificates: CertificateStore | undefined,
 	isLeaving: () => boolean,
 ): AdminSources {
-	const { network, membership, follower, slots, callers, store } = parts;
+	const { network, membership, follower, slots, callers, store, suspects } = parts;
 	const readiness = createReadiness(parts, isLeaving);
 	const isReady = (): boolean => evaluateReadiness(readiness).ready;
+	const metrics = RouterMetrics.create(createMetricReaders(parts, certificates, isReady));
+	callers.onDidFinish((request) => metrics.countRequest(request));
 	return {
 		readiness,
 		dumps: {
@@ -36,10 +38,11 @@
 			membership: () => ({ live: membership.liveRouters(), silent: membership.silentRouters() }),
 			scheduling: () => slots.dump(),
 			callers: () => ({ requestsInProgress: callers.requestsInProgress }),
+			suspects: () => suspects.list(),
 			store: () => ({ calls: store.calls }),
 		},
 		accountFacts: (account): AccountFacts | undefined => describeAccount(parts, account),
-		metrics: RouterMetrics.create(createMetricReaders(parts, certificates, isReady)),
+		metrics,
 	};
 }
 
--- a/src/daemon/node/routerParts.ts
+++ b/src/daemon/node/routerParts.ts
@@ -1,10 +1,14 @@
 import { Effect } from 'effect';
+import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { BackendMonitor } from '../../backends/node/backendMonitor.js';
 import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
+import { SuspectExchange } from '../../backends/node/suspectExchange.js';
+import { systemClock } from '../../base/common/clock.js';
 import { DisposableStore } from '../../base/common/lifecycle.js';
-import { logOf } from '../../base/node/log.js';
 import { CallerServer } from '../../callers/node/callerServer.js';
 import { ConfigurationFollower } from '../../configuration/node/configurationFollower.js';
 import { DispatchService } from '../../dispatch/node/dispatchService.js';
+import { StoredCalls } from '../../idempotency/node/storedCalls.js';
 import { MembershipService } from '../../membership/node/membershipService.js';
 import { GrpcPeerNetwork } from '../../peers/node/grpcPeerNetwork.js';
 import { createMutualTls, INSECURE_PEERS } from '../../peers/node/peerSecurity.js';
@@ -14,15 +18,16 @@
 import { formatAddress, type Settings } from '../../settings/common/settings.js';
 import type { StartUp } from './startUp.js';
 
-const log = logOf('daemon');
-
 /** The connected parts of one router. They are disposed with the owner that was passed in. */
 export interface RouterParts {
 	readonly store: EtcdStore;
 	readonly network: GrpcPeerNetwork;
 	readonly membership: MembershipService;
 	readonly follower: ConfigurationFollower;
+	readonly monitor: BackendMonitor;
 	readonly slots: SlotService;
+	readonly suspects: CrashSuspects;
+	readonly dispatch: DispatchService;
 	readonly callers: CallerServer;
 }
 
@@ -49,19 +54,29 @@
 	const list = HttpInstanceList.create(platform.instanceListUrl);
 	const membership = owner.add(MembershipService.create(local, network, list));
 	const follower = owner.add(createFollower(settings, store, network, membership));
+	const monitor = owner.add(BackendMonitor.create(follower, membership, instance.name));
 	const slots = owner.add(
 		SlotService.create({
 			local,
 			configuration: follower,
 			membership,
 			network,
-			slotLimit: (server, configured) => (membership.isLeaving(server) ? 0 : configured),
-			onBackendFailure: (server) => log.warn(`An entry saw ${server} fail.`),
+			slotLimit: (server, configured) => monitor.slotLimit(server, configured),
+			onBackendFailure: (server) => monitor.signalFailure(server),
 		}),
 	);
-	const dispatch = DispatchService.create(follower, slots, HttpBackendClient.create());
+	owner.add(monitor.onDidChange(() => slots.refreshLimits()));
+	const suspects = CrashSuspects.create(systemClock);
+	owner.add(SuspectExchange.create(suspects, network));
+	const dispatch = DispatchService.create({
+		configuration: follower,
+		slots,
+		client: owner.add(HttpBackendClient.create()),
+		suspects,
+		idempotency: StoredCalls.create(store),
+	});
 	const callers = owner.add(CallerServer.create(follower, dispatch));
-	return { store, network, membership, follower, slots, callers };
+	return { store, network, membership, follower, monitor, slots, suspects, dispatch, callers };
 }
 
 function createFollower(
