--- a/src/callers/test/routerFixture.ts
+++ b/src/callers/test/routerFixture.ts
@@ -147,6 +147,7 @@
 						failureDomain: '',
 						configurationVersion: 0,
 						leaving: false,
+						session: 1,
 					})),
 			setEndpoints: () => undefined,
 			announce: () => undefined,
--- a/src/peers/common/peerNetwork.ts
+++ b/src/peers/common/peerNetwork.ts
@@ -22,6 +22,8 @@
 	readonly failureDomain: string;
 	/** Configuration version in the peer's last heartbeat. */
 	readonly configurationVersion: number;
+	/** Counts the streams to this peer; frames sent on an earlier one may be lost. */
+	readonly session: number;
 	/** The peer is shutting down and takes no scheduler role. */
 	readonly leaving: boolean;
 }
--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -45,6 +45,7 @@
 	configurationVersion: number;
 	leaving: boolean;
 	session: PeerSession | undefined;
+	sessionCount: number;
 	dialer: Fiber.Fiber<unknown> | undefined;
 }
 
@@ -275,6 +276,7 @@
 	private startSession(record: PeerRecord, session: PeerSession, hello: NonNullable<PeerFrame['hello']>): void {
 		const former = record.session;
 		record.session = session;
+		record.sessionCount++;
 		if (former !== undefined && former !== session) {
 			former.replace();
 		}
@@ -320,6 +322,7 @@
 				configurationVersion: 0,
 				leaving: false,
 				session: undefined,
+				sessionCount: 0,
 				dialer: undefined,
 			};
 			this.records.set(instance, record);
@@ -353,5 +356,13 @@
 
 function toStatus(record: PeerRecord): PeerStatus {
 	const { endpoint, state, incarnation, failureDomain, configurationVersion, leaving } = record;
-	return { ...endpoint, state, incarnation, failureDomain, configurationVersion, leaving };
+	return {
+		...endpoint,
+		state,
+		incarnation,
+		failureDomain,
+		configurationVersion,
+		leaving,
+		session: record.sessionCount,
+	};
 }
--- a/src/scheduling/common/costEstimate.ts
+++ b/src/scheduling/common/costEstimate.ts
@@ -1,5 +1,5 @@
-/** Weight of the newest observation in a running mean. */
-const MEAN_WEIGHT = 0.1;
+/** Least weight of the newest observation; larger weights make the start charges of an account jump with each request. */
+const MEAN_WEIGHT = 0.02;
 
 /** A caller's hint may move the expected cost by at most this factor, since hints are rough. */
 const HINT_FACTOR = 4;
@@ -10,6 +10,7 @@
 /** Running mean of request costs, in cost units. */
 export class CostEstimate {
 	private mean: number | undefined;
+	private observations = 0;
 
 	private constructor(private readonly fallback: () => number) {}
 
@@ -40,6 +41,8 @@
 
 	/** @param cost final cost of a request */
 	public observe(cost: number): void {
-		this.mean = this.mean === undefined ? cost : this.mean + MEAN_WEIGHT * (cost - this.mean);
+		this.observations++;
+		const weight = Math.max(MEAN_WEIGHT, 1 / this.observations);
+		this.mean = (this.mean ?? 0) + weight * (cost - (this.mean ?? 0));
 	}
 }
--- a/src/scheduling/common/fairQueue.ts
+++ b/src/scheduling/common/fairQueue.ts
@@ -6,15 +6,22 @@
 	readonly id: string;
 	share: number;
 	readonly queue: T[];
+	/** Mean cost of the account's requests of all services. */
 	readonly estimate: CostEstimate;
+	/** Mean cost by service. */
+	readonly serviceEstimates: Map<string, CostEstimate>;
 	running: number;
 	/** Charged service of this incarnation, in cost units. */
 	charged: number;
-	/** Virtual service without this entry's part, as the scheduler sent it. */
+	/** Virtual service without this entry's part, when the scheduler last sent it. */
 	base: number;
+	/** Virtual service above the floor, when the scheduler last sent it; undefined before that. */
+	excess: number | undefined;
 	/** Figures of the last report, to tell what is news. */
 	reportedQueued: number;
 	reportedCharged: number;
+	reportedExpected: number;
+	reportedRunning: boolean;
 	/** Requests started since the last report; the scheduler still counts them as queued. */
 	startedSinceReport: number;
 }
@@ -28,6 +35,8 @@
 	private readonly backlogged = new Set<AccountState<T>>();
 	private readonly poolEstimate = CostEstimate.create();
 	private queuedCount = 0;
+	/** Lowest virtual service of any backlogged account, as the scheduler last sent it. */
+	public floor = 0;
 
 	private constructor() {}
 
@@ -71,11 +80,15 @@
 				share,
 				queue: [],
 				estimate: CostEstimate.create(() => this.poolEstimate.value),
+				serviceEstimates: new Map(),
 				running: 0,
 				charged: 0,
 				base: 0,
+				excess: undefined,
 				reportedQueued: 0,
 				reportedCharged: 0,
+				reportedExpected: 0,
+				reportedRunning: false,
 				startedSinceReport: 0,
 			};
 			this.states.set(key, state);
@@ -89,6 +102,10 @@
 	 * @param request what to queue
 	 */
 	public enqueue(state: AccountState<T>, request: T): void {
+		if (state.queue.length === 0 && this.serviceOf(state) < this.floor) {
+			// Idle time earns no credit, and no backlogged account is below the floor.
+			state.base += this.floor - this.serviceOf(state);
+		}
 		state.queue.push(request);
 		this.queuedCount++;
 		this.backlogged.add(state);
@@ -115,7 +132,7 @@
 		let best: AccountState<T> | undefined;
 		let bestService = Infinity;
 		for (const state of this.backlogged) {
-			const service = virtualService(state);
+			const service = this.serviceOf(state);
 			if (service < bestService) {
 				best = state;
 				bestService = service;
@@ -134,17 +151,68 @@
 		return this.takeAt(state, 0);
 	}
 
+	/**
+	 * @param state account of a request
+	 * @param service service of the request
+	 * @returns mean cost of such requests; that of the account's other requests until one has ended
+	 */
+	public estimateOf(state: AccountState<T>, service: string): CostEstimate {
+		let estimate = state.serviceEstimates.get(service);
+		if (estimate === undefined) {
+			estimate = CostEstimate.create(() => state.estimate.value);
+			state.serviceEstimates.set(service, estimate);
+		}
+		return estimate;
+	}
+
 	/**
 	 * Counts a finished request into the means.
 	 *
 	 * @param state account of the request
+	 * @param service service of the request
 	 * @param cost final cost, in cost units
 	 */
-	public observe(state: AccountState<T>, cost: number): void {
+	public observe(state: AccountState<T>, service: string, cost: number): void {
+		this.estimateOf(state, service).observe(cost);
 		state.estimate.observe(cost);
 		this.poolEstimate.observe(cost);
 	}
 
+	/**
+	 * Virtual service of an account as this entry knows it. Between two messages of the scheduler, it grows by the
+	 * service of this entry, and at least with the floor, since that is what accounts with demand elsewhere do.
+	 *
+	 * @param state account at this entry
+	 * @returns virtual service in cost units per share
+	 */
+	public serviceOf(state: AccountState<T>): number {
+		const own = state.base + state.charged / state.share;
+		return state.excess === undefined ? own : Math.max(own, this.floor + state.excess);
+	}
+
+	/**
+	 * Sets what the scheduler sent of an account.
+	 *
+	 * @param state account at this entry
+	 * @param excess virtual service above the current floor
+	 */
+	public setExcess(state: AccountState<T>, excess: number): void {
+		state.excess = excess;
+		state.base = this.floor + excess - state.reportedCharged / state.share;
+	}
+
+	/**
+	 * Moves to the floor of another scheduler, whose virtual time differs, and keeps each account's distance from it.
+	 *
+	 * @param floor floor of the new scheduler
+	 */
+	public rebase(floor: number): void {
+		for (const state of this.states.values()) {
+			state.base += floor - this.floor;
+		}
+		this.floor = floor;
+	}
+
 	private takeAt(state: AccountState<T>, index: number): T | undefined {
 		const [request] = state.queue.splice(index, 1);
 		if (request === undefined) {
@@ -157,11 +225,3 @@
 		return request;
 	}
 }
-
-/**
- * @param state account at an entry
- * @returns its virtual service in cost units per share, as this entry knows it
- */
-export function virtualService<T>(state: AccountState<T>): number {
-	return state.base + state.charged / state.share;
-}
--- /dev/null
+++ b/src/scheduling/common/heldSlots.ts
@@ -0,0 +1,78 @@
+import type { HeldSlots } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+
+/** Slots of one backend server at an entry. */
+export interface HeldSlot {
+	held: number;
+	idle: number;
+	/** Slots to return in place of reusing them. */
+	recalled: number;
+	/** The entry saw the backend server fail since the last report. */
+	failed: boolean;
+	/** Number that the scheduler has, or gets with the acknowledgement of its grants. */
+	reportedHeld: number;
+}
+
+/** Slots that an entry holds, by short key of the backend server. */
+export class HeldSlotTable {
+	private readonly slots = new Map<number, HeldSlot>();
+
+	private constructor() {}
+
+	/** @returns a table without slots */
+	public static create(): HeldSlotTable {
+		return new HeldSlotTable();
+	}
+
+	/** @returns slots by backend server */
+	public entries(): IterableIterator<[number, HeldSlot]> {
+		return this.slots.entries();
+	}
+
+	/** @returns slots of every backend server */
+	public values(): IterableIterator<HeldSlot> {
+		return this.slots.values();
+	}
+
+	/** @returns number of slots by backend server */
+	public held(): ReadonlyMap<number, number> {
+		return new Map([...this.slots].filter(([, slot]) => slot.held > 0).map(([backend, slot]) => [backend, slot.held]));
+	}
+
+	/**
+	 * @param backend short key of the backend server
+	 * @returns its slots
+	 */
+	public of(backend: number): HeldSlot {
+		let slot = this.slots.get(backend);
+		if (slot === undefined) {
+			slot = { held: 0, idle: 0, recalled: 0, failed: false, reportedHeld: 0 };
+			this.slots.set(backend, slot);
+		}
+		return slot;
+	}
+
+	/**
+	 * Lists what changed and marks it as reported.
+	 *
+	 * @param complete whether to list everything
+	 * @returns the part of a report
+	 */
+	public report(complete: boolean): HeldSlots[] {
+		const report: HeldSlots[] = [];
+		for (const [backend, slot] of this.slots) {
+			if (complete || slot.failed || slot.held !== slot.reportedHeld) {
+				report.push({ backend, held: slot.held, failed: slot.failed });
+			}
+			slot.reportedHeld = slot.held;
+			slot.failed = false;
+			if (complete) {
+				// The scheduler recalls anew what it still needs back.
+				slot.recalled = 0;
+			}
+			if (slot.held === 0) {
+				this.slots.delete(backend);
+			}
+		}
+		return report;
+	}
+}
--- a/src/scheduling/common/poolEntry.ts
+++ b/src/scheduling/common/poolEntry.ts
@@ -1,16 +1,14 @@
-import type {
-	AccountDemand,
-	HeldSlots,
-	PoolReport,
-	PoolUpdate,
-} from '../../peers/common/generated/masticloom/peers/v1/peers.js';
-import { type AccountState, FairQueue, virtualService } from './fairQueue.js';
+import type { AccountDemand, PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import { START_CHARGE } from './charge.js';
+import { type HeldSlot, HeldSlotTable } from './heldSlots.js';
+import { type AccountState, FairQueue } from './fairQueue.js';
 
 /** How soon the scheduler has to hear of a change. */
 export type Urgency = 'now' | 'soon';
 
 /** A request that waits for a slot. */
 export interface PendingRequest {
+	readonly service: string;
 	readonly expectedCost: number;
 	/** Called once, when the request gets its slot. */
 	start(lease: SlotLease): void;
@@ -34,30 +32,36 @@
 	release(failed: boolean): void;
 }
 
-interface HeldState {
-	held: number;
-	idle: number;
-	/** Slots to return in place of reusing them. */
-	recalled: number;
-	failed: boolean;
-	reportedHeld: number;
-}
-
 /** Idle slots that an entry keeps for arrivals while the pool is not contended, unless told otherwise. */
 const DEFAULT_IDLE_LIMIT = 2;
 
+/** The expected cost of an account is reported again when it changed by more than this part. */
+const EXPECTED_TOLERANCE = 0.1;
+
+/** Figures of an entry for operators. */
+export interface EntryFigures {
+	/** Highest scheduler term heard of. */
+	readonly term: number;
+	readonly hasScheduler: boolean;
+	readonly queuedRequests: number;
+	readonly heldSlots: number;
+	readonly idleSlots: number;
+	/** Lowest virtual service of any backlogged account as last heard, in normalised cost. */
+	readonly floor: number;
+}
+
 /** The part of a pool at one entry: queues, held slots, and what the scheduler has to know of them. */
 export class PoolEntry {
 	public readonly queue = FairQueue.create<PendingRequest>();
-	private readonly slots = new Map<number, HeldState>();
+	private readonly slots = HeldSlotTable.create();
 	private schedulerTerm = 0;
 	private applied = 0;
-	private floor = 0;
-	private reuseLimit = Infinity;
+	private slack = Infinity;
 	private contended = false;
 	private hasScheduler = false;
 	private quantum = 0;
 	private completeWanted = true;
+	private idleLimit = DEFAULT_IDLE_LIMIT;
 
 	private constructor(
 		private readonly pool: number,
@@ -117,29 +121,38 @@
 		if (update.term < this.schedulerTerm) {
 			return false;
 		}
+		if (update.term > this.schedulerTerm || !this.hasScheduler) {
+			this.queue.rebase(update.floor);
+		}
 		this.schedulerTerm = update.term;
 		this.hasScheduler = true;
 		this.applied = update.sequence;
-		this.floor = update.floor;
-		this.reuseLimit = update.reuseLimit;
-		this.quantum = update.quantum;
+		this.queue.floor = update.floor;
+		this.slack = update.slack ?? this.slack;
+		this.quantum = update.quantum ?? this.quantum;
 		this.contended = update.contended;
 		this.completeWanted ||= update.reportRequested;
-		for (const { account, base } of update.bases) {
+		for (const { account, excess } of update.bases) {
 			const state = this.queue.find(account);
 			if (state !== undefined) {
-				state.base = base;
+				this.queue.setExcess(state, excess);
 			}
 		}
 		for (const { backend, count } of update.recalls) {
-			this.slotsOf(backend).recalled += count;
+			const slot = this.slots.of(backend);
+			// Some of the slots may have been returned while the message was on its way.
+			slot.recalled = Math.min(slot.held, slot.recalled + count);
 		}
+		let granted = 0;
 		for (const { backend, count } of update.grants) {
-			const held = this.slotsOf(backend);
+			const held = this.slots.of(backend);
 			held.held += count;
 			held.idle += count;
+			// The acknowledgement tells the scheduler that the slots are held.
+			held.reportedHeld += count;
+			granted += count;
 		}
-		this.startQueued();
+		this.startQueued(granted);
 		this.returnIdle();
 		if (update.grants.length > 0) {
 			this.onDidChange('soon');
@@ -159,6 +172,30 @@
 		this.startQueued();
 	}
 
+	/** Keeps no idle slots from now on. */
+	public leave(): void {
+		this.idleLimit = 0;
+		this.returnIdle();
+	}
+
+	/** @returns figures for operators */
+	public figures(): EntryFigures {
+		const slots = [...this.slots.values()];
+		return {
+			term: this.schedulerTerm,
+			hasScheduler: this.hasScheduler,
+			queuedRequests: this.queue.size,
+			heldSlots: slots.reduce((sum, slot) => sum + slot.held, 0),
+			idleSlots: slots.reduce((sum, slot) => sum + slot.idle, 0),
+			floor: this.queue.floor,
+		};
+	}
+
+	/** @returns slots that this entry holds, by backend server */
+	public heldSlots(): ReadonlyMap<number, number> {
+		return this.slots.held();
+	}
+
 	/** Makes the next report complete, for a scheduler that knows nothing of this entry. */
 	public requestCompleteReport(): void {
 		this.completeWanted = true;
@@ -185,7 +222,7 @@
 			acknowledged: this.applied,
 			complete,
 			accounts,
-			slots: this.reportSlots(complete),
+			slots: this.slots.report(complete),
 		};
 	}
 
@@ -195,54 +232,76 @@
 			term: this.schedulerTerm,
 			hasScheduler: this.hasScheduler,
 			contended: this.contended,
-			floor: this.floor,
-			reuseLimit: Number.isFinite(this.reuseLimit) ? this.reuseLimit : null,
-			slots: Object.fromEntries(this.slots),
+			floor: this.queue.floor,
+			reuseLimit: Number.isFinite(this.slack) ? this.queue.floor + this.slack : null,
+			slots: Object.fromEntries(this.slots.entries()),
 			accounts: [...this.queue.accounts()].map((state) => ({
 				id: state.id,
 				share: state.share,
 				queued: state.queue.length,
 				running: state.running,
 				charged: state.charged,
-				virtualService: virtualService(state),
+				virtualService: this.queue.serviceOf(state),
 				expectedCost: state.estimate.value,
 			})),
 		};
 	}
 
-	private startQueued(): void {
-		for (const [backend, slot] of this.slots) {
+	/**
+	 * @param granted number of requests that start without regard to the slack, since the scheduler chose this entry for
+	 *   them; its choice rests on newer figures
+	 */
+	private startQueued(granted = 0): void {
+		let allowed = granted;
+		for (const [backend, slot] of this.slots.entries()) {
 			while (slot.idle > slot.recalled) {
 				const state = this.queue.lowest();
-				if (state === undefined || !this.mayStart(state)) {
-					return;
-				}
-				const request = this.queue.takeFirst(state);
-				if (request === undefined) {
+				if (state === undefined || (allowed <= 0 && !this.mayStart(state))) {
 					return;
 				}
-				slot.idle--;
-				this.start(state, request, backend, slot);
+				allowed--;
+				this.startFirst(state, backend, slot);
 			}
 		}
 	}
 
+	/**
+	 * Gives a slot that became free to the account that used it, while that account is within the slack. Entries hear late
+	 * of each other's starts: if each gave its free slots to the account that it sees as the lowest, the same account
+	 * would get many of them at once. Keeping the slot keeps the numbers of running requests steady.
+	 */
+	private reuse(state: AccountState<PendingRequest>, backend: number, slot: HeldSlot): void {
+		if (slot.idle > slot.recalled && state.queue.length > 0 && this.mayStart(state)) {
+			this.startFirst(state, backend, slot);
+		}
+	}
+
 	private mayStart(state: AccountState<PendingRequest>): boolean {
-		return !this.hasScheduler || !this.contended || virtualService(state) <= this.reuseLimit;
+		return !this.hasScheduler || !this.contended || this.queue.serviceOf(state) <= this.queue.floor + this.slack;
+	}
+
+	private startFirst(state: AccountState<PendingRequest>, backend: number, slot: HeldSlot): void {
+		const request = this.queue.takeFirst(state);
+		if (request !== undefined) {
+			slot.idle--;
+			this.start(state, request, backend, slot);
+		}
 	}
 
-	private start(state: AccountState<PendingRequest>, request: PendingRequest, backend: number, slot: HeldState): void {
+	private start(state: AccountState<PendingRequest>, request: PendingRequest, backend: number, slot: HeldSlot): void {
 		state.running++;
 		state.startedSinceReport++;
-		state.charged += request.expectedCost;
+		// The charge is constant while the request runs: what a running request is still expected to cost does not fall with
+		// what it has cost so far, because long requests are the more likely the longer they have run.
+		const startCharge = START_CHARGE * request.expectedCost;
+		state.charged += startCharge;
 		let delivered = 0;
 		let released = false;
 		request.start({
 			backend,
 			charge: (costUnits) => {
-				const before = Math.max(delivered, request.expectedCost);
 				delivered += costUnits;
-				state.charged += Math.max(delivered, request.expectedCost) - before;
+				state.charged += costUnits;
 				if (Math.abs(state.charged - state.reportedCharged) / state.share > this.quantum) {
 					this.onDidChange('soon');
 				}
@@ -253,12 +312,13 @@
 				}
 				released = true;
 				state.running--;
-				state.charged += delivered - Math.max(delivered, request.expectedCost);
-				if (!failed) {
-					this.queue.observe(state, delivered);
+				state.charged -= startCharge;
+				if (!failed && delivered > 0) {
+					this.queue.observe(state, request.service, delivered);
 				}
 				slot.idle++;
 				slot.failed ||= failed;
+				this.reuse(state, backend, slot);
 				this.startQueued();
 				this.returnIdle();
 				if (failed || this.hasUnknownDemand()) {
@@ -276,7 +336,7 @@
 		let kept = 0;
 		let returned = 0;
 		for (const slot of this.slots.values()) {
-			const limit = this.contended ? 0 : Math.max(0, DEFAULT_IDLE_LIMIT - kept);
+			const limit = this.contended ? 0 : Math.max(0, this.idleLimit - kept);
 			const keep = Math.min(Math.max(0, slot.idle - slot.recalled), limit);
 			const giving = slot.idle - keep;
 			slot.idle -= giving;
@@ -304,45 +364,29 @@
 		const change = Math.abs(queued - state.reportedQueued);
 		return (
 			change * 2 > Math.min(queued, state.reportedQueued) ||
+			state.running > 0 !== state.reportedRunning ||
 			Math.abs(state.charged - state.reportedCharged) / state.share > this.quantum
 		);
 	}
 
 	private reportAccount(state: AccountState<PendingRequest>, complete: boolean): AccountDemand {
+		const excess = complete ? Math.max(0, this.queue.serviceOf(state) - this.queue.floor) : 0;
 		state.reportedQueued = state.queue.length;
-		state.reportedCharged = state.charged;
+		state.reportedCharged = Math.round(state.charged);
+		state.reportedRunning = state.running > 0;
 		state.startedSinceReport = 0;
+		const { value } = state.estimate;
+		const retuned = complete || Math.abs(value - state.reportedExpected) > EXPECTED_TOLERANCE * state.reportedExpected;
+		if (retuned) {
+			state.reportedExpected = value;
+		}
 		return {
 			account: state.key,
 			queued: state.queue.length,
-			running: state.running,
-			charged: state.charged,
-			expected: state.estimate.value,
-			virtualService: complete ? virtualService(state) : 0,
+			charged: state.reportedCharged,
+			expected: retuned ? value : undefined,
+			excess,
+			running: state.reportedRunning,
 		};
 	}
-
-	private reportSlots(complete: boolean): HeldSlots[] {
-		const report: HeldSlots[] = [];
-		for (const [backend, slot] of this.slots) {
-			if (complete || slot.failed || slot.held !== slot.reportedHeld) {
-				report.push({ backend, held: slot.held, idle: slot.idle, failed: slot.failed });
-			}
-			slot.reportedHeld = slot.held;
-			slot.failed = false;
-			if (slot.held === 0) {
-				this.slots.delete(backend);
-			}
-		}
-		return report;
-	}
-
-	private slotsOf(backend: number): HeldState {
-		let slot = this.slots.get(backend);
-		if (slot === undefined) {
-			slot = { held: 0, idle: 0, recalled: 0, failed: false, reportedHeld: 0 };
-			this.slots.set(backend, slot);
-		}
-		return slot;
-	}
 }
--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -1,10 +1,14 @@
-import type { AccountDemand, PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import { acknowledge, createEntryRecord, type EntryRecord, voidGrants } from './entryRecord.js';
+import { type EntryDemand, mostUnmet, ServiceLedger } from './serviceLedger.js';
+import { SlotLeases } from './slotLeases.js';
+import { hasDrifted, type PoolFigures, writeUpdate } from './updateWriter.js';
 
 /** Smallest slack that the reporting quantum is derived from, in mean request costs. */
 const MINIMUM_QUANTUM_SLACK = 0.5;
 
 /** The reporting quantum is this fraction of the slack. */
-const QUANTUM_FRACTION = 0.125;
+const QUANTUM_FRACTION = 0.25;
 
 /** What the scheduler needs to know of the configuration of a pool. */
 export interface PoolLimits {
@@ -19,59 +23,28 @@
 	readonly shareOf: (account: number) => number | undefined;
 }
 
-interface AccountLedger {
-	readonly key: number;
-	virtualService: number;
-	/** Expected normalised cost of granted requests that no report has acknowledged. */
-	granted: number;
-	/** Expected cost of the next request, in cost units. */
-	expected: number;
-	queued: number;
-	/** Entries with queued requests of the account. */
-	readonly demand: Map<string, EntryDemand>;
-}
-
-interface EntryDemand {
-	queued: number;
-	/** Grants that no report has acknowledged. */
-	granted: number;
-	charged: number;
-	sentBase: number | undefined;
-}
-
-interface PendingGrant {
-	readonly sequence: number;
-	readonly account: AccountLedger;
-	readonly backend: number;
-	readonly expected: number;
-}
-
-interface EntryRecord {
-	readonly instance: string;
-	incarnation: string;
-	sequence: number;
-	readonly held: Map<number, number>;
-	readonly demand: Map<number, EntryDemand>;
-	grants: PendingGrant[];
-	readonly recalls: Map<number, number>;
-	nextGrants: Map<number, number>;
-	nextRecalls: Map<number, number>;
-	sentFloor: number;
-	sentReuseLimit: number;
-	sentContended: boolean;
-	reportRequested: boolean;
-	/** A complete report was received; before that, changes have nothing to refer to. */
-	synchronised: boolean;
-	dirty: boolean;
+/** Figures of a scheduler for operators. */
+export interface SchedulerFigures {
+	readonly term: number;
+	readonly rebuilding: boolean;
+	readonly contended: boolean;
+	/** Lowest virtual service of any backlogged account, in normalised cost. */
+	readonly floor: number;
+	/** Largest difference of virtual service between two backlogged accounts, in normalised cost. */
+	readonly gap: number;
+	readonly backloggedAccounts: number;
+	readonly queuedRequests: number;
+	readonly leasedSlots: number;
+	readonly freeSlots: number;
 }
 
 /** Leases out the slots of one pool. Its state is soft: it is rebuilt from the entries' reports. */
 export class PoolScheduler {
 	private readonly entries = new Map<string, EntryRecord>();
-	private readonly accounts = new Map<number, AccountLedger>();
-	private readonly backlogged = new Set<AccountLedger>();
-	private readonly leased = new Map<number, number>();
-	private virtualTime = 0;
+	/** Former processes of entries, whose requests may still be ending on the backend servers. */
+	private readonly formerEntries = new Map<string, EntryRecord>();
+	private readonly ledger: ServiceLedger;
+	private readonly leases: SlotLeases;
 	private contended = false;
 	private rebuilding = true;
 
@@ -79,7 +52,10 @@
 		private readonly pool: number,
 		public readonly term: number,
 		private limits: PoolLimits,
-	) {}
+	) {
+		this.ledger = ServiceLedger.create(limits.shareOf);
+		this.leases = SlotLeases.create(limits.slotLimits);
+	}
 
 	/**
 	 * @param pool short key of the pool
@@ -96,6 +72,11 @@
 		return this.rebuilding;
 	}
 
+	/** Whether requests wait and no slot is free. */
+	public get isContended(): boolean {
+		return this.contended;
+	}
+
 	/** @returns the entries that have sent a complete report */
 	public reportedEntries(): ReadonlySet<string> {
 		return new Set([...this.entries.values()].filter((entry) => entry.synchronised).map((entry) => entry.instance));
@@ -104,7 +85,8 @@
 	/** @param limits new slack, slot limits and shares */
 	public setLimits(limits: PoolLimits): void {
 		this.limits = limits;
-		this.recallExcess();
+		this.ledger.setShares(limits.shareOf);
+		this.leases.setLimits(limits.slotLimits);
 		this.allocate();
 	}
 
@@ -128,17 +110,17 @@
 			entry.dirty = true;
 			return;
 		}
+		// Sequence numbers start anew with each term.
+		acknowledge(entry, report.term === this.term ? report.acknowledged : 0, this.ledger, this.leases);
 		if (report.complete) {
-			entry.synchronised = true;
-			this.clearEntry(entry, report);
+			this.resetEntry(entry, report);
 		}
-		// Sequence numbers start anew with each term.
-		this.acknowledge(entry, report.term === this.term ? report.acknowledged : 0);
 		for (const { backend, held } of report.slots) {
-			this.setHeld(entry, backend, held);
+			this.leases.setHeld(entry, backend, held);
 		}
 		for (const demand of report.accounts) {
-			this.applyDemand(entry, demand, report.complete);
+			const known = entry.demand.get(demand.account);
+			entry.demand.set(demand.account, this.ledger.apply(instance, known, demand, report.complete));
 		}
 		this.allocate();
 	}
@@ -147,26 +129,29 @@
 	 * Frees the slots of an entry that is lost.
 	 *
 	 * @param instance name of the entry
+	 * @param incarnation process of the entry
 	 */
-	public removeEntry(instance: string): void {
-		const entry = this.entries.get(instance);
+	public removeEntry(instance: string, incarnation: string): void {
+		const current = this.entries.get(instance);
+		const entry = current?.incarnation === incarnation ? current : this.formerEntries.get(incarnation);
 		if (entry === undefined) {
 			return;
 		}
-		this.acknowledge(entry, Infinity);
-		for (const [backend] of entry.held) {
-			this.setHeld(entry, backend, 0);
+		acknowledge(entry, Infinity, this.ledger, this.leases);
+		for (const backend of [...entry.held.keys()]) {
+			this.leases.setHeld(entry, backend, 0);
 		}
-		for (const [account] of entry.demand) {
-			this.setQueued(entry, account, 0);
-			this.accounts.get(account)?.demand.delete(instance);
+		this.removeDemand(entry);
+		this.formerEntries.delete(incarnation);
+		if (entry === current) {
+			this.entries.delete(instance);
 		}
-		this.entries.delete(instance);
 		this.allocate();
 	}
 
 	/**
-	 * Stops granting to an entry whose stream ended; its slots stay leased until {@link removeEntry}.
+	 * Stops granting to an entry whose stream ended or was replaced. Its slots stay leased until it sends a complete
+	 * report or {@link removeEntry} is called.
 	 *
 	 * @param instance name of the entry
 	 */
@@ -176,8 +161,12 @@
 			return;
 		}
 		entry.synchronised = false;
-		for (const key of entry.demand.keys()) {
-			this.setQueued(entry, key, 0);
+		entry.lostSequence = entry.sequence;
+		entry.dirty = false;
+		voidGrants(entry, (grant) => grant.sequence > entry.sequence, this.ledger, this.leases);
+		entry.nextGrants = new Map();
+		for (const demand of entry.demand.values()) {
+			this.ledger.setQueued(demand, 0);
 		}
 	}
 
@@ -195,7 +184,7 @@
 
 	/** Ends the contended state when no demand is left; called on a timer so that it does not flap. */
 	public relax(): void {
-		if (this.contended && !this.hasUnmetDemand()) {
+		if (this.contended && this.ledger.lowestUnmet() === undefined) {
 			this.contended = false;
 			this.markAll();
 		}
@@ -203,11 +192,10 @@
 
 	/** @returns entries for which {@link takeUpdate} has something to send */
 	public entriesToUpdate(): readonly string[] {
-		const floor = this.floor();
-		const quantum = this.quantum();
+		const figures = this.poolFigures();
 		const result: string[] = [];
 		for (const entry of this.entries.values()) {
-			if (entry.dirty || this.hasDrifted(entry, floor, quantum)) {
+			if (entry.dirty || (entry.synchronised && hasDrifted(entry, this.ledger, figures))) {
 				result.push(entry.instance);
 			}
 		}
@@ -223,50 +211,50 @@
 		if (entry === undefined) {
 			return undefined;
 		}
-		const floor = this.floor();
-		const quantum = this.quantum();
-		const bases = this.takeBases(entry, quantum);
-		entry.sequence++;
-		entry.sentFloor = floor;
-		entry.sentReuseLimit = floor + this.slack();
-		entry.sentContended = this.contended;
-		entry.dirty = false;
-		const update: PoolUpdate = {
-			pool: this.pool,
+		return writeUpdate(entry, this.ledger, this.poolFigures());
+	}
+
+	/** @returns figures for operators */
+	public figures(): SchedulerFigures {
+		const backlogged = [...this.ledger.backloggedAccounts];
+		const highest = backlogged.reduce((most, account) => Math.max(most, account.virtualService), -Infinity);
+		return {
 			term: this.term,
-			sequence: entry.sequence,
-			grants: toCounts(entry.nextGrants),
-			recalls: toCounts(entry.nextRecalls),
-			bases,
-			floor,
-			reuseLimit: entry.sentReuseLimit,
-			quantum,
+			rebuilding: this.rebuilding,
 			contended: this.contended,
-			reportRequested: entry.reportRequested,
+			floor: this.ledger.floor,
+			gap: backlogged.length > 0 ? highest - this.ledger.floor : 0,
+			backloggedAccounts: backlogged.length,
+			queuedRequests: backlogged.reduce((sum, account) => sum + account.queued, 0),
+			leasedSlots: this.leases.leasedTotal,
+			freeSlots: this.leases.freeTotal,
 		};
-		entry.nextGrants = new Map();
-		entry.nextRecalls = new Map();
-		entry.reportRequested = false;
-		return update;
+	}
+
+	/**
+	 * @param instance name of an entry
+	 * @returns slots that it holds as far as the scheduler knows, by backend server
+	 */
+	public heldBy(instance: string): ReadonlyMap<number, number> {
+		return this.entries.get(instance)?.held ?? new Map();
 	}
 
 	/** @returns figures for the state dump */
 	public dump(): unknown {
 		return {
-			term: this.term,
-			rebuilding: this.rebuilding,
-			contended: this.contended,
-			floor: this.floor(),
+			...this.figures(),
 			slack: this.slack(),
+			quantum: this.quantum(),
 			slotLimits: Object.fromEntries(this.limits.slotLimits),
-			leased: Object.fromEntries(this.leased),
-			entries: [...this.entries.values()].map((entry) => ({
+			leased: Object.fromEntries(this.leases.leasedSlots),
+			entries: [...this.entries.values(), ...this.formerEntries.values()].map((entry) => ({
 				instance: entry.instance,
 				incarnation: entry.incarnation,
+				synchronised: entry.synchronised,
 				held: Object.fromEntries(entry.held),
 				unacknowledgedGrants: entry.grants.length,
 			})),
-			accounts: [...this.accounts.values()].map((account) => ({
+			accounts: [...this.ledger.allAccounts()].map((account) => ({
 				key: account.key,
 				virtualService: account.virtualService,
 				granted: account.granted,
@@ -279,74 +267,34 @@
 		if (this.rebuilding) {
 			return;
 		}
+		this.leases.recallExcess(this.entries.values(), (entry) => (entry.dirty = true));
 		for (;;) {
-			const account = this.lowestUnmet();
-			if (account === undefined) {
+			const account = this.ledger.lowestUnmet();
+			const demand = account === undefined ? undefined : mostUnmet(account);
+			if (demand === undefined) {
 				return;
 			}
-			const backend = this.freestBackend();
+			const backend = this.leases.freestBackend();
 			if (backend === undefined) {
 				this.setContended();
 				return;
 			}
-			this.grant(account, backend);
+			this.grant(demand, backend);
 		}
 	}
 
-	private grant(account: AccountLedger, backend: number): void {
-		let best: string | undefined;
-		let bestUnmet = 0;
-		for (const [instance, demand] of account.demand) {
-			const unmet = demand.queued - demand.granted;
-			if (unmet > bestUnmet) {
-				best = instance;
-				bestUnmet = unmet;
-			}
-		}
-		const entry = best === undefined ? undefined : this.entries.get(best);
-		const demand = entry?.demand.get(account.key);
-		if (entry === undefined || demand === undefined) {
-			return;
+	private grant(demand: EntryDemand, backend: number): void {
+		const entry = this.entries.get(demand.instance);
+		if (entry === undefined) {
+			throw new Error(`${demand.instance} has demand but is not an entry of the pool`);
 		}
-		const expected = account.expected / this.shareOf(account.key);
-		demand.granted++;
-		account.granted += expected;
-		this.leased.set(backend, (this.leased.get(backend) ?? 0) + 1);
+		this.leases.lease(backend);
 		entry.nextGrants.set(backend, (entry.nextGrants.get(backend) ?? 0) + 1);
-		entry.grants.push({ sequence: entry.sequence + 1, account, backend, expected });
+		const charge = this.ledger.chargeGrant(demand);
+		entry.grants.push({ sequence: entry.sequence + 1, demand, backend, charge });
 		entry.dirty = true;
 	}
 
-	private lowestUnmet(): AccountLedger | undefined {
-		let best: AccountLedger | undefined;
-		let bestService = Infinity;
-		for (const account of this.backlogged) {
-			const service = account.virtualService + account.granted;
-			if (service < bestService && hasUnmet(account)) {
-				best = account;
-				bestService = service;
-			}
-		}
-		return best;
-	}
-
-	private hasUnmetDemand(): boolean {
-		return this.lowestUnmet() !== undefined;
-	}
-
-	private freestBackend(): number | undefined {
-		let best: number | undefined;
-		let bestRatio = 0;
-		for (const [backend, limit] of this.limits.slotLimits) {
-			const ratio = limit > 0 ? (limit - (this.leased.get(backend) ?? 0)) / limit : 0;
-			if (ratio > bestRatio) {
-				best = backend;
-				bestRatio = ratio;
-			}
-		}
-		return best;
-	}
-
 	private setContended(): void {
 		if (!this.contended) {
 			this.contended = true;
@@ -356,194 +304,28 @@
 
 	private markAll(): void {
 		for (const entry of this.entries.values()) {
-			entry.dirty = true;
+			entry.dirty ||= entry.synchronised;
 		}
 	}
 
-	private recallExcess(): void {
-		for (const [backend, leased] of this.leased) {
-			let excess = leased - (this.limits.slotLimits.get(backend) ?? 0);
-			for (const entry of this.entries.values()) {
-				excess -= entry.recalls.get(backend) ?? 0;
-			}
-			for (const entry of this.entries.values()) {
-				const available = (entry.held.get(backend) ?? 0) - (entry.recalls.get(backend) ?? 0);
-				const count = Math.min(excess, available);
-				if (count > 0) {
-					entry.recalls.set(backend, (entry.recalls.get(backend) ?? 0) + count);
-					entry.nextRecalls.set(backend, (entry.nextRecalls.get(backend) ?? 0) + count);
-					entry.dirty = true;
-					excess -= count;
-				}
-			}
+	private removeDemand(entry: EntryRecord): void {
+		for (const demand of entry.demand.values()) {
+			this.ledger.removeDemand(demand);
 		}
+		entry.demand.clear();
 	}
 
-	private acknowledge(entry: EntryRecord, sequence: number): void {
-		const open: PendingGrant[] = [];
-		for (const grant of entry.grants) {
-			if (grant.sequence > sequence) {
-				open.push(grant);
-				continue;
-			}
-			grant.account.granted -= grant.expected;
-			const demand = entry.demand.get(grant.account.key);
-			if (demand !== undefined) {
-				demand.granted--;
-			}
-			// A report that acknowledges a grant also carries the held count when it changed, so the grant is moved there.
-			this.setHeld(entry, grant.backend, (entry.held.get(grant.backend) ?? 0) + 1, true);
-		}
-		entry.grants = open;
-	}
-
-	private setHeld(entry: EntryRecord, backend: number, held: number, alreadyLeased = false): void {
-		const before = entry.held.get(backend) ?? 0;
-		if (!alreadyLeased) {
-			this.leased.set(backend, (this.leased.get(backend) ?? 0) + held - before);
-		}
-		const recalled = entry.recalls.get(backend) ?? 0;
-		if (held < before && recalled > 0) {
-			entry.recalls.set(backend, Math.max(0, recalled - (before - held)));
-		}
-		if (held === 0) {
-			entry.held.delete(backend);
-			entry.recalls.delete(backend);
-			return;
-		}
-		entry.held.set(backend, held);
-	}
-
-	private applyDemand(entry: EntryRecord, report: AccountDemand, complete: boolean): void {
-		const account = this.accountOf(report.account);
-		const share = this.shareOf(report.account);
-		const known = entry.demand.get(report.account);
-		const demand = known ?? { queued: 0, granted: 0, charged: report.charged, sentBase: undefined };
-		if (known === undefined) {
-			entry.demand.set(report.account, demand);
-			account.demand.set(entry.instance, demand);
-			if (complete) {
-				account.virtualService = Math.max(account.virtualService, report.virtualService);
-			} else {
-				account.virtualService += report.charged / share;
-			}
-		} else {
-			account.virtualService += (report.charged - demand.charged) / share;
-		}
-		demand.charged = report.charged;
-		account.expected = report.expected;
-		this.setQueued(entry, report.account, report.queued);
-	}
-
-	private setQueued(entry: EntryRecord, key: number, queued: number): void {
-		const account = this.accountOf(key);
-		const demand = entry.demand.get(key);
-		if (demand === undefined) {
-			return;
-		}
-		account.queued += queued - demand.queued;
-		demand.queued = queued;
-		if (account.queued === 0) {
-			this.virtualTime = Math.max(this.virtualTime, this.floor());
-			this.backlogged.delete(account);
-			return;
-		}
-		if (!this.backlogged.has(account)) {
-			// Idle time earns no credit: a newly backlogged account starts at the floor.
-			account.virtualService = Math.max(account.virtualService, this.floor());
-			this.backlogged.add(account);
-		}
-	}
-
-	private floor(): number {
-		let floor = Infinity;
-		for (const account of this.backlogged) {
-			floor = Math.min(floor, account.virtualService);
-		}
-		return Number.isFinite(floor) ? floor : this.virtualTime;
-	}
-
-	/** Mean normalised cost of the backlogged accounts' requests. */
-	private meanCost(): number {
-		let sum = 0;
-		for (const account of this.backlogged) {
-			sum += account.expected / this.shareOf(account.key);
-		}
-		return this.backlogged.size > 0 ? sum / this.backlogged.size : 0;
+	private poolFigures(): PoolFigures {
+		const { pool, term, contended } = this;
+		return { pool, term, contended, slack: this.slack(), quantum: this.quantum() };
 	}
 
 	private slack(): number {
-		return this.limits.slack * this.meanCost();
+		return this.limits.slack * this.ledger.meanCost();
 	}
 
 	private quantum(): number {
-		return Math.max(this.limits.slack, MINIMUM_QUANTUM_SLACK) * this.meanCost() * QUANTUM_FRACTION;
-	}
-
-	private hasDrifted(entry: EntryRecord, floor: number, quantum: number): boolean {
-		if (Math.abs(floor - entry.sentFloor) > quantum) {
-			return true;
-		}
-		for (const [key, demand] of entry.demand) {
-			if (demand.queued > 0 && this.baseDrift(key, demand) > quantum) {
-				return true;
-			}
-		}
-		return false;
-	}
-
-	private baseDrift(key: number, demand: EntryDemand): number {
-		return demand.sentBase === undefined ? Infinity : Math.abs(this.baseOf(key, demand) - demand.sentBase);
-	}
-
-	private baseOf(key: number, demand: EntryDemand): number {
-		return this.accountOf(key).virtualService - demand.charged / this.shareOf(key);
-	}
-
-	private takeBases(entry: EntryRecord, quantum: number): PoolUpdate['bases'] {
-		const bases: PoolUpdate['bases'] = [];
-		for (const [key, demand] of entry.demand) {
-			if (this.baseDrift(key, demand) > quantum) {
-				demand.sentBase = this.baseOf(key, demand);
-				bases.push({ account: key, base: demand.sentBase });
-			}
-		}
-		return bases;
-	}
-
-	private shareOf(key: number): number {
-		return this.limits.shareOf(key) ?? 1;
-	}
-
-	private accountOf(key: number): AccountLedger {
-		let account = this.accounts.get(key);
-		if (account === undefined) {
-			account = { key, virtualService: 0, granted: 0, expected: 0, queued: 0, demand: new Map() };
-			this.accounts.set(key, account);
-		}
-		return account;
-	}
-
-	private addEntry(instance: string, incarnation: string): EntryRecord {
-		const entry: EntryRecord = {
-			instance,
-			incarnation,
-			sequence: 0,
-			held: new Map(),
-			demand: new Map(),
-			grants: [],
-			recalls: new Map(),
-			nextGrants: new Map(),
-			nextRecalls: new Map(),
-			sentFloor: 0,
-			sentReuseLimit: 0,
-			sentContended: false,
-			reportRequested: false,
-			synchronised: false,
-			dirty: true,
-		};
-		this.entries.set(instance, entry);
-		return entry;
+		return Math.max(this.limits.slack, MINIMUM_QUANTUM_SLACK) * this.ledger.meanCost() * QUANTUM_FRACTION;
 	}
 
 	private entryOf(instance: string, incarnation: string): EntryRecord {
@@ -551,36 +333,37 @@
 		if (entry?.incarnation === incarnation) {
 			return entry;
 		}
-		this.removeEntry(instance);
-		return this.addEntry(instance, incarnation);
+		if (entry !== undefined) {
+			this.suspendEntry(instance);
+			this.removeDemand(entry);
+			this.formerEntries.set(entry.incarnation, entry);
+		}
+		const added = createEntryRecord(instance, incarnation);
+		this.entries.set(instance, added);
+		return added;
 	}
 
-	/** A complete report lists everything, so what it leaves out is zero. */
-	private clearEntry(entry: EntryRecord, report: PoolReport): void {
+	/** A complete report lists everything, so what it leaves out is zero, and the entry knows nothing but its slots. */
+	private resetEntry(entry: EntryRecord, report: PoolReport): void {
+		entry.synchronised = true;
+		entry.dirty = true;
+		voidGrants(entry, (grant) => grant.sequence <= entry.lostSequence, this.ledger, this.leases);
+		entry.recalls.clear();
+		entry.nextRecalls = new Map();
+		entry.sentSlack = undefined;
+		entry.sentQuantum = undefined;
 		const listed = new Set(report.slots.map((slot) => slot.backend));
 		for (const backend of [...entry.held.keys()]) {
 			if (!listed.has(backend)) {
-				this.setHeld(entry, backend, 0);
+				this.leases.setHeld(entry, backend, 0);
 			}
 		}
 		const accounts = new Set(report.accounts.map((demand) => demand.account));
-		for (const key of entry.demand.keys()) {
+		for (const [key, demand] of entry.demand) {
+			demand.sent = undefined;
 			if (!accounts.has(key)) {
-				this.setQueued(entry, key, 0);
+				this.ledger.setQueued(demand, 0);
 			}
 		}
 	}
 }
-
-function hasUnmet(account: AccountLedger): boolean {
-	for (const demand of account.demand.values()) {
-		if (demand.queued > demand.granted) {
-			return true;
-		}
-	}
-	return false;
-}
-
-function toCounts(counts: ReadonlyMap<number, number>): { backend: number; count: number }[] {
-	return [...counts].map(([backend, count]) => ({ backend, count }));
-}
--- /dev/null
+++ b/src/scheduling/common/serviceLedger.ts
@@ -0,0 +1,240 @@
+import type { AccountDemand } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import { START_CHARGE } from './charge.js';
+
+/** Service and demand of one client account in the pool. */
+export interface AccountLedger {
+	readonly key: number;
+	virtualService: number;
+	/** Normalised start charge of granted requests that no report has acknowledged. */
+	granted: number;
+	/** Expected cost of the next request, in cost units. */
+	expected: number;
+	queued: number;
+	/** Demand by the name of the entry. */
+	readonly demand: Map<string, EntryDemand>;
+}
+
+/** Demand of one account at one entry. */
+export interface EntryDemand {
+	readonly account: AccountLedger;
+	readonly instance: string;
+	queued: number;
+	/** The entry runs requests of the account, so it may reuse their slots even when none was queued. */
+	running: boolean;
+	/** Grants that no report has acknowledged. */
+	granted: number;
+	/** Charged service in the last report, in cost units. */
+	charged: number;
+	/** What the entry was last told; undefined when it was told nothing. */
+	sent: SentBase | undefined;
+}
+
+/** The view of an account's virtual service that an entry was given. */
+export interface SentBase {
+	/** Virtual service without the entry's own part. */
+	readonly base: number;
+	/** Virtual service above the floor. */
+	readonly excess: number;
+}
+
+/**
+ * Virtual service of every client account, and who queues work of it. The floor is the lowest virtual service of any
+ * backlogged account.
+ */
+export class ServiceLedger {
+	private readonly accounts = new Map<number, AccountLedger>();
+	private readonly backlogged = new Set<AccountLedger>();
+	private virtualTime = 0;
+	private cachedFloor: number | undefined;
+
+	private constructor(private shares: (account: number) => number | undefined) {}
+
+	/**
+	 * @param shareOf share by short key of the account
+	 * @returns a ledger without accounts
+	 */
+	public static create(shareOf: (account: number) => number | undefined): ServiceLedger {
+		return new ServiceLedger(shareOf);
+	}
+
+	/** Accounts with queued requests. */
+	public get backloggedAccounts(): ReadonlySet<AccountLedger> {
+		return this.backlogged;
+	}
+
+	/** Lowest virtual service of any backlogged account; the last such value when none is backlogged. */
+	public get floor(): number {
+		this.cachedFloor ??= this.computeFloor();
+		return this.cachedFloor;
+	}
+
+	/** @returns all accounts that were ever reported */
+	public allAccounts(): IterableIterator<AccountLedger> {
+		return this.accounts.values();
+	}
+
+	/** @param shareOf share by short key of the account */
+	public setShares(shareOf: (account: number) => number | undefined): void {
+		this.shares = shareOf;
+	}
+
+	/**
+	 * @param key short key of the account
+	 * @returns its share; 1 when it is not known
+	 */
+	public shareOf(key: number): number {
+		return this.shares(key) ?? 1;
+	}
+
+	/** @returns mean normalised cost of the backlogged accounts' requests */
+	public meanCost(): number {
+		let sum = 0;
+		for (const account of this.backlogged) {
+			sum += account.expected / this.shareOf(account.key);
+		}
+		return this.backlogged.size > 0 ? sum / this.backlogged.size : 0;
+	}
+
+	/**
+	 * Counts the service and the demand in a report.
+	 *
+	 * @param instance name of the entry
+	 * @param known demand of the same entry and account before, when there was any
+	 * @param report figures of the account
+	 * @param complete whether the report is a complete one
+	 * @returns the demand
+	 */
+	public apply(
+		instance: string,
+		known: EntryDemand | undefined,
+		report: AccountDemand,
+		complete: boolean,
+	): EntryDemand {
+		const account = this.accountOf(report.account);
+		const demand = known ?? this.addDemand(account, instance, complete ? report : undefined);
+		account.virtualService += (report.charged - demand.charged) / this.shareOf(account.key);
+		demand.charged = report.charged;
+		demand.running = report.running;
+		account.expected = report.expected ?? account.expected;
+		this.cachedFloor = undefined;
+		this.setQueued(demand, report.queued);
+		return demand;
+	}
+
+	/**
+	 * @param demand demand of an account at an entry
+	 * @param queued requests that wait there
+	 */
+	public setQueued(demand: EntryDemand, queued: number): void {
+		const { account } = demand;
+		const floor = this.floor;
+		account.queued += queued - demand.queued;
+		demand.queued = queued;
+		if (account.queued === 0) {
+			// The time of the pool never runs backwards, also while nobody waits.
+			this.virtualTime = Math.max(this.virtualTime, floor);
+			this.backlogged.delete(account);
+		} else if (!this.backlogged.has(account)) {
+			// Idle time earns no credit: a newly backlogged account starts at the floor.
+			account.virtualService = Math.max(account.virtualService, floor);
+			this.backlogged.add(account);
+		}
+		this.cachedFloor = undefined;
+	}
+
+	/**
+	 * Forgets the demand of a lost entry; the service that it reported still counts.
+	 *
+	 * @param demand demand of an account at an entry
+	 */
+	public removeDemand(demand: EntryDemand): void {
+		this.setQueued(demand, 0);
+		if (demand.account.demand.get(demand.instance) === demand) {
+			demand.account.demand.delete(demand.instance);
+		}
+	}
+
+	/**
+	 * Counts a grant until a report acknowledges it.
+	 *
+	 * @param demand demand that gets a slot
+	 * @returns the normalised charge
+	 */
+	public chargeGrant(demand: EntryDemand): number {
+		const charge = (START_CHARGE * demand.account.expected) / this.shareOf(demand.account.key);
+		demand.granted++;
+		demand.account.granted += charge;
+		return charge;
+	}
+
+	/**
+	 * Ends the charge of a grant that was acknowledged or is void.
+	 *
+	 * @param demand demand that got the slot
+	 * @param charge result of {@link chargeGrant}
+	 */
+	public settleGrant(demand: EntryDemand, charge: number): void {
+		demand.granted--;
+		demand.account.granted -= charge;
+	}
+
+	/** @returns the account with the lowest virtual service among those with demand that no grant covers */
+	public lowestUnmet(): AccountLedger | undefined {
+		let best: AccountLedger | undefined;
+		let bestService = Infinity;
+		for (const account of this.backlogged) {
+			const service = account.virtualService + account.granted;
+			if (service < bestService && mostUnmet(account) !== undefined) {
+				best = account;
+				bestService = service;
+			}
+		}
+		return best;
+	}
+
+	private addDemand(account: AccountLedger, instance: string, complete: AccountDemand | undefined): EntryDemand {
+		const charged = complete?.charged ?? 0;
+		const demand: EntryDemand = { account, instance, queued: 0, running: false, granted: 0, charged, sent: undefined };
+		account.demand.set(instance, demand);
+		if (complete !== undefined) {
+			// The entry may come from another scheduler, whose floor differs. Taking its distance from the floor in place of
+			// its value bounds how long the accounts of the two sides of a partition are treated unequally after the rejoin.
+			account.virtualService = Math.max(account.virtualService, this.floor + complete.excess);
+		}
+		return demand;
+	}
+
+	private computeFloor(): number {
+		let floor = Infinity;
+		for (const account of this.backlogged) {
+			floor = Math.min(floor, account.virtualService);
+		}
+		return Number.isFinite(floor) ? floor : this.virtualTime;
+	}
+
+	private accountOf(key: number): AccountLedger {
+		let account = this.accounts.get(key);
+		if (account === undefined) {
+			account = { key, virtualService: 0, granted: 0, expected: 0, queued: 0, demand: new Map() };
+			this.accounts.set(key, account);
+		}
+		return account;
+	}
+}
+
+/**
+ * @param account a backlogged account
+ * @returns its demand at the entry where most requests wait that no grant covers
+ */
+export function mostUnmet(account: AccountLedger): EntryDemand | undefined {
+	let best: EntryDemand | undefined;
+	let bestUnmet = 0;
+	for (const demand of account.demand.values()) {
+		const unmet = demand.queued - demand.granted;
+		if (unmet > bestUnmet) {
+			best = demand;
+			bestUnmet = unmet;
+		}
+	}
+	return best;
+}
--- a/src/scheduling/node/slotService.ts
+++ b/src/scheduling/node/slotService.ts
@@ -2,52 +2,22 @@
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import { logOf } from '../../base/node/log.js';
-import type { IConfigurationService } from '../../configuration/common/configurationService.js';
 import type { Configuration, Pool } from '../../configuration/common/model.js';
-import type { IMembershipService } from '../../membership/common/membershipService.js';
 import type { PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
-import type { IPeerNetwork, PeerMessage, PeerStatus } from '../../peers/common/peerNetwork.js';
+import type { PeerMessage, PeerStatus } from '../../peers/common/peerNetwork.js';
 import { type PendingRequest, PoolEntry, type SlotLease, type Urgency } from '../common/poolEntry.js';
 import { type PoolLimits, PoolScheduler } from '../common/poolScheduler.js';
 import type { ISlotService, Slot, SlotRequest } from '../common/slotService.js';
-
-/** Changes that are not urgent are reported after this time, together. */
-const LAZY_REPORT_MS = 10;
-
-/** The scheduler looks for drifted floors and bases, and for the end of contention, this often. */
-const SCHEDULER_TICK_MS = 10;
-const RELAX_INTERVAL_MS = 50;
+import { LAZY_REPORT_MS, RELAX_INTERVAL_MS, SCHEDULER_TICK_MS } from '../common/timing.js';
+import { computeLimits } from './limits.js';
+import { LostEntries } from './lostEntries.js';
+import type { PoolFigures, SlotServiceOptions } from './slotServiceOptions.js';
 
 /** A new scheduler waits this long for complete reports. */
 const REBUILD_LIMIT_MS = 300;
 
-/** Slots of a lost entry stay leased this long, since its requests may still be ending on the backend servers. */
-const LOST_ENTRY_GRACE_MS = 1_000;
-
 const log = logOf('scheduling');
 
-/** Identity of this router. */
-export interface LocalEntry {
-	readonly instance: string;
-	readonly incarnation: string;
-}
-
-/** What the slot service is built from. */
-export interface SlotServiceOptions {
-	readonly local: LocalEntry;
-	readonly configuration: IConfigurationService;
-	readonly membership: IMembershipService;
-	readonly network: IPeerNetwork;
-	/**
-	 * @param backendServer identifier in the configuration
-	 * @param configured its slots in the configuration
-	 * @returns requests it may have in progress now
-	 */
-	readonly slotLimit: (backendServer: string, configured: number) => number;
-	/** @param backendServer server that an entry saw fail */
-	readonly onBackendFailure: (backendServer: string) => void;
-}
-
 interface PoolState {
 	readonly id: string;
 	readonly key: number;
@@ -58,6 +28,7 @@
 	reportPending: boolean;
 	lazyTimer: NodeJS.Timeout | undefined;
 	flushPending: boolean;
+	contendedMs: number;
 }
 
 /** Runs the entry part of every pool, and the scheduler of those pools that this router owns. */
@@ -65,17 +36,26 @@
 	private readonly pools = new Map<number, PoolState>();
 	private readonly backendNames = new Map<number, string>();
 	private readonly accountShares = new Map<number, number>();
-	private readonly lostEntries = new Map<string, NodeJS.Timeout>();
+	private readonly lostEntries: LostEntries;
+	private leaving = false;
 
 	private constructor(private readonly options: SlotServiceOptions) {
 		super();
 		const { configuration, membership, network } = options;
+		this.lostEntries = this.register(
+			LostEntries.create({
+				onSuspend: (instance) => this.eachScheduler((scheduler) => scheduler.suspendEntry(instance)),
+				onRemove: (instance, incarnation) =>
+					this.eachScheduler((scheduler) => scheduler.removeEntry(instance, incarnation)),
+			}),
+		);
 		this.register(configuration.onDidChange((current) => this.applyConfiguration(current)));
 		this.register(membership.onDidChange(() => this.placeSchedulers()));
 		this.register(network.onDidReceive((message) => this.receive(message)));
 		this.register(network.onDidChangePeer((peer) => this.followPeer(peer)));
 		const tick = setInterval(() => this.tick(), SCHEDULER_TICK_MS);
 		const relax = setInterval(() => this.relax(), RELAX_INTERVAL_MS);
+		this.register(toDisposable(() => this.pools.forEach((pool) => clearTimeout(pool.lazyTimer))));
 		this.register(toDisposable(() => clearInterval(tick)));
 		this.register(toDisposable(() => clearInterval(relax)));
 		if (configuration.current !== undefined) {
@@ -106,7 +86,11 @@
 					lease = granted;
 					resume(Effect.succeed(this.toSlot(granted)));
 				};
-				const pending: PendingRequest = { expectedCost: account.estimate.expect(request.costHint), start };
+				const pending: PendingRequest = {
+					service: request.service,
+					expectedCost: entry.queue.estimateOf(account, request.service).expect(request.costHint),
+					start,
+				};
 				entry.submit(account, pending);
 				return Effect.sync(() => entry.cancel(account, pending));
 			});
@@ -127,6 +111,25 @@
 		}
 	}
 
+	/** Keeps no idle slots from now on, since this router is shutting down. */
+	public leave(): void {
+		this.leaving = true;
+		for (const pool of this.pools.values()) {
+			pool.entry.leave();
+		}
+	}
+
+	/** @returns figures of every pool, for metrics */
+	public figures(): readonly PoolFigures[] {
+		return [...this.pools.values()].map((pool) => ({
+			pool: pool.id,
+			schedulerInstance: pool.schedulerInstance,
+			entry: pool.entry.figures(),
+			scheduler: pool.scheduler?.figures(),
+			contendedMs: pool.contendedMs,
+		}));
+	}
+
 	/** @returns figures for the state dump */
 	public dump(): unknown {
 		return [...this.pools.values()].map((pool) => ({
@@ -175,25 +178,19 @@
 			reportPending: false,
 			lazyTimer: undefined,
 			flushPending: false,
+			contendedMs: 0,
 		};
+		if (this.leaving) {
+			state.entry.leave();
+		}
 		this.pools.set(key, state);
 	}
 
 	private limitsOf(poolId: string): PoolLimits {
-		const configuration = this.options.configuration.current;
-		const pool = configuration?.pools.find((item) => item.id === poolId);
-		const slotLimits = new Map<number, number>();
-		const live = this.options.membership.liveRouters().length;
-		// Both sides of a partition lease out their proportion, so that together they respect the slot limits.
-		const proportion = live / (live + this.options.membership.silentRouters());
-		for (const server of configuration?.backendServers ?? []) {
-			if (server.pool !== poolId) {
-				continue;
-			}
-			const limit = this.options.slotLimit(server.id, server.slots);
-			slotLimits.set(shortKey(server.id), limit > 0 ? Math.max(1, Math.floor(limit * proportion)) : 0);
-		}
-		return { slack: pool?.slack ?? 0, slotLimits, shareOf: (account) => this.accountShares.get(account) };
+		const { configuration, membership, slotLimit } = this.options;
+		const shareOf = (account: number): number | undefined => this.accountShares.get(account);
+		const live = membership.liveRouters().length;
+		return computeLimits(configuration.current, poolId, slotLimit, live / (live + membership.silentRouters()), shareOf);
 	}
 
 	private placeSchedulers(): void {
@@ -221,8 +218,9 @@
 		const scheduler = PoolScheduler.create(pool.key, pool.highestTerm, this.limitsOf(pool.id));
 		pool.scheduler = scheduler;
 		log.info(`This router schedules pool ${pool.id} in term ${scheduler.term}.`);
-		for (const router of this.options.membership.liveRouters()) {
-			scheduler.requestReport(router.instance, router.incarnation);
+		const { local, network } = this.options;
+		for (const peer of [local, ...network.peers().filter(({ state }) => state === 'connected')]) {
+			scheduler.requestReport(peer.instance, peer.incarnation);
 		}
 		setTimeout(() => this.finishRebuild(pool, scheduler), REBUILD_LIMIT_MS);
 		this.flushUpdates(pool);
@@ -236,30 +234,23 @@
 	}
 
 	private followPeer(peer: PeerStatus): void {
-		const timer = this.lostEntries.get(peer.instance);
-		clearTimeout(timer);
-		this.lostEntries.delete(peer.instance);
+		this.lostEntries.follow(peer);
+		if (peer.state !== 'connected') {
+			return;
+		}
 		for (const pool of this.pools.values()) {
-			if (peer.state === 'connected') {
-				if (pool.schedulerInstance === peer.instance) {
-					pool.entry.requestCompleteReport();
-				}
-			} else {
-				pool.scheduler?.suspendEntry(peer.instance);
+			if (pool.schedulerInstance === peer.instance) {
+				pool.entry.requestCompleteReport();
 			}
 		}
-		if (peer.state === 'connected') {
-			return;
-		}
-		const remove = (): void => this.removeEntry(peer.instance);
-		this.lostEntries.set(peer.instance, setTimeout(remove, LOST_ENTRY_GRACE_MS));
 	}
 
-	private removeEntry(instance: string): void {
-		this.lostEntries.delete(instance);
+	private eachScheduler(change: (scheduler: PoolScheduler) => void): void {
 		for (const pool of this.pools.values()) {
-			pool.scheduler?.removeEntry(instance);
-			this.flushUpdates(pool);
+			if (pool.scheduler !== undefined) {
+				change(pool.scheduler);
+				this.flushUpdates(pool);
+			}
 		}
 	}
 
@@ -299,8 +290,11 @@
 	}
 
 	private hasAllReports(scheduler: PoolScheduler): boolean {
+		const { local, network } = this.options;
 		const reported = scheduler.reportedEntries();
-		return this.options.membership.liveRouters().every((router) => reported.has(router.instance));
+		// Routers that are leaving take no role, but they still hold slots.
+		const connected = network.peers().filter((peer) => peer.state === 'connected');
+		return [local, ...connected].every(({ instance }) => reported.has(instance));
 	}
 
 	private handleUpdate(instance: string, update: PoolUpdate): void {
@@ -309,8 +303,9 @@
 			return;
 		}
 		pool.highestTerm = Math.max(pool.highestTerm, update.term);
-		if (instance === pool.schedulerInstance) {
-			pool.entry.applyUpdate(update);
+		if (instance === pool.schedulerInstance && !pool.entry.applyUpdate(update)) {
+			// The scheduler does not know of a higher term, such as after a restart. The report tells it.
+			pool.entry.requestCompleteReport();
 		}
 	}
 
@@ -348,7 +343,10 @@
 
 	private relax(): void {
 		for (const pool of this.pools.values()) {
-			pool.scheduler?.relax();
+			if (pool.scheduler?.isContended === true) {
+				pool.contendedMs += RELAX_INTERVAL_MS;
+				pool.scheduler.relax();
+			}
 		}
 	}
 
