--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,5 +1,5 @@
-import { Effect, type Scope } from 'effect';
-import { type HttpServerFactory, serveAdmin } from '../../admin/node/adminServer.js';
+import { Effect, Result, type Scope } from 'effect';
+import { type AdminSources, type HttpServerFactory, serveAdmin } from '../../admin/node/adminServer.js';
 import { createTlsServerFactory } from '../../admin/node/tlsServer.js';
 import { DisposableStore } from '../../base/common/lifecycle.js';
 import { logOf } from '../../base/node/log.js';
@@ -15,14 +15,26 @@
 
 const log = logOf('daemon');
 
+/** Addresses in use, with the ports that the system chose. */
+export interface Listening {
+	readonly callers: SocketAddress;
+	readonly peers: SocketAddress;
+	readonly admin: SocketAddress;
+}
+
 /**
  * Runs a router from its start until it has left.
  *
  * @param startUp checked settings and certificates
  * @param signals when to leave
+ * @param onDidListen called when all addresses are in use
  * @returns how the shutdown ended; fails with one line per address that cannot be used
  */
-export function runDaemon(startUp: StartUp, signals: EndSignals): Effect.Effect<ShutdownResult, readonly string[]> {
+export function runDaemon(
+	startUp: StartUp,
+	signals: EndSignals,
+	onDidListen: (listening: Listening) => void = () => undefined,
+): Effect.Effect<ShutdownResult, readonly string[]> {
 	return Effect.scoped(
 		Effect.gen(function* () {
 			const owner = yield* Effect.acquireRelease(
@@ -31,7 +43,7 @@
 			);
 			const parts = createParts(startUp, owner);
 			const state = { leaving: false };
-			yield* listenEverywhere(startUp, parts, () => state.leaving);
+			onDidListen(yield* listenEverywhere(startUp, parts, () => state.leaving));
 			parts.membership.start();
 			yield* Effect.forkScoped(parts.follower.run());
 			if (startUp.certificates !== undefined) {
@@ -48,50 +60,55 @@
 	);
 }
 
+/** Tries all addresses even when one fails, so that every fault is listed. */
 function listenEverywhere(
 	{ settings, certificates }: StartUp,
 	parts: RouterParts,
 	isLeaving: () => boolean,
-): Effect.Effect<void, readonly string[], Scope.Scope> {
+): Effect.Effect<Listening, readonly string[], Scope.Scope> {
 	const { callers, peers, admin } = settings;
 	const createServer: HttpServerFactory | undefined = certificates && createTlsServerFactory(certificates);
 	const sources = createAdminSources(settings, parts, certificates, isLeaving);
-	// The admin address comes first, so that readiness can be asked for during the rest of the start.
-	const attempts = [
-		serveAdmin(admin.address, sources, createServer).pipe(
-			Effect.tap((address) => Effect.sync(() => log.info(`The admin address is ${formatAddress(address)}.`))),
-			Effect.mapError(({ message }) => message),
-		),
-		listen('peer', peers.address, () => parts.network.listen()),
-		listen('caller', callers.address, () => parts.callers.listen(callers.address.host, callers.address.port)),
-	];
 	return Effect.gen(function* () {
-		const faults: string[] = [];
-		for (const attempt of attempts) {
-			const result = yield* Effect.result(attempt);
-			if (result._tag === 'Failure') {
-				faults.push(result.failure);
-			}
-		}
-		if (faults.length > 0) {
-			return yield* Effect.fail(faults);
-		}
+		// The admin address comes first, so that readiness can be asked for during the rest of the start.
+		const results = {
+			admin: yield* Effect.result(openAdmin(admin.address, sources, createServer)),
+			peers: yield* Effect.result(open('peer', peers.address, () => parts.network.listen())),
+			callers: yield* Effect.result(
+				open('caller', callers.address, ({ host, port }) => parts.callers.listen(host, port)),
+			),
+		};
+		const faults = Object.values(results).flatMap((result) => (Result.isFailure(result) ? [result.failure] : []));
+		return yield* Effect.fromResult(Result.mapError(Result.all(results), () => faults));
 	});
 }
 
-function listen(
+function openAdmin(
+	address: SocketAddress,
+	sources: AdminSources,
+	createServer: HttpServerFactory | undefined,
+): Effect.Effect<SocketAddress, string, Scope.Scope> {
+	return serveAdmin(address, sources, createServer).pipe(
+		Effect.tap((used) => Effect.sync(() => log.info(`The admin address is ${formatAddress(used)}.`))),
+		Effect.mapError(({ message }) => message),
+	);
+}
+
+function open(
 	name: string,
 	address: SocketAddress,
-	open: () => Promise<number>,
+	listen: (address: SocketAddress) => Promise<number>,
 ): Effect.Effect<SocketAddress, string> {
 	return Effect.tryPromise({
 		try: async () => {
-			const port = await open();
-			log.info(`The ${name} address is ${formatAddress({ ...address, port })}.`);
-			return { ...address, port };
+			const used = { ...address, port: await listen(address) };
+			log.info(`The ${name} address is ${formatAddress(used)}.`);
+			return used;
+		},
+		catch: (error) => {
+			const reason = error instanceof Error ? error.message : String(error);
+			return `cannot listen on the ${name} address ${formatAddress(address)}: ${reason}`;
 		},
-		catch: (error) =>
-			`cannot listen on the ${name} address ${formatAddress(address)}: ${error instanceof Error ? error.message : String(error)}`,
 	});
 }
 
--- /dev/null
+++ b/src/daemon/test/daemon.test.ts
@@ -0,0 +1,177 @@
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, test } from '@jest/globals';
+import * as grpc from '@grpc/grpc-js';
+import { Effect } from 'effect';
+import type { PlatformStandIn } from '../../../standins/platform/platformStandIn.js';
+import { PeerServiceClient } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import { CertificateStore } from '../../peers/node/certificateStore.js';
+import {
+	type CertificateFolder,
+	type KeyPair,
+	makeAuthority,
+	makeCertificate,
+	makeCertificateFolder,
+} from '../../peers/test/certificates.js';
+import { formatAddress } from '../../settings/common/settings.js';
+import { runDaemon } from '../node/daemon.js';
+import { prepareStart } from '../node/startUp.js';
+import {
+	type HeldBackend,
+	type RunningRouter,
+	sampleSettings,
+	startHeldBackend,
+	startPlatform,
+	startRouter,
+	until,
+} from './routerFixture.js';
+
+let backend: HeldBackend;
+let platform: PlatformStandIn;
+
+beforeEach(async () => {
+	backend = await startHeldBackend();
+	platform = await startPlatform(backend.url);
+});
+
+afterEach(async () => {
+	backend.close();
+	await platform.close();
+});
+
+async function startReady(): Promise<RunningRouter> {
+	const router = await startRouter({ settings: sampleSettings(platform), certificates: undefined });
+	await until(async () => (await router.ask('/readyz')).status === 200);
+	return router;
+}
+
+describe('shutdown of a router', () => {
+	// Guards against a shutdown that cuts off an answer in progress, and against a balancer that still sends callers.
+	test('answers the request in progress whole, and nothing new', async () => {
+		const router = await startReady();
+		const answer = router.call();
+		await backend.reached;
+		router.signal();
+		await until(async () => (await router.ask('/readyz')).status === 503);
+		await until(() =>
+			router.call().then(
+				() => false,
+				() => true,
+			),
+		);
+		backend.release();
+		expect(await (await answer).text()).toBe('first last');
+		expect(await router.result).toEqual({ end: 'drained', cut: 0 });
+	});
+
+	// Guards against a router that an operator cannot end, and against a caller that is not told that its call may have run.
+	test('answers the request in progress with its verdict at the second signal', async () => {
+		const router = await startReady();
+		const call = router.call();
+		await backend.reached;
+		router.signal();
+		router.signal();
+		const answer = await call;
+		expect([answer.status, answer.headers.get('masticloom-verdict')]).toEqual([502, 'may-have-run']);
+		expect(await router.result).toEqual({ end: 'second-signal', cut: 1 });
+	});
+
+	// Guards against half an answer that looks whole.
+	test('breaks off an answer that has begun at the second signal', async () => {
+		const router = await startReady();
+		const answer = await router.call('long');
+		const broken = expect(answer.text()).rejects.toThrow();
+		router.signal();
+		router.signal();
+		await broken;
+		expect(await router.result).toEqual({ end: 'second-signal', cut: 1 });
+	});
+});
+
+describe('start of a router', () => {
+	// Guards against traffic before the router knows accounts, services and peers.
+	test('is not ready while the platform cannot be read', async () => {
+		const unreachable = { storeUrl: 'http://127.0.0.1:1', instanceListUrl: 'http://127.0.0.1:1/instances' };
+		const router = await startRouter({ settings: sampleSettings(unreachable), certificates: undefined });
+		const readiness = await router.ask('/readyz');
+		expect(readiness.status).toBe(503);
+		expect(readiness.text).toContain('no configuration is in force');
+		expect(readiness.text).toContain('the instance list was not read');
+		router.signal();
+		await router.result;
+	});
+
+	// Guards against a start that goes on with one address missing, and against reporting only the first one.
+	test('fails with every address that is in use', async () => {
+		const other = http.createServer();
+		await new Promise<void>((resolve) => other.listen(0, '127.0.0.1', () => resolve()));
+		const address = { host: '127.0.0.1', port: (other.address() as AddressInfo).port };
+		const settings = { ...sampleSettings(platform), callers: { address }, peers: { address }, admin: { address } };
+		const signals = { first: Effect.never, second: Effect.never };
+		const faults = await Effect.runPromise(Effect.flip(runDaemon({ settings, certificates: undefined }, signals)));
+		expect(faults.map((fault) => /the (\w+) address/.exec(fault)?.[1])).toEqual(['admin', 'peer', 'caller']);
+		other.close();
+	});
+
+	// Guards against an account that cannot learn why it waits.
+	test('explains an account of the configuration, and dumps each part', async () => {
+		const router = await startReady();
+		const answer = router.call();
+		await backend.reached;
+		const explanation = JSON.parse((await router.ask('/explain?account=a')).text) as Record<string, unknown>;
+		expect(explanation).toMatchObject({ account: 'a', share: 1, pools: [{ pool: 'p', running: 1, queued: 0 }] });
+		expect((await router.ask('/state')).text).not.toContain('"error"');
+		expect((await router.ask('/metrics')).text).toContain('masticloom_requests_in_progress 1');
+		backend.release();
+		await answer;
+		router.signal();
+		await router.result;
+	});
+});
+
+describe('router with TLS', () => {
+	let folder: CertificateFolder;
+	let authority: KeyPair;
+
+	beforeAll(async () => {
+		folder = makeCertificateFolder();
+		authority = await makeAuthority();
+	});
+
+	afterAll(() => folder.remove());
+
+	// Guards against settings with [tls] that leave an address open.
+	test('refuses peers and operators without a certificate', async () => {
+		const paths = folder.write('router-1', await makeCertificate(authority, 'router-1'), authority);
+		const certificates = CertificateStore.create(paths).unwrapOr(undefined);
+		const router = await startRouter({ settings: { ...sampleSettings(platform), tls: paths }, certificates });
+		await expect(router.ask('/state')).rejects.toThrow();
+		const client = new PeerServiceClient(formatAddress(router.listening.peers), grpc.credentials.createInsecure());
+		const code = await new Promise((resolve) => {
+			client.fetchConfiguration({ haveVersion: 0 }, (error) => resolve(error?.code));
+		});
+		client.close();
+		expect(code).toBe(grpc.status.UNAVAILABLE);
+		router.signal();
+		await router.result;
+	});
+
+	// Guards against a router that starts and is then refused by every peer.
+	test('does not start with a certificate of another instance or unreadable files', async () => {
+		const paths = folder.write('other', await makeCertificate(authority, 'router-2'), authority);
+		const settings = (key: string): string =>
+			[
+				'[instance]\nname = router-1\nfailure_domain = east-1',
+				'[callers]\naddress = 127.0.0.1:0\n[peers]\naddress = 127.0.0.1:0\n[admin]\naddress = 127.0.0.1:0',
+				`[platform]\nstore_url = ${platform.storeUrl}\ninstance_list_url = ${platform.instanceListUrl}`,
+				`[tls]\ncertificate = ${paths.certificate}\nkey = ${key}\nauthority = ${paths.authority}`,
+			].join('\n');
+		const faultsOf = (text: string): readonly string[] =>
+			prepareStart(folder.writeText('router.ini', text)).match({ Ok: () => [], Err: (faults) => faults });
+		expect(faultsOf(settings(paths.key))).toEqual([
+			'[tls] certificate: peers would refuse it: its certificate does not name the instance router-1',
+		]);
+		expect(faultsOf(settings(`${paths.key}.missing`))[0]).toMatch(/^\[tls\] key: cannot be read: ENOENT/);
+		expect(prepareStart(`${paths.key}.ini`).isErr).toBe(true);
+	});
+});
--- a/src/peers/test/certificates.ts
+++ b/src/peers/test/certificates.ts
@@ -49,6 +49,8 @@
 export interface CertificateFolder {
 	/** Writes the files, also over those that exist. */
 	readonly write: (name: string, pair: KeyPair, authority: KeyPair) => CertificatePaths;
+	/** Writes another file and returns its path. */
+	readonly writeText: (name: string, text: string) => string;
 	readonly remove: () => void;
 }
 
@@ -67,6 +69,11 @@
 			writeFileSync(paths.authority, authority.cert);
 			return paths;
 		},
+		writeText: (name, text) => {
+			const path = join(folder, name);
+			writeFileSync(path, text);
+			return path;
+		},
 		remove: () => rmSync(folder, { recursive: true, force: true }),
 	};
 }
