--- a/src/daemon/node/routerParts.ts
+++ b/src/daemon/node/routerParts.ts
@@ -66,7 +66,7 @@
 		}),
 	);
 	owner.add(monitor.onDidChange(() => slots.refreshLimits()));
-	const suspects = CrashSuspects.create(systemClock);
+	const suspects = CrashSuspects.create(instance.name, systemClock);
 	owner.add(SuspectExchange.create(suspects, network));
 	const dispatch = DispatchService.create({
 		configuration: follower,
