Count attempts, claims and messages between routers for the metrics

Backend calls and at-most-once claims are counted by wrappers around the two services, and messages between routers in their serializers, so that the counted code stays as it is. The histogram of the router's own overhead and the counter of cut requests are gone: nothing supplied the first, and the process ends before the second could be read.

--- a/src/admin/common/metricFamilies.ts
+++ b/src/admin/common/metricFamilies.ts
@@ -48,17 +48,12 @@
 		'Requests accepted by this router and not yet answered.',
 		[],
 	),
-	cutRequests: counter(
-		'masticloom_requests_cut_total',
-		'Requests that a shutdown ended before their answer was complete.',
-		[],
-	),
 	atMostOnceRecords: counter('masticloom_at_most_once_records_total', 'Claims of at-most-once records, by result.', [
 		'result',
 	]),
 	backendState: gauge(
 		'masticloom_backend_server_state',
-		'1 for the present state of a backend server (live, leaving, down, unknown).',
+		'1 for the present state of a backend server (live, draining, leaving, down, unknown).',
 		['pool', 'backend_server', 'state'],
 	),
 	backendRunning: gauge(
@@ -87,14 +82,12 @@
 		'Slots that are idle at this router or free at the scheduler while a request that could use them waits.',
 		['pool'],
 	),
-	controlBytes: counter(
-		'masticloom_control_bytes_total',
-		'Bytes on the wire that are not payload of callers, by channel (peers, store, list) and direction.',
-		['channel', 'direction'],
+	peerBytes: counter(
+		'masticloom_peer_bytes_total',
+		'Bytes of messages between routers with the gRPC and HTTP/2 frame headers, by direction (sent, received).',
+		['direction'],
 	),
-	controlMessages: counter('masticloom_control_messages_total', 'Messages between routers by direction.', [
-		'direction',
-	]),
+	peerMessages: counter('masticloom_peer_messages_total', 'Messages between routers by direction.', ['direction']),
 	storeCalls: counter(
 		'masticloom_store_calls_total',
 		'Calls to the key-value store; a waiting watch counts as one.',
--- a/src/admin/node/routerMetrics.ts
+++ b/src/admin/node/routerMetrics.ts
@@ -4,7 +4,6 @@
 
 // The default of 10 ms wakes the process 100 times a second.
 const EVENT_LOOP_PRECISION_MS = 100;
-const OVERHEAD_BUCKETS_SECONDS = [0.000_1, 0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.05, 0.25, 1];
 const WAIT_BUCKETS_SECONDS = [0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1, 5, 10, 30, 60, 300];
 
 /** What became of one request of a caller. */
@@ -18,8 +17,6 @@
 	readonly whole: boolean;
 	/** Time in the queue in milliseconds. */
 	readonly waitMs?: number;
-	/** Time added by the router, without queue and backend server, in milliseconds. */
-	readonly overheadMs?: number;
 }
 
 /** The metrics of one router. */
@@ -38,13 +35,6 @@
 		buckets: WAIT_BUCKETS_SECONDS,
 		registers: [this.registry],
 	});
-	private readonly overhead = new Histogram({
-		name: 'masticloom_router_overhead_seconds',
-		help: 'Time that the router added to requests, without queue and backend server.',
-		buckets: OVERHEAD_BUCKETS_SECONDS,
-		registers: [this.registry],
-	});
-
 	private constructor() {}
 
 	/**
@@ -72,9 +62,6 @@
 		if (request.waitMs !== undefined) {
 			this.wait.observe({ service }, request.waitMs / 1_000);
 		}
-		if (request.overheadMs !== undefined) {
-			this.overhead.observe(request.overheadMs / 1_000);
-		}
 	}
 
 	/** Media type of {@link render}. */
--- a/src/daemon/node/adminSources.ts
+++ b/src/daemon/node/adminSources.ts
@@ -33,7 +33,7 @@
 		readiness,
 		dumps: {
 			router: () => ({ ...settings.instance, incarnation: network.incarnation, leaving: isLeaving() }),
-			configuration: () => ({ version: follower.version, watchesStore: follower.isWatcher }),
+			configuration: () => ({ version: follower.current?.version, watchesStore: follower.isWatcher }),
 			peers: () => network.peers(),
 			membership: () => ({ live: membership.liveRouters(), silent: membership.silentRouters() }),
 			scheduling: () => slots.dump(),
--- a/src/daemon/node/metricReaders.ts
+++ b/src/daemon/node/metricReaders.ts
@@ -2,6 +2,7 @@
 import type { CertificateStore } from '../../peers/node/certificateStore.js';
 import type { EntryDump, PoolDump, SchedulerDump } from '../../scheduling/common/schedulingDump.js';
 import type { RouterParts } from './routerParts.js';
+import type { BackendCount } from './workCounters.js';
 
 /** Accounts per pool that get their own time series; the others are shown by `/explain`. */
 const MAXIMUM_ACCOUNT_SERIES = 100;
@@ -22,6 +23,12 @@
 		...createPoolReaders(() => parts.slots.dump()),
 		requestsInProgress: () => [{ value: callers.requestsInProgress }],
 		configurationVersion: () => [{ value: follower.version }],
+		atMostOnceRecords: () => [...parts.counters.claims].map(([result, value]) => ({ labels: { result }, value })),
+		backendState: () => readBackendStates(parts),
+		backendStarted: () => readBackends(parts, ({ started }) => started),
+		backendRunning: () => readBackends(parts, ({ running }) => running),
+		peerBytes: () => perDirection(network.traffic.sentBytes, network.traffic.receivedBytes),
+		peerMessages: () => perDirection(network.traffic.sentMessages, network.traffic.receivedMessages),
 		storeCalls: () => [{ value: store.calls }],
 		peers: () => countPeers(network.peers()),
 		ready: () => [{ value: isReady() ? 1 : 0 }],
@@ -90,6 +97,30 @@
 	return idleHere + (waitsElsewhere ? Math.max(0, free) : 0);
 }
 
+function readBackendStates({ follower, monitor }: RouterParts): readonly MetricSample[] {
+	return (follower.current?.backendServers ?? []).map(({ id, pool }) => ({
+		labels: { pool, backend_server: id, state: monitor.stateOf(id) },
+		value: 1,
+	}));
+}
+
+function readBackends(
+	{ follower, counters }: RouterParts,
+	read: (count: BackendCount) => number,
+): readonly MetricSample[] {
+	return (follower.current?.backendServers ?? []).flatMap(({ id, pool }) => {
+		const count = counters.backends.get(id);
+		return count === undefined ? [] : [{ labels: { pool, backend_server: id }, value: read(count) }];
+	});
+}
+
+function perDirection(sent: number, received: number): readonly MetricSample[] {
+	return [
+		{ labels: { direction: 'sent' }, value: sent },
+		{ labels: { direction: 'received' }, value: received },
+	];
+}
+
 function countPeers(peers: ReturnType<RouterParts['network']['peers']>): readonly MetricSample[] {
 	const counts = { connecting: 0, connected: 0, silent: 0, gone: 0 };
 	for (const { state } of peers) {
--- a/src/daemon/node/routerParts.ts
+++ b/src/daemon/node/routerParts.ts
@@ -17,6 +17,7 @@
 import { SlotService } from '../../scheduling/node/slotService.js';
 import { formatAddress, type Settings } from '../../settings/common/settings.js';
 import type { StartUp } from './startUp.js';
+import { WorkCounters } from './workCounters.js';
 
 /** The connected parts of one router. They are disposed with the owner that was passed in. */
 export interface RouterParts {
@@ -29,6 +30,7 @@
 	readonly suspects: CrashSuspects;
 	readonly dispatch: DispatchService;
 	readonly callers: CallerServer;
+	readonly counters: WorkCounters;
 }
 
 /**
@@ -68,15 +70,16 @@
 	owner.add(monitor.onDidChange(() => slots.refreshLimits()));
 	const suspects = CrashSuspects.create(instance.name, systemClock);
 	owner.add(SuspectExchange.create(suspects, network));
+	const counters = WorkCounters.create();
 	const dispatch = DispatchService.create({
 		configuration: follower,
 		slots,
-		client: owner.add(HttpBackendClient.create()),
+		client: counters.countAttempts(owner.add(HttpBackendClient.create())),
 		suspects,
-		idempotency: StoredCalls.create(store),
+		idempotency: counters.countClaims(StoredCalls.create(store)),
 	});
 	const callers = owner.add(CallerServer.create(follower, dispatch));
-	return { store, network, membership, follower, monitor, slots, suspects, dispatch, callers };
+	return { store, network, membership, follower, monitor, slots, suspects, dispatch, callers, counters };
 }
 
 function createFollower(
--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -8,8 +8,7 @@
 	type FetchConfigurationRequest,
 	type FetchConfigurationResponse,
 	type PeerFrame,
-	PeerServiceClient,
-	PeerServiceService,
+	type PeerServiceClient,
 } from '../common/generated/masticloom/peers/v1/peers.js';
 import type {
 	IPeerNetwork,
@@ -21,6 +20,7 @@
 } from '../common/peerNetwork.js';
 import type { PeerSecurity } from './peerSecurity.js';
 import { PeerSession, type SessionEnd } from './peerSession.js';
+import { PeerTraffic } from './peerTraffic.js';
 
 const RECONNECT_DELAY_MS = 200;
 const FETCH_TIMEOUT_MS = 2_000;
@@ -67,6 +67,8 @@
 	private configurationVersion = 0;
 	private leaving = false;
 
+	/** Messages to and from peers since the start. */
+	public readonly traffic = PeerTraffic.create();
 	public readonly onDidChangePeer = this.changeEmitter.event;
 	public readonly onDidReceive = this.receiveEmitter.event;
 	/** Random identifier of this process. */
@@ -93,7 +95,7 @@
 	 * @throws Error when the address cannot be bound
 	 */
 	public listen(): Promise<number> {
-		this.server.addService(PeerServiceService, {
+		this.server.addService(this.traffic.service, {
 			connect: (stream: grpc.ServerDuplexStream<PeerFrame, PeerFrame>) => this.accept(stream),
 			fetchConfiguration: (
 				call: grpc.ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
@@ -205,10 +207,10 @@
 		});
 	}
 
-	private openClient({ address, instance }: PeerEndpoint): InstanceType<typeof PeerServiceClient> {
+	private openClient({ address, instance }: PeerEndpoint): PeerServiceClient {
 		// TLS checks the certificate of the answering router against this name in place of its IP address.
 		const options = { ...CHANNEL_OPTIONS, 'grpc.ssl_target_name_override': instance };
-		return new PeerServiceClient(address, this.options.clientCredentials(), options);
+		return new this.traffic.Client(address, this.options.clientCredentials(), options);
 	}
 
 	private runSession(
