--- a/src/configuration/common/configurationHead.ts
+++ b/src/configuration/common/configurationHead.ts
@@ -8,7 +8,8 @@
 /** Number of earlier changes whose nonces the head keeps, which is how late a lost answer can still be settled. */
 export const RECENT_NONCES = 64;
 
-const PART_PREFIX = 'configuration/parts/';
+/** Start of the store keys of all parts. */
+export const PART_PREFIX = 'configuration/parts/';
 const FORMAT = 1;
 
 /** Names of the parts by section and bucket; an empty bucket has the empty name. */
@@ -26,7 +27,7 @@
 
 /**
  * Names a part by its digest and the change that wrote it. No later change refers to a part that an earlier one
- * dropped, so a dropped part can be removed without a race.
+ * dropped, so an unused part can be removed without a race.
  *
  * @param digest digest of the part's text
  * @param nonce nonce of the change that writes the part
--- a/src/configuration/node/configurationDocument.ts
+++ b/src/configuration/node/configurationDocument.ts
@@ -1,5 +1,4 @@
 import { Result } from 'true-myth';
-import { canonicalJson } from '../common/canonicalJson.js';
 import { decodeContent } from '../common/configurationSchema.js';
 import type { Configuration } from '../common/model.js';
 
@@ -8,7 +7,10 @@
  * @returns the form in which routers pass it to each other
  */
 export function encodeDocument(configuration: Configuration): Uint8Array {
-	return Buffer.from(canonicalJson(configuration));
+	const { accounts, backendServers, pools, services, version } = configuration;
+	// Items were read from canonical text and keep its order of properties. The native function takes a tenth of the time
+	// of canonicalJson, during which a router with 19,000 accounts does nothing else.
+	return Buffer.from(JSON.stringify({ accounts, backendServers, pools, services, version }));
 }
 
 /**
--- a/src/configuration/node/configurationFollower.ts
+++ b/src/configuration/node/configurationFollower.ts
@@ -241,7 +241,12 @@
 		this.cache = cache;
 		this.document = undefined;
 		log.info(`Version ${configuration.version} from ${source} is in force.`);
-		this.changed.fire(configuration);
+		try {
+			this.changed.fire(configuration);
+		} catch (error) {
+			// A fault in another part must not end the following, or this router would keep an old version for ever.
+			log.error(`A listener failed at version ${configuration.version}: ${String(error)}.`);
+		}
 	}
 
 	private watchHead(): Effect.Effect<never> {
--- a/src/configuration/node/configurationPublisher.ts
+++ b/src/configuration/node/configurationPublisher.ts
@@ -8,6 +8,7 @@
 	digestOfPart,
 	encodeHead,
 	HEAD_KEY,
+	PART_PREFIX,
 	partEntries,
 	partKey,
 	partName,
@@ -117,7 +118,6 @@
 				discard: true,
 			});
 			const version = yield* this.writeHead(change, deadline);
-			yield* this.removeReplaced(change);
 			return { version, changes: compareContent(base.configuration, ordered) };
 		});
 	}
@@ -138,7 +138,11 @@
 			const swapped = yield* Effect.mapError(swapUntilAnswered(swap, deadline), ({ message, outcome }) =>
 				failure(outcome === 'unknown' ? 'unknown' : 'not-published', message),
 			);
-			return swapped.swapped ? change.head.version : yield* this.settle(change, swapped.current);
+			if (!swapped.swapped) {
+				return yield* this.settle(change, swapped.current);
+			}
+			yield* this.removeUnused(change.head.parts, swapped.revision);
+			return change.head.version;
 		});
 	}
 
@@ -161,9 +165,7 @@
 	}
 
 	private conflict(change: Change, current: KeyValue | undefined): Effect.Effect<PublishError> {
-		return Effect.gen({ self: this }, function* () {
-			yield* this.removeParts([...change.texts.keys()], new Map());
-			const theirs = yield* Effect.result(loadSnapshot(this.store, change.base.cache, current));
+		return Effect.map(Effect.result(loadSnapshot(this.store, change.base.cache, current)), (theirs) => {
 			if (Result.isFailure(theirs)) {
 				return failure('conflict', `another change was accepted; it could not be read: ${theirs.failure.message}`);
 			}
@@ -177,23 +179,19 @@
 		});
 	}
 
-	private removeReplaced(change: Change): Effect.Effect<void> {
-		const kept = new Set(partEntries(change.head.parts).map(({ name }) => name));
-		const replaced = partEntries(change.base.head.parts).flatMap(({ name }) => (kept.has(name) ? [] : [name]));
-		return this.removeParts(replaced, change.base.partRevisions);
-	}
-
-	// A part that a failure leaves behind costs space only.
-	private removeParts(names: readonly string[], revisions: ReadonlyMap<string, number>): Effect.Effect<void> {
-		const remove = (name: string): Effect.Effect<unknown, StoreError> =>
-			Effect.gen({ self: this }, function* () {
-				const known = revisions.get(name);
-				const revision = known ?? (yield* this.store.get(partKey(name), { withoutValue: true }))?.revision;
-				return revision === undefined ? undefined : yield* this.store.remove(partKey(name), revision);
-			});
-		return Effect.forEach(names, (name) => Effect.result(remove(name)), {
-			concurrency: PARALLEL_WRITES,
-			discard: true,
+	/**
+	 * Removes the parts that no head needs. A part that is older than the head and that the head does not name belongs to
+	 * an earlier head or to a change whose swap can no longer succeed. What a failure leaves behind, the next change
+	 * removes.
+	 */
+	private removeUnused(parts: PartNames, headRevision: number): Effect.Effect<void> {
+		const used = new Set(partEntries(parts).map(({ name }) => partKey(name)));
+		const listed = Effect.result(this.store.list(PART_PREFIX, { withoutValue: true }));
+		return Effect.flatMap(listed, (answer) => {
+			const stored = Result.isSuccess(answer) ? answer.success : [];
+			const unused = stored.filter(({ key, revision }) => revision < headRevision && !used.has(key));
+			const remove = ({ key, revision }: KeyValue) => Effect.result(this.store.remove(key, revision));
+			return Effect.forEach(unused, remove, { concurrency: PARALLEL_WRITES, discard: true });
 		});
 	}
 }
--- a/src/configuration/node/configurationSnapshot.ts
+++ b/src/configuration/node/configurationSnapshot.ts
@@ -32,8 +32,6 @@
 	readonly headRevision: number;
 	readonly configuration: Configuration;
 	readonly cache: PartCache;
-	/** Store revisions of the parts that were read, by name; parts that came from the cache are missing. */
-	readonly partRevisions: ReadonlyMap<string, number>;
 }
 
 /** Why a configuration could not be read. */
@@ -49,7 +47,6 @@
 	headRevision: 0,
 	configuration: { version: 0, accounts: [], backendServers: [], pools: [], services: [] },
 	cache: new Map(),
-	partRevisions: new Map(),
 };
 
 /**
@@ -134,7 +131,6 @@
 	headRevision: number,
 ): Effect.Effect<ConfigurationSnapshot | undefined, LoadError> {
 	return Effect.gen(function* () {
-		const partRevisions = new Map<string, number>();
 		const needed = new Map<string, readonly ConfigurationItem[]>();
 		for (const { name } of partEntries(head.parts)) {
 			const cached = cache.get(digestOfPart(name));
@@ -151,11 +147,10 @@
 			if (part === undefined) {
 				return undefined;
 			}
-			partRevisions.set(name, part.revision);
 			needed.set(digestOfPart(name), yield* decodePart(name, new TextDecoder().decode(part.value)));
 		}
 		const content = joinParts((section, bucket) => needed.get(digestOfPart(head.parts[section][bucket] ?? '')) ?? []);
-		return { head, headRevision, configuration: { version: head.version, ...content }, cache: needed, partRevisions };
+		return { head, headRevision, configuration: { version: head.version, ...content }, cache: needed };
 	});
 }
 
--- a/src/configuration/test/configurationValidation.test.ts
+++ b/src/configuration/test/configurationValidation.test.ts
@@ -52,6 +52,9 @@
 				);
 				const joined = joinParts((section, bucket) => JSON.parse(parts.get(`${section}/${bucket}`) ?? '[]') as never[]);
 				expect(canonicalJson(validateContent(joined).unwrapOr(undefined))).toBe(canonicalJson(valid));
+				expect(Buffer.from(encodeDocument({ version, ...joined })).toString()).toBe(
+					canonicalJson({ version, ...joined }),
+				);
 				const document = decodeDocument(encodeDocument({ version, ...joined }));
 				expect(canonicalJson(document.unwrapOr(undefined))).toBe(canonicalJson({ version, ...joined }));
 			}),
--- a/src/platform/common/keyValueStore.ts
+++ b/src/platform/common/keyValueStore.ts
@@ -32,9 +32,10 @@
 	get(key: string, options?: { readonly withoutValue?: boolean }): Effect.Effect<KeyValue | undefined, StoreError>;
 	/**
 	 * @param prefix start of the keys
+	 * @param options `withoutValue` reads keys and revisions only, and the values are empty
 	 * @returns all values below the prefix, in key order
 	 */
-	list(prefix: string): Effect.Effect<readonly KeyValue[], StoreError>;
+	list(prefix: string, options?: { readonly withoutValue?: boolean }): Effect.Effect<readonly KeyValue[], StoreError>;
 	/**
 	 * @param key exact key
 	 * @param expectedRevision revision the key must have; 0 when it must be absent
--- a/src/platform/node/etcdStore.ts
+++ b/src/platform/node/etcdStore.ts
@@ -49,12 +49,15 @@
 		key: string,
 		options?: { readonly withoutValue?: boolean },
 	): Effect.Effect<KeyValue | undefined, StoreError> {
-		const body = { key: encode(key), ...(options?.withoutValue === true ? { keys_only: true } : {}) };
+		const body = { key: encode(key), ...keysOnly(options) };
 		return Effect.map(this.post<WireRange>('/v3/kv/range', body), (answer) => fromWire(answer.kvs?.[0]));
 	}
 
-	public list(prefix: string): Effect.Effect<readonly KeyValue[], StoreError> {
-		const body = { key: encode(prefix), range_end: encodePrefixEnd(prefix) };
+	public list(
+		prefix: string,
+		options?: { readonly withoutValue?: boolean },
+	): Effect.Effect<readonly KeyValue[], StoreError> {
+		const body = { key: encode(prefix), range_end: encodePrefixEnd(prefix), ...keysOnly(options) };
 		return Effect.map(this.post<WireRange>('/v3/kv/range', body), (answer) =>
 			(answer.kvs ?? []).flatMap((item) => fromWire(item) ?? []),
 		);
@@ -173,6 +176,10 @@
 	}
 }
 
+function keysOnly(options: { readonly withoutValue?: boolean } | undefined): object {
+	return options?.withoutValue === true ? { keys_only: true } : {};
+}
+
 function encode(text: string): string {
 	return Buffer.from(text, 'utf8').toString('base64');
 }
