Let peers serve configurations above 4 MiB

A configuration of 19,000 accounts and 4,500 backend servers has 3.6 MB with one token per account; with two it exceeds the 4 MiB that the gRPC library accepts in one message, so a router that restarts during an outage of the store would stay without configuration.

--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -25,12 +25,15 @@
 const RECONNECT_DELAY_MS = 200;
 const FETCH_TIMEOUT_MS = 2_000;
 const INCARNATION_BYTES = 8;
+// The library's 4 MiB are less than a configuration of 19,000 accounts with two tokens each.
+const MAXIMUM_MESSAGE_BYTES = 67_108_864;
 
 // Each attempt uses its own connection, so that the channel's own backoff does not delay the next one.
 const CHANNEL_OPTIONS: grpc.ChannelOptions = {
 	'grpc.use_local_subchannel_pool': 1,
 	'grpc.enable_retries': 0,
 	'grpc.enable_http_proxy': 0,
+	'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
 };
 
 const log = logOf('peers');
