Begin the requests of closed loops in random order over 300 ms

All requests of a closed loop began at once in the order of the accounts, so on idle slots the first accounts filled everything before the others had sent anything.

--- a/tools/load/arrivals.ts
+++ b/tools/load/arrivals.ts
@@ -24,3 +24,19 @@
 		times.push(at);
 	}
 }
+
+// The requests of a closed loop begin within this time, in random order, so that no account fills all slots only
+// because its requests are the first in the list.
+const RAMP_MS = 300;
+
+/**
+ * Draws the times at which the requests of a closed-loop source begin.
+ *
+ * @param seed seed of the run
+ * @param source a source without a rate
+ * @returns one time for each request in progress, in milliseconds from the start of the load
+ */
+export function chainStarts(seed: number, source: Source): readonly number[] {
+	const random = randomOf(seed + ARRIVAL_SEED_OFFSET, source);
+	return Array.from({ length: source.inProgress }, () => (source.fromMs ?? 0) + RAMP_MS * random());
+}
--- a/tools/load/load.ts
+++ b/tools/load/load.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import * as http from 'node:http';
 import { sleep } from '../fleet/processes.js';
-import { arrivalTimes } from './arrivals.js';
+import { arrivalTimes, chainStarts } from './arrivals.js';
 import { callCompletion, type CallOutcome } from './completionCall.js';
 import { drawCost, randomOf, type CostRange, type Source } from './workload.js';
 
@@ -95,8 +95,8 @@
 	private async runClosed(source: Source): Promise<void> {
 		const random = randomOf(this.plan.seed, source);
 		const untilMs = Math.min(source.untilMs ?? Infinity, this.plan.durationMs);
-		await sleep(source.fromMs ?? 0);
-		const chain = async (): Promise<void> => {
+		const chain = async (startMs: number): Promise<void> => {
+			await sleep(startMs);
 			while (epochNow() - this.startMs < untilMs) {
 				const outcome = await this.send(source, drawCost(this.plan.costs, random));
 				if (outcome.result !== 'whole') {
@@ -104,7 +104,7 @@
 				}
 			}
 		};
-		await Promise.all(Array.from({ length: source.inProgress }, chain));
+		await Promise.all(chainStarts(this.plan.seed, source).map(chain));
 	}
 
 	private async runOpen(source: Source): Promise<void> {
