--- a/tools/load/load.ts
+++ b/tools/load/load.ts
@@ -59,6 +59,7 @@
 	private readonly pending = new Set<Promise<void>>();
 	private sequence = 0;
 	private startMs = 0;
+	private ended = false;
 
 	private constructor(private readonly plan: LoadPlan) {
 		this.agents = plan.routers.map(() => new http.Agent({ keepAlive: true }));
@@ -86,6 +87,8 @@
 		await sleep(this.plan.durationMs);
 		const endMs = epochNow();
 		await Promise.race([Promise.all(ends).then(() => Promise.all(this.pending)), sleep(drainMs)]);
+		// Connections that break from here on are broken by this end.
+		this.ended = true;
 		this.agents.forEach((agent) => {
 			agent.destroy();
 		});
@@ -147,8 +150,10 @@
 				this.deliveries.push({ atMs, account: source.account, service: count + prompt });
 			},
 		);
-		record.endMs = epochNow();
-		record.outcome = outcome;
+		if (!this.ended) {
+			record.endMs = epochNow();
+			record.outcome = outcome;
+		}
 		return outcome;
 	}
 }
--- a/tools/measure/once.ts
+++ b/tools/measure/once.ts
@@ -206,6 +206,7 @@
 		lines: [
 			`faults: ${[...faults].map(([name, count]) => `${name} ${count}`).join(', ')}`,
 			`${calls.length} keyed calls, ${calls.reduce((sum, call) => sum + call.outcomes.length, 0)} requests`,
+			`requests by outcome: ${describe(calls.flatMap((call) => call.outcomes))}`,
 			`${whole} answered whole, ${notRun} never run, ${calls.length - whole - notRun} run with an unknown outcome`,
 		],
 		broken: bounds.flatMap(([count, reason]) => (count > 0 ? [`${count} ${reason}`] : [])),
@@ -216,6 +217,15 @@
 	};
 }
 
+function describe(outcomes: readonly CallOutcome[]): string {
+	const counts = new Map<string, number>();
+	for (const { result, status, verdict, detail } of outcomes) {
+		const key = `${result} ${status === 0 ? detail.slice(0, 30) : status} ${verdict ?? ''}`.trim();
+		counts.set(key, (counts.get(key) ?? 0) + 1);
+	}
+	return [...counts].map(([key, count]) => `${count} ${key}`).join(', ');
+}
+
 async function command(
 	fleet: Fleet,
 	draw: (below: number) => number,
