Number accounts in peer messages and tell dead peers from silent ones

Before the first observation the expected cost is 10 in place of 100: the slack follows it, and with too large a value the first accounts ran ahead by hundreds of units.

Peers: a router whose stream was reset counts as possibly running until its address refuses a connection, so a router that wakes from a freeze and finds all streams closed no longer leases out the whole pool. The side that does not open the stream probes the address for that. A session ends when 1,000 frames wait for the peer, and a process that was frozen reads what waits in its sockets before it calls its peers silent. A router that is listed but never reached no longer blocks readiness.

--- a/src/callers/test/routerFixture.ts
+++ b/src/callers/test/routerFixture.ts
@@ -148,6 +148,7 @@
 						configurationVersion: 0,
 						leaving: false,
 						session: 1,
+						refused: false,
 					})),
 			setEndpoints: () => undefined,
 			announce: () => undefined,
--- a/src/membership/common/membershipService.ts
+++ b/src/membership/common/membershipService.ts
@@ -17,7 +17,7 @@
 	readonly onDidChange: Event<readonly RouterStatus[]>;
 	/** @returns routers that are connected and not leaving, this one included unless it is leaving */
 	liveRouters(): readonly RouterStatus[];
-	/** @returns number of listed routers that fell silent and may still be running behind a partition */
+	/** @returns number of listed routers whose stream ended and that may still run, such as behind a partition */
 	silentRouters(): number;
 	/**
 	 * @param key what needs an owner, such as the identifier of a pool
--- a/src/membership/node/membershipService.ts
+++ b/src/membership/node/membershipService.ts
@@ -1,4 +1,5 @@
 import { Effect, Fiber } from 'effect';
+import { type IClock, systemClock } from '../../base/common/clock.js';
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { rendezvous } from '../../base/common/shortKey.js';
@@ -9,6 +10,9 @@
 
 const LIST_INTERVAL_MS = 1_000;
 
+/** A listed router that was not reached for this long does not keep this one from being ready. */
+const CONNECT_LIMIT_MS = 3_000;
+
 const log = logOf('membership');
 
 /** Identity of this router. */
@@ -23,6 +27,7 @@
 	private readonly changeEmitter = this.register(Emitter.create<readonly RouterStatus[]>());
 	private listed: readonly ListedInstance[] = [];
 	private listRead = false;
+	private readonly listedSinceMs = new Map<string, number>();
 	private localLeaving = false;
 	private fingerprint = '';
 
@@ -32,6 +37,7 @@
 		private readonly local: LocalRouter,
 		private readonly network: IPeerNetwork,
 		private readonly list: IInstanceList,
+		private readonly clock: IClock,
 	) {
 		super();
 		this.register(network.onDidChangePeer(() => this.refresh()));
@@ -41,10 +47,16 @@
 	 * @param local identity of this router
 	 * @param network streams to peers
 	 * @param list the platform's instance list
+	 * @param clock time source
 	 * @returns a service that has not read the list yet
 	 */
-	public static create(local: LocalRouter, network: IPeerNetwork, list: IInstanceList): MembershipService {
-		return new MembershipService(local, network, list);
+	public static create(
+		local: LocalRouter,
+		network: IPeerNetwork,
+		list: IInstanceList,
+		clock: IClock = systemClock,
+	): MembershipService {
+		return new MembershipService(local, network, list, clock);
 	}
 
 	/** Starts to follow the instance list, until disposed. */
@@ -70,7 +82,7 @@
 
 	public silentRouters(): number {
 		const names = new Set(this.listed.filter((item) => !item.leaving).map((item) => item.name));
-		return this.network.peers().filter((peer) => peer.state === 'silent' && names.has(peer.instance)).length;
+		return this.network.peers().filter((peer) => mayRunUnseen(peer) && names.has(peer.instance)).length;
 	}
 
 	public ownerOf(key: string): string {
@@ -83,7 +95,11 @@
 	}
 
 	public isSettled(): boolean {
-		return this.listRead && this.network.peers().every((peer) => peer.state !== 'connecting');
+		const now = this.clock.now();
+		// Of two routers only one opens the stream, so a dead one may never be tried from here.
+		const isTried = (peer: PeerStatus): boolean =>
+			peer.state !== 'connecting' || now - (this.listedSinceMs.get(peer.instance) ?? now) > CONNECT_LIMIT_MS;
+		return this.listRead && this.network.peers().every(isTried);
 	}
 
 	private followList(): Effect.Effect<never> {
@@ -104,11 +120,22 @@
 	private applyList(listed: readonly ListedInstance[]): void {
 		this.listed = listed;
 		this.listRead = true;
+		this.noteListed(listed);
 		const others = listed.filter((item) => item.role === 'router' && item.name !== this.local.instance);
 		this.network.setEndpoints(others.map((item) => ({ instance: item.name, address: item.address })));
 		this.refresh();
 	}
 
+	private noteListed(listed: readonly ListedInstance[]): void {
+		const names = new Set(listed.map((item) => item.name));
+		for (const name of [...this.listedSinceMs.keys()].filter((known) => !names.has(known))) {
+			this.listedSinceMs.delete(name);
+		}
+		for (const name of names) {
+			this.listedSinceMs.set(name, this.listedSinceMs.get(name) ?? this.clock.now());
+		}
+	}
+
 	private refresh(): void {
 		const live = this.liveRouters().map((router) => `${router.instance}/${router.incarnation}`);
 		const leaving = this.listed.filter((item) => item.leaving).map((item) => item.name);
@@ -125,6 +152,11 @@
 	return peer.state === 'connected' && !peer.leaving;
 }
 
+/** Whether a router that was connected before may still run requests without this router hearing of it. */
+function mayRunUnseen(peer: PeerStatus): boolean {
+	return peer.incarnation !== '' && peer.state !== 'connected' && !peer.refused && !peer.leaving;
+}
+
 function toRouter(peer: PeerStatus): RouterStatus {
 	const { instance, incarnation, failureDomain, configurationVersion } = peer;
 	return { instance, incarnation, failureDomain, configurationVersion, local: false };
--- a/src/peers/common/peerNetwork.ts
+++ b/src/peers/common/peerNetwork.ts
@@ -22,6 +22,8 @@
 	readonly failureDomain: string;
 	/** Configuration version in the peer's last heartbeat. */
 	readonly configurationVersion: number;
+	/** Its address refused a connection since the last stream ended, so no process of it runs. */
+	readonly refused: boolean;
 	/** Counts the streams to this peer; frames sent on an earlier one may be lost. */
 	readonly session: number;
 	/** The peer is shutting down and takes no scheduler role. */
--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -20,6 +20,7 @@
 	PeerStatus,
 } from '../common/peerNetwork.js';
 import type { PeerSecurity } from './peerSecurity.js';
+import { isRefused } from './probe.js';
 import { PeerSession, type SessionEnd } from './peerSession.js';
 
 const RECONNECT_DELAY_MS = 200;
@@ -46,6 +47,7 @@
 	leaving: boolean;
 	session: PeerSession | undefined;
 	sessionCount: number;
+	refused: boolean;
 	dialer: Fiber.Fiber<unknown> | undefined;
 }
 
@@ -145,7 +147,7 @@
 			const record = this.recordOf(endpoint.instance);
 			const moved = record.endpoint.address !== endpoint.address;
 			record.endpoint = endpoint;
-			if (this.options.instance < endpoint.instance && (record.dialer === undefined || moved)) {
+			if (this.dials(endpoint) && (record.dialer === undefined || moved)) {
 				stopDialer(record);
 				record.dialer = Effect.runFork(this.dialForever(record));
 			}
@@ -200,7 +202,11 @@
 					Effect.suspend(() => self.runSession(client.connect(), record)),
 					Effect.sync(() => client.close()),
 				);
-				self.finishSession(record, end);
+				if (record.state === 'connected') {
+					self.finishSession(record, end);
+				} else {
+					self.finishAttempt(record, end.reason === 'reset');
+				}
 				yield* Effect.sleep(RECONNECT_DELAY_MS);
 			}
 		});
@@ -235,6 +241,11 @@
 					stream.emit('error', refusal);
 					return;
 				}
+				if (frame.hello.instance === this.options.instance) {
+					log.warn(`Refused ${stream.getPeer()}, which has the name of this router.`);
+					stream.end();
+					return;
+				}
 				record = this.recordOf(frame.hello.instance);
 				session.post(this.hello());
 			}
@@ -277,6 +288,7 @@
 		const former = record.session;
 		record.session = session;
 		record.sessionCount++;
+		record.refused = false;
 		if (former !== undefined && former !== session) {
 			former.replace();
 		}
@@ -299,16 +311,57 @@
 		}
 	}
 
+	/** Notes the end of an open stream. */
 	private finishSession(record: PeerRecord, end: SessionEnd): void {
 		record.session = undefined;
-		const state: PeerState = end.reason === 'silent' ? 'silent' : 'gone';
-		// A silent peer stays silent while attempts to reach it time out; only a refused connection shows that it is gone.
-		if (record.state === state || (record.state === 'silent' && !end.message.includes('ECONNREFUSED'))) {
-			return;
-		}
+		record.refused = false;
 		log.info(`Lost ${record.endpoint.instance}: ${end.message}.`);
-		record.state = state;
-		this.changeEmitter.fire(toStatus(record));
+		this.setState(record, end.reason === 'silent' ? 'silent' : 'gone');
+		if (!this.dials(record.endpoint) && record.endpoint.address !== '') {
+			Effect.runFork(this.probe(record));
+		}
+	}
+
+	/** Notes an attempt that opened no stream: an error shows that no process listens, silence shows nothing. */
+	private finishAttempt(record: PeerRecord, refused: boolean): void {
+		const changed = record.refused !== refused;
+		record.refused = refused;
+		this.setState(record, refused ? 'gone' : 'silent', changed);
+	}
+
+	private setState(record: PeerRecord, state: PeerState, changed = false): void {
+		if (record.state !== state || changed) {
+			record.state = state;
+			this.changeEmitter.fire(toStatus(record));
+		}
+	}
+
+	/** Finds out whether a peer that opens the stream itself is dead or only out of reach. */
+	private probe(record: PeerRecord): Effect.Effect<void> {
+		const self = this;
+		const { sessionCount } = record;
+		const isOpen = (): boolean =>
+			record.sessionCount !== sessionCount || self.records.get(record.endpoint.instance) !== record;
+		return Effect.gen(function* () {
+			for (;;) {
+				yield* Effect.sleep(RECONNECT_DELAY_MS);
+				if (isOpen()) {
+					return;
+				}
+				const refused = yield* isRefused(record.endpoint.address);
+				if (isOpen()) {
+					return;
+				}
+				if (refused) {
+					self.finishAttempt(record, true);
+					return;
+				}
+			}
+		});
+	}
+
+	private dials(endpoint: PeerEndpoint): boolean {
+		return this.options.instance < endpoint.instance;
 	}
 
 	private recordOf(instance: string): PeerRecord {
@@ -323,6 +376,7 @@
 				leaving: false,
 				session: undefined,
 				sessionCount: 0,
+				refused: false,
 				dialer: undefined,
 			};
 			this.records.set(instance, record);
@@ -364,5 +418,6 @@
 		configurationVersion,
 		leaving,
 		session: record.sessionCount,
+		refused: record.refused,
 	};
 }
--- a/src/peers/node/peerSession.ts
+++ b/src/peers/node/peerSession.ts
@@ -8,9 +8,14 @@
 /** A peer that sent nothing for this long counts as silent. */
 export const SILENCE_LIMIT_MS = 1_000;
 
+/** More frames than this wait only for a peer that reads nothing; what it missed comes in complete reports later. */
+const BACKLOG_LIMIT_FRAMES = 1_000;
+
 /** The part of a gRPC stream that a session uses; both ends of a bidirectional call have it. */
 export interface FrameStream {
 	write(frame: PeerFrame): boolean;
+	/** Frames that wait to be sent. */
+	readonly writableLength: number;
 	on(event: 'data', listener: (frame: PeerFrame) => void): unknown;
 	on(event: 'error', listener: (error: Error) => void): unknown;
 	on(event: 'end' | 'close' | 'cancelled', listener: () => void): unknown;
@@ -96,9 +101,14 @@
 	private keepAlive(): Effect.Effect<SessionEnd> {
 		const self = this;
 		return Effect.gen(function* () {
-			for (;;) {
+			for (let before = performance.now(); ; before = performance.now()) {
 				yield* Effect.sleep(HEARTBEAT_INTERVAL_MS);
 				const now = performance.now();
+				if (now - before > SILENCE_LIMIT_MS) {
+					// This process was frozen. What peers sent meanwhile waits in the sockets and is read before the next check.
+					self.lastReceivedAt = now - SILENCE_LIMIT_MS;
+					continue;
+				}
 				if (now - self.lastReceivedAt > SILENCE_LIMIT_MS) {
 					return { reason: 'silent', message: `no frame for ${SILENCE_LIMIT_MS} ms` } satisfies SessionEnd;
 				}
@@ -115,6 +125,10 @@
 		if (frame === undefined) {
 			return;
 		}
+		if (this.stream.writableLength > BACKLOG_LIMIT_FRAMES) {
+			this.end?.({ reason: 'silent', message: `${BACKLOG_LIMIT_FRAMES} frames wait for the peer to read` });
+			return;
+		}
 		this.lastSentAt = performance.now();
 		this.stream.write(frame);
 	}
--- a/src/scheduling/common/costEstimate.ts
+++ b/src/scheduling/common/costEstimate.ts
@@ -5,7 +5,7 @@
 const HINT_FACTOR = 4;
 
 /** Cost assumed before anything was observed, in cost units. */
-const INITIAL_COST = 100;
+const INITIAL_COST = 10;
 
 /** Running mean of request costs, in cost units. */
 export class CostEstimate {
--- a/src/scheduling/common/entryRecord.ts
+++ b/src/scheduling/common/entryRecord.ts
@@ -1,3 +1,4 @@
+import { AccountNumbers } from './accountNumbers.js';
 import type { EntryDemand, ServiceLedger } from './serviceLedger.js';
 import { createEntryLeases, type SlotLeases } from './slotLeases.js';
 import type { EntryUpdates } from './updateWriter.js';
@@ -31,6 +32,7 @@
 export function createEntryRecord(instance: string, incarnation: string): EntryRecord {
 	return {
 		...createEntryLeases(),
+		numbers: AccountNumbers.create(),
 		instance,
 		incarnation,
 		sequence: 0,
--- a/src/scheduling/common/poolEntry.ts
+++ b/src/scheduling/common/poolEntry.ts
@@ -1,7 +1,9 @@
-import type { AccountDemand, PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import { type AccountDemand, AccountNumbers } from './accountNumbers.js';
 import { START_CHARGE } from './charge.js';
 import { type HeldSlot, HeldSlotTable } from './heldSlots.js';
 import { type AccountState, FairQueue } from './fairQueue.js';
+import { EXCESS_STEPS } from './updateWriter.js';
 
 /** How soon the scheduler has to hear of a change. */
 export type Urgency = 'now' | 'soon';
@@ -54,6 +56,7 @@
 export class PoolEntry {
 	public readonly queue = FairQueue.create<PendingRequest>();
 	private readonly slots = HeldSlotTable.create();
+	private readonly numbers = AccountNumbers.create();
 	private schedulerTerm = 0;
 	private applied = 0;
 	private slack = Infinity;
@@ -132,12 +135,12 @@
 		this.quantum = update.quantum ?? this.quantum;
 		this.contended = update.contended;
 		this.completeWanted ||= update.reportRequested;
-		for (const { account, excess } of update.bases) {
-			const state = this.queue.find(account);
+		update.accounts.forEach((number, index) => {
+			const state = this.queue.find(this.numbers.keyOf(number) ?? 0);
 			if (state !== undefined) {
-				this.queue.setExcess(state, excess);
+				this.queue.setExcess(state, ((update.excesses[index] ?? 0) * this.quantum) / EXCESS_STEPS);
 			}
-		}
+		});
 		for (const { backend, count } of update.recalls) {
 			const slot = this.slots.of(backend);
 			// Some of the slots may have been returned while the message was on its way.
@@ -221,7 +224,7 @@
 			term: this.schedulerTerm,
 			acknowledged: this.applied,
 			complete,
-			accounts,
+			...this.numbers.pack(accounts, complete),
 			slots: this.slots.report(complete),
 		};
 	}
--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -1,4 +1,5 @@
 import type { PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { AccountDemand } from './accountNumbers.js';
 import { acknowledge, createEntryRecord, type EntryRecord, voidGrants } from './entryRecord.js';
 import { type EntryDemand, mostUnmet, ServiceLedger } from './serviceLedger.js';
 import { SlotLeases } from './slotLeases.js';
@@ -110,15 +111,16 @@
 			entry.dirty = true;
 			return;
 		}
+		const accounts = entry.numbers.unpack(report);
 		// Sequence numbers start anew with each term.
 		acknowledge(entry, report.term === this.term ? report.acknowledged : 0, this.ledger, this.leases);
 		if (report.complete) {
-			this.resetEntry(entry, report);
+			this.resetEntry(entry, report, accounts);
 		}
 		for (const { backend, held } of report.slots) {
 			this.leases.setHeld(entry, backend, held);
 		}
-		for (const demand of report.accounts) {
+		for (const demand of accounts) {
 			const known = entry.demand.get(demand.account);
 			entry.demand.set(demand.account, this.ledger.apply(instance, known, demand, report.complete));
 		}
@@ -344,7 +346,7 @@
 	}
 
 	/** A complete report lists everything, so what it leaves out is zero, and the entry knows nothing but its slots. */
-	private resetEntry(entry: EntryRecord, report: PoolReport): void {
+	private resetEntry(entry: EntryRecord, report: PoolReport, demands: readonly AccountDemand[]): void {
 		entry.synchronised = true;
 		entry.dirty = true;
 		voidGrants(entry, (grant) => grant.sequence <= entry.lostSequence, this.ledger, this.leases);
@@ -358,10 +360,11 @@
 				this.leases.setHeld(entry, backend, 0);
 			}
 		}
-		const accounts = new Set(report.accounts.map((demand) => demand.account));
+		const accounts = new Set(demands.map((demand) => demand.account));
 		for (const [key, demand] of entry.demand) {
 			demand.sent = undefined;
 			if (!accounts.has(key)) {
+				demand.running = false;
 				this.ledger.setQueued(demand, 0);
 			}
 		}
--- a/src/scheduling/common/serviceLedger.ts
+++ b/src/scheduling/common/serviceLedger.ts
@@ -1,4 +1,4 @@
-import type { AccountDemand } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { AccountDemand } from './accountNumbers.js';
 import { START_CHARGE } from './charge.js';
 
 /** Service and demand of one client account in the pool. */
--- a/src/scheduling/common/updateWriter.ts
+++ b/src/scheduling/common/updateWriter.ts
@@ -1,4 +1,5 @@
 import type { PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { AccountNumbers } from './accountNumbers.js';
 import type { EntryDemand, ServiceLedger } from './serviceLedger.js';
 import { type EntryLeases } from './slotLeases.js';
 
@@ -8,8 +9,16 @@
 /** An error of an entry's view that does not change its decisions is tolerated up to this many quanta. */
 const INDIFFERENT_FACTOR = 2;
 
+/** Excesses are sent in this part of the quantum, which rounds them by far less than entries may be misled. */
+export const EXCESS_STEPS = 16;
+
+/** Largest value of the field. */
+const LARGEST_STEPS = 0x7fff_ffff;
+
 /** What one entry has been told, and what it has to be told. */
 export interface EntryUpdates extends EntryLeases {
+	/** Numbers that stand for accounts in messages. */
+	readonly numbers: AccountNumbers;
 	readonly demand: Map<number, EntryDemand>;
 	sequence: number;
 	nextGrants: Map<number, number>;
@@ -57,22 +66,23 @@
  */
 export function writeUpdate(entry: EntryUpdates, ledger: ServiceLedger, figures: PoolFigures): PoolUpdate {
 	const { floor } = ledger;
+	const quantum = isRetuned(entry.sentQuantum, figures.quantum) ? figures.quantum : undefined;
+	entry.sentQuantum = quantum ?? entry.sentQuantum;
 	const update: PoolUpdate = {
 		pool: figures.pool,
 		term: figures.term,
 		sequence: ++entry.sequence,
 		grants: toCounts(entry.nextGrants),
 		recalls: toCounts(entry.nextRecalls),
-		bases: takeBases(entry, ledger, figures),
+		...takeBases(entry, ledger, figures),
 		floor,
 		slack: isRetuned(entry.sentSlack, figures.slack) ? figures.slack : undefined,
-		quantum: isRetuned(entry.sentQuantum, figures.quantum) ? figures.quantum : undefined,
+		quantum,
 		contended: figures.contended,
 		reportRequested: entry.reportRequested,
 	};
 	entry.sentFloor = floor;
 	entry.sentSlack = update.slack ?? entry.sentSlack;
-	entry.sentQuantum = update.quantum ?? entry.sentQuantum;
 	entry.nextGrants = new Map();
 	entry.nextRecalls = new Map();
 	entry.reportRequested = false;
@@ -89,18 +99,28 @@
 	return sent === undefined || value > sent * TUNING_TOLERANCE || value < sent / TUNING_TOLERANCE;
 }
 
-function takeBases(entry: EntryUpdates, ledger: ServiceLedger, figures: PoolFigures): PoolUpdate['bases'] {
+function takeBases(
+	entry: EntryUpdates,
+	ledger: ServiceLedger,
+	figures: PoolFigures,
+): Pick<PoolUpdate, 'accounts' | 'excesses'> {
 	const { floor } = ledger;
-	const bases: PoolUpdate['bases'] = [];
+	const unit = (entry.sentQuantum ?? figures.quantum) / EXCESS_STEPS;
+	const accounts: number[] = [];
+	const excesses: number[] = [];
 	for (const [key, demand] of entry.demand) {
-		if (isActive(demand) && isMisled(demand, ledger, floor, figures)) {
-			const { virtualService } = demand.account;
-			const excess = virtualService - floor;
-			demand.sent = { base: virtualService - demand.charged / ledger.shareOf(key), excess };
-			bases.push({ account: key, excess });
+		const number = entry.numbers.numberOf(key);
+		if (number === undefined || !isActive(demand) || !isMisled(demand, ledger, floor, figures)) {
+			continue;
 		}
+		const { virtualService } = demand.account;
+		const steps = unit > 0 ? Math.min(LARGEST_STEPS, Math.round((virtualService - floor) / unit)) : 0;
+		const excess = steps * unit;
+		demand.sent = { base: floor + excess - demand.charged / ledger.shareOf(key), excess };
+		accounts.push(number);
+		excesses.push(steps);
 	}
-	return bases;
+	return { accounts, excesses };
 }
 
 /**
--- a/src/scheduling/test/poolHarness.ts
+++ b/src/scheduling/test/poolHarness.ts
@@ -61,10 +61,11 @@
 		this.service = terms.shares.map(() => 0);
 		this.waitingOf = terms.shares.map(() => 0);
 		this.draws = terms.sources.map((source) => randomOf(terms.seed, source));
-		const perBackend = terms.slots / terms.backends;
-		const slotLimits = new Map(
-			Array.from({ length: terms.backends }, (_, index) => [KEY_BASE - 1 - index, perBackend]),
-		);
+		const slotLimits = new Map<number, number>();
+		for (let slot = 0; slot < terms.slots; slot++) {
+			const key = KEY_BASE - 1 - (slot % terms.backends);
+			slotLimits.set(key, (slotLimits.get(key) ?? 0) + 1);
+		}
 		this.scheduler = PoolScheduler.create(POOL, 1, {
 			slack: terms.slack,
 			slotLimits,
