--- a/tools/slopes/messageSlopes.ts
+++ b/tools/slopes/messageSlopes.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import type { PoolReport } from '../../src/peers/common/generated/masticloom/peers/v1/peers.js';
+import { PoolReport } from '../../src/peers/common/generated/masticloom/peers/v1/peers.js';
 import { PoolScheduler } from '../../src/scheduling/common/poolScheduler.js';
 import { ProcessGroup } from '../fleet/processes.js';
 import { type Slope, type SlopePoint, slopeOf } from './slope.js';
@@ -11,6 +11,8 @@
 const REPORTS_PER_POINT = 2_000;
 const BACKENDS = 11;
 const SLOTS = 100_000;
+const QUEUED = 1;
+const EXPECTED_COST = 100;
 
 interface TrafficResult {
 	readonly cpuMsPerSecond: number;
@@ -71,29 +73,24 @@
 	const slotLimits = new Map(Array.from({ length: BACKENDS }, (_, index) => [index + 1, SLOTS]));
 	const scheduler = PoolScheduler.create(1, 1, { slack: 2, slotLimits, shareOf: () => 1 });
 	const incarnation = randomUUID();
-	const report = (queued: number, complete: boolean, accounts: number): PoolReport => ({
-		pool: 1,
-		term: 1,
-		acknowledged: Number.MAX_SAFE_INTEGER,
-		complete,
-		accounts: Array.from({ length: accounts }, (_, index) => ({
-			account: index + 1,
-			queued,
-			running: false,
-			charged: 0,
-			expected: 100,
-			excess: 0,
-		})),
-		slots: [],
+	const numbers = Array.from({ length: backlogged }, (_, index) => index);
+	const empty = PoolReport.create({ pool: 1, term: 1, acknowledged: Number.MAX_SAFE_INTEGER });
+	scheduler.applyReport('entry', incarnation, {
+		...empty,
+		complete: true,
+		newAccounts: numbers.map((number) => number + 1),
+		accounts: numbers,
+		demands: numbers.map(() => 2 * QUEUED),
+		charged: numbers.map(() => 0),
+		excesses: numbers.map(() => 0),
+		expectedCosts: numbers.map((account) => ({ account, cost: EXPECTED_COST })),
 	});
-	scheduler.applyReport('entry', incarnation, report(1, true, backlogged));
 	scheduler.finishRebuild();
 	scheduler.takeUpdate('entry');
 	const startedAt = process.cpuUsage();
 	for (let round = 0; round < REPORTS_PER_POINT; round++) {
-		const one = report(1, false, 1);
-		const changed = one.accounts.map((account) => ({ ...account, account: (round % backlogged) + 1, charged: round }));
-		scheduler.applyReport('entry', incarnation, { ...one, accounts: changed });
+		const figures = { accounts: [round % backlogged], demands: [2 * QUEUED], charged: [round] };
+		scheduler.applyReport('entry', incarnation, { ...empty, ...figures });
 		for (const instance of scheduler.entriesToUpdate()) {
 			scheduler.takeUpdate(instance);
 		}
