Keep irregular answers of the store from ending a router

A line of the watch stream that is no JSON threw in a listener, which ends the process; an empty or foreign answer to a read threw outside the error channel or passed for an absent key. Every answer now needs the service's header and is decoded inside the call, so that it fails as a store error; a watch with another status than 200 fails at once. Statuses with which the service refuses a call before it runs it (400, 401, 403, 404, 413, 429) are reported as no-effect, which before held for 429 alone; 408 and 499 stay unknown, because the service uses them for calls that were given up. Tests serve such answers; the watch and read cases failed or crashed before the change by reading of the code, not by a run.

--- a/src/platform/node/etcdStore.ts
+++ b/src/platform/node/etcdStore.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
 import { Effect } from 'effect';
 import type { IKeyValueStore, KeyValue, StoreError, SwapResult } from '../common/keyValueStore.js';
-import { callJson, HttpCallError } from './httpJson.js';
+import { callJson, HttpCallError, type JsonAnswer } from './httpJson.js';
 
 const CALL_TIMEOUT_MS = 2_000;
 const MAXIMUM_SOCKETS = 64;
@@ -12,12 +12,20 @@
 	readonly mod_revision: string;
 }
 
-interface WireRange {
+interface WireAnswer {
+	readonly header?: { readonly revision: string };
+}
+
+interface WireKeepAlive extends WireAnswer {
+	/** The answer is a stream of one message, which has the header inside. */
+	readonly result?: WireAnswer & { readonly TTL?: string };
+}
+
+interface WireRange extends WireAnswer {
 	readonly kvs?: readonly WireKeyValue[];
 }
 
-interface WireTransaction {
-	readonly header: { readonly revision: string };
+interface WireTransaction extends WireAnswer {
 	readonly succeeded?: boolean;
 	readonly responses?: readonly { readonly response_range?: WireRange }[];
 }
@@ -50,7 +58,7 @@
 		options?: { readonly withoutValue?: boolean },
 	): Effect.Effect<KeyValue | undefined, StoreError> {
 		const body = { key: encode(key), ...keysOnly(options) };
-		return Effect.map(this.post<WireRange>('/v3/kv/range', body), (answer) => fromWire(answer.kvs?.[0]));
+		return this.post('/v3/kv/range', body, (answer: WireRange) => fromWire(answer.kvs?.[0]));
 	}
 
 	public list(
@@ -58,7 +66,7 @@
 		options?: { readonly withoutValue?: boolean },
 	): Effect.Effect<readonly KeyValue[], StoreError> {
 		const body = { key: encode(prefix), range_end: encodePrefixEnd(prefix), ...keysOnly(options) };
-		return Effect.map(this.post<WireRange>('/v3/kv/range', body), (answer) =>
+		return this.post('/v3/kv/range', body, (answer: WireRange) =>
 			(answer.kvs ?? []).flatMap((item) => fromWire(item) ?? []),
 		);
 	}
@@ -78,17 +86,13 @@
 	}
 
 	public grantLease(timeToLiveSeconds: number): Effect.Effect<string, StoreError> {
-		return Effect.map(
-			this.post<{ readonly ID: string }>('/v3/lease/grant', { TTL: String(timeToLiveSeconds) }),
-			(answer) => answer.ID,
-		);
+		const body = { TTL: String(timeToLiveSeconds) };
+		return this.post('/v3/lease/grant', body, (answer: WireAnswer & { readonly ID: string }) => answer.ID);
 	}
 
 	public keepAlive(leaseId: string): Effect.Effect<boolean, StoreError> {
-		return Effect.map(
-			this.post<{ readonly result?: { readonly TTL?: string } }>('/v3/lease/keepalive', { ID: leaseId }),
-			(answer) => Number(answer.result?.TTL ?? 0) > 0,
-		);
+		const body = { ID: leaseId };
+		return this.post('/v3/lease/keepalive', body, (answer: WireKeepAlive) => Number(answer.result?.TTL ?? 0) > 0);
 	}
 
 	public watch(
@@ -109,13 +113,20 @@
 			const fail = (message: string): void => resume(Effect.fail({ outcome: 'no-effect', message }));
 			request.on('error', (error) => fail(error.message));
 			request.on('response', (response) => {
+				if (response.statusCode !== 200) {
+					response.resume();
+					fail(`the store answered ${response.statusCode ?? 0} to a watch`);
+					return;
+				}
 				let buffered = '';
 				response.setEncoding('utf8');
 				response.on('data', (chunk: string) => {
 					const lines = (buffered + chunk).split('\n');
 					buffered = lines.pop() ?? '';
-					for (const line of lines) {
-						deliverWatchLine(line, onChange);
+					try {
+						lines.forEach((line) => deliverWatchLine(line, onChange));
+					} catch (error) {
+						fail(`the store sent something else than changes: ${String(error)}`);
 					}
 				});
 				response.on('close', () => fail('the watch ended'));
@@ -131,15 +142,15 @@
 				? { key: encode(key), target: 'CREATE', result: 'EQUAL', create_revision: '0' }
 				: { key: encode(key), target: 'MOD', result: 'EQUAL', mod_revision: String(expectedRevision) };
 		const body = { compare: [compare], success: [success], failure: [{ request_range: { key: encode(key) } }] };
-		return Effect.map(this.post<WireTransaction>('/v3/kv/txn', body), (answer): SwapResult => {
+		return this.post('/v3/kv/txn', body, (answer: WireTransaction): SwapResult => {
 			if (answer.succeeded === true) {
-				return { swapped: true, revision: Number(answer.header.revision) };
+				return { swapped: true, revision: Number(answer.header?.revision) };
 			}
 			return { swapped: false, current: fromWire(answer.responses?.[0]?.response_range?.kvs?.[0]) };
 		});
 	}
 
-	private post<T>(path: string, body: unknown): Effect.Effect<T, StoreError> {
+	private post<R>(path: string, body: unknown, decode: (answer: never) => R): Effect.Effect<R, StoreError> {
 		return Effect.tryPromise({
 			try: async (signal) => {
 				this.callCount++;
@@ -151,10 +162,9 @@
 					signal,
 				});
 				if (answer.status !== 200) {
-					// The service refuses over its rate with 429 before it runs the call; other errors leave the outcome open.
-					throw new HttpCallError(`the store answered ${answer.status}`, answer.status !== 429);
+					throw refusal(answer);
 				}
-				return answer.body as T;
+				return decode(checkAnswer(answer.body) as never);
 			},
 			catch: (error): StoreError => ({
 				outcome: error instanceof HttpCallError && !error.sent ? 'no-effect' : 'unknown',
@@ -164,6 +174,25 @@
 	}
 }
 
+// An answer without header is not the service's own, and would otherwise pass for an absent key.
+function checkAnswer(body: unknown): unknown {
+	const answer = body as WireKeepAlive | undefined;
+	if ((answer?.result ?? answer)?.header === undefined) {
+		throw new HttpCallError('the store sent an answer without header', true);
+	}
+	return body;
+}
+
+// With these statuses the service refuses a call before it runs it, such as 429 over its rate or 404 for a lapsed lease.
+// Other errors leave the outcome open, also 408 and 499 for a call that was given up.
+const REFUSALS: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 429]);
+
+function refusal({ status, body }: JsonAnswer): HttpCallError {
+	const message = (body as { readonly message?: string } | undefined)?.message;
+	const text = `the store answered ${status}${message === undefined ? '' : `: ${message}`}`;
+	return new HttpCallError(text, !REFUSALS.has(status));
+}
+
 function deliverWatchLine(line: string, onChange: (value: KeyValue | undefined) => void): void {
 	if (line.trim() === '') {
 		return;
--- /dev/null
+++ b/src/platform/test/etcdStore.test.ts
@@ -0,0 +1,65 @@
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { describe, expect, test } from '@jest/globals';
+import { Effect } from 'effect';
+import type { StoreError } from '../common/keyValueStore.js';
+import { EtcdStore } from '../node/etcdStore.js';
+
+/** Serves every call with the same answer. */
+async function withServer<T>(status: number, body: string, use: (store: EtcdStore) => Promise<T>): Promise<T> {
+	const server = http.createServer((request, response) => {
+		request.resume();
+		response.writeHead(status).end(body);
+	});
+	await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+	try {
+		return await use(EtcdStore.create(`http://127.0.0.1:${(server.address() as AddressInfo).port}`));
+	} finally {
+		server.closeAllConnections();
+		server.close();
+	}
+}
+
+function writeError(store: EtcdStore): Promise<StoreError> {
+	return Effect.runPromise(Effect.flip(store.compareAndSwap('a', 0, Buffer.from('x'))));
+}
+
+describe('answers of the store that are no regular ones', () => {
+	// Guards against an exception in a listener, which would end the router.
+	test.each([
+		[200, '<html>maintenance</html>\n'],
+		[200, '{"result":{"events":[{"kv":5}]}}\n'],
+		[503, 'unavailable'],
+	])('a watch that gets %d %s fails', (status, body) =>
+		withServer(status, body, async (store) => {
+			const error = await Effect.runPromise(Effect.flip(store.watch('a', () => undefined)));
+			expect(error.message).not.toBe('');
+		}),
+	);
+
+	// Guards against a write that ran and is taken for refused, which would run a request twice.
+	test.each([
+		[500, ''],
+		[503, '{"message":"timed out"}'],
+		[200, 'cut off {'],
+		[200, ''],
+		[200, '{"succeeded":true}'],
+		[408, '{"message":"canceled"}'],
+	])('a write that gets %d %s may have taken effect', (status, body) =>
+		withServer(status, body, async (store) => expect((await writeError(store)).outcome).toBe('unknown')),
+	);
+
+	// Guards against a key that is taken for absent.
+	test.each([[''], ['{}'], ['{"error":"proxy"}'], ['null']])('a read that gets %p fails', (body) =>
+		withServer(200, body, async (store) => {
+			expect((await Effect.runPromise(Effect.flip(store.get('a')))).message).not.toBe('');
+		}),
+	);
+
+	test.each([
+		[404, '{"message":"requested lease not found"}'],
+		[429, ''],
+	])('a write that gets %d %s had no effect', (status, body) =>
+		withServer(status, body, async (store) => expect((await writeError(store)).outcome).toBe('no-effect')),
+	);
+});
