--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -8,8 +8,7 @@
 	type FetchConfigurationRequest,
 	type FetchConfigurationResponse,
 	type PeerFrame,
-	PeerServiceClient,
-	PeerServiceService,
+	type PeerServiceClient,
 } from '../common/generated/masticloom/peers/v1/peers.js';
 import type {
 	IPeerNetwork,
@@ -21,6 +20,7 @@
 } from '../common/peerNetwork.js';
 import type { PeerSecurity } from './peerSecurity.js';
 import { PeerSession, type SessionEnd } from './peerSession.js';
+import { PeerTraffic } from './peerTraffic.js';
 
 const RECONNECT_DELAY_MS = 200;
 const FETCH_TIMEOUT_MS = 2_000;
@@ -48,6 +48,7 @@
 	configurationVersion: number;
 	leaving: boolean;
 	session: PeerSession | undefined;
+	sessionCount: number;
 	dialer: Fiber.Fiber<unknown> | undefined;
 }
 
@@ -70,6 +71,8 @@
 	private configurationVersion = 0;
 	private leaving = false;
 
+	/** Messages to and from peers since the start. */
+	public readonly traffic = PeerTraffic.create();
 	public readonly onDidChangePeer = this.changeEmitter.event;
 	public readonly onDidReceive = this.receiveEmitter.event;
 	/** Random identifier of this process. */
@@ -96,7 +99,7 @@
 	 * @throws Error when the address cannot be bound
 	 */
 	public listen(): Promise<number> {
-		this.server.addService(PeerServiceService, {
+		this.server.addService(this.traffic.service, {
 			connect: (stream: grpc.ServerDuplexStream<PeerFrame, PeerFrame>) => this.accept(stream),
 			fetchConfiguration: (
 				call: grpc.ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
@@ -208,10 +211,10 @@
 		});
 	}
 
-	private openClient({ address, instance }: PeerEndpoint): InstanceType<typeof PeerServiceClient> {
+	private openClient({ address, instance }: PeerEndpoint): PeerServiceClient {
 		// TLS checks the certificate of the answering router against this name in place of its IP address.
 		const options = { ...CHANNEL_OPTIONS, 'grpc.ssl_target_name_override': instance };
-		return new PeerServiceClient(address, this.options.clientCredentials(), options);
+		return new this.traffic.Client(address, this.options.clientCredentials(), options);
 	}
 
 	private runSession(
@@ -278,6 +281,7 @@
 	private startSession(record: PeerRecord, session: PeerSession, hello: NonNullable<PeerFrame['hello']>): void {
 		const former = record.session;
 		record.session = session;
+		record.sessionCount++;
 		if (former !== undefined && former !== session) {
 			former.replace();
 		}
@@ -323,6 +327,7 @@
 				configurationVersion: 0,
 				leaving: false,
 				session: undefined,
+				sessionCount: 0,
 				dialer: undefined,
 			};
 			this.records.set(instance, record);
@@ -356,5 +361,13 @@
 
 function toStatus(record: PeerRecord): PeerStatus {
 	const { endpoint, state, incarnation, failureDomain, configurationVersion, leaving } = record;
-	return { ...endpoint, state, incarnation, failureDomain, configurationVersion, leaving };
+	return {
+		...endpoint,
+		state,
+		incarnation,
+		failureDomain,
+		configurationVersion,
+		leaving,
+		session: record.sessionCount,
+	};
 }
