Hand request headers to Node.js as a list

Node.js copies a header object into a map and checks it header by header, and writes a list as it is.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -28,12 +28,18 @@
 
 const NO_BODY_STATUS = new Set([204, 304]);
 
+interface Endpoint {
+	readonly host: string;
+	readonly port: string;
+	readonly authority: string;
+}
+
 type Settle = (result: Effect.Effect<void, BackendFailure>) => void;
 
 /** Calls backend servers over HTTP/1.1 with connections that are kept open. */
 export class HttpBackendClient implements IBackendClient, IDisposable {
 	private readonly agent = new http.Agent({ keepAlive: true, scheduling: 'lifo', timeout: SILENCE_LIMIT_MS });
-	private readonly endpoints = new Map<string, { readonly host: string; readonly port: string }>();
+	private readonly endpoints = new Map<string, Endpoint>();
 
 	private constructor() {}
 
@@ -50,23 +56,25 @@
 	public call(server: BackendServer, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure> {
 		return Effect.callback<void, BackendFailure>((resume) => {
 			const attempt = new Attempt(server, request, sink, resume);
+			const endpoint = this.endpointOf(server.url);
 			const outgoing = http.request({
-				...this.endpointOf(server.url),
+				host: endpoint.host,
+				port: endpoint.port,
 				path: request.path,
 				method: request.method,
 				agent: this.agent,
-				headers: { ...request.headers, 'content-length': String(request.body.length) },
+				headers: headerList(request, endpoint.authority),
 			});
 			attempt.start(outgoing);
 			return Effect.sync(() => attempt.cancel());
 		});
 	}
 
-	private endpointOf(url: string): { readonly host: string; readonly port: string } {
+	private endpointOf(url: string): Endpoint {
 		let endpoint = this.endpoints.get(url);
 		if (endpoint === undefined) {
 			const parsed = new URL(url);
-			endpoint = { host: parsed.hostname, port: parsed.port };
+			endpoint = { host: parsed.hostname, port: parsed.port, authority: parsed.host };
 			this.endpoints.set(url, endpoint);
 		}
 		return endpoint;
@@ -156,6 +164,21 @@
 	}
 }
 
+// Node.js writes a list of names and values as it is; an object is first copied into a map, header by header.
+function headerList(request: BackendRequest, authority: string): string[] {
+	const list: string[] = ['host', authority];
+	for (const name in request.headers) {
+		const value = request.headers[name] ?? '';
+		if (typeof value === 'string') {
+			list.push(name, value);
+		} else {
+			value.forEach((item) => list.push(name, item));
+		}
+	}
+	list.push('content-length', String(request.body.length));
+	return list;
+}
+
 // An answer that ends with its connection looks whole when the server dies in the middle of it.
 function isFramed(method: string, response: http.IncomingMessage): boolean {
 	return (
