--- a/src/scheduling/common/schedulingDump.ts
+++ b/src/scheduling/common/schedulingDump.ts
@@ -33,6 +33,8 @@
 	readonly contended: boolean;
 	readonly floor: number;
 	readonly slack: number;
+	/** Normalised service that an entry may leave unreported. */
+	readonly quantum: number;
 	/** By short key of the backend server. */
 	readonly slotLimits: Readonly<Record<string, number>>;
 	/** By short key of the backend server. */
--- a/tools/load/load.ts
+++ b/tools/load/load.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import * as http from 'node:http';
 import { sleep } from '../fleet/processes.js';
-import { arrivalTimes } from './arrivals.js';
+import { arrivalTimes, chainStarts } from './arrivals.js';
 import { callCompletion, type CallOutcome } from './completionCall.js';
 import { drawCost, randomOf, type CostRange, type Source } from './workload.js';
 
@@ -59,6 +59,7 @@
 	private readonly pending = new Set<Promise<void>>();
 	private sequence = 0;
 	private startMs = 0;
+	private ended = false;
 
 	private constructor(private readonly plan: LoadPlan) {
 		this.agents = plan.routers.map(() => new http.Agent({ keepAlive: true }));
@@ -86,6 +87,8 @@
 		await sleep(this.plan.durationMs);
 		const endMs = epochNow();
 		await Promise.race([Promise.all(ends).then(() => Promise.all(this.pending)), sleep(drainMs)]);
+		// Connections that break from here on are broken by this end.
+		this.ended = true;
 		this.agents.forEach((agent) => {
 			agent.destroy();
 		});
@@ -95,8 +98,8 @@
 	private async runClosed(source: Source): Promise<void> {
 		const random = randomOf(this.plan.seed, source);
 		const untilMs = Math.min(source.untilMs ?? Infinity, this.plan.durationMs);
-		await sleep(source.fromMs ?? 0);
-		const chain = async (): Promise<void> => {
+		const chain = async (startMs: number): Promise<void> => {
+			await sleep(startMs);
 			while (epochNow() - this.startMs < untilMs) {
 				const outcome = await this.send(source, drawCost(this.plan.costs, random));
 				if (outcome.result !== 'whole') {
@@ -104,7 +107,7 @@
 				}
 			}
 		};
-		await Promise.all(Array.from({ length: source.inProgress }, chain));
+		await Promise.all(chainStarts(this.plan.seed, source).map(chain));
 	}
 
 	private async runOpen(source: Source): Promise<void> {
@@ -147,8 +150,10 @@
 				this.deliveries.push({ atMs, account: source.account, service: count + prompt });
 			},
 		);
-		record.endMs = epochNow();
-		record.outcome = outcome;
+		if (!this.ended) {
+			record.endMs = epochNow();
+			record.outcome = outcome;
+		}
 		return outcome;
 	}
 }
--- a/tools/slopes/messageSlopes.ts
+++ b/tools/slopes/messageSlopes.ts
@@ -79,10 +79,10 @@
 		accounts: Array.from({ length: accounts }, (_, index) => ({
 			account: index + 1,
 			queued,
-			running: 0,
+			running: false,
 			charged: 0,
 			expected: 100,
-			virtualService: 0,
+			excess: 0,
 		})),
 		slots: [],
 	});
