--- a/src/admin/common/explanation.ts
+++ b/src/admin/common/explanation.ts
@@ -20,7 +20,8 @@
 	readonly running: number;
 	/** Requests that may be queued on this router before the next is refused. */
 	readonly queueLimit?: number;
-	readonly oldestWaitMs?: number;
+	/** Time in which requests waited and none started. */
+	readonly stalledMs?: number;
 	/** Service delivered by this router since its start. */
 	readonly deliveredService: number;
 	/** Service of the account in the pool divided by its share, as last known here. */
--- a/src/admin/common/metricFamilies.ts
+++ b/src/admin/common/metricFamilies.ts
@@ -38,10 +38,10 @@
 		['pool', 'account'],
 	),
 	accountQueued: gauge('masticloom_account_queued_requests', 'Requests queued on this router.', ['pool', 'account']),
-	oldestWait: gauge(
-		'masticloom_oldest_wait_seconds',
-		'Age of the request that has been queued longest on this router.',
-		['pool'],
+	accountStalled: gauge(
+		'masticloom_account_stalled_seconds',
+		'Time in which requests of an account waited on this router and none of them started.',
+		['pool', 'account'],
 	),
 	requestsInProgress: gauge(
 		'masticloom_requests_in_progress',
--- a/src/admin/test/adminServer.test.ts
+++ b/src/admin/test/adminServer.test.ts
@@ -1,7 +1,9 @@
+import { readFileSync } from 'node:fs';
 import { describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
 import type { AccountFacts } from '../common/explanation.js';
+import { METRIC_FAMILIES } from '../common/metricFamilies.js';
 import { type AdminSources, serveAdmin } from '../node/adminServer.js';
 import { RouterMetrics } from '../node/routerMetrics.js';
 
@@ -129,6 +131,15 @@
 });
 
 describe('RouterMetrics', () => {
+	// Guards against a metric that operators do not know of, or one on their page that is gone.
+	test('are the ones on the page for operators', () => {
+		const page = readFileSync('docs/operators.md', 'utf8');
+		const documented = new Set(page.match(/\bmasticloom_\w+/g));
+		const requestMetrics = ['masticloom_requests_total', 'masticloom_request_wait_seconds'];
+		const families = Object.values(METRIC_FAMILIES).map(({ name }) => name);
+		expect([...documented].sort()).toEqual([...families, ...requestMetrics].sort());
+	});
+
 	// Guards against totals that grow with each scrape, and against values of accounts that have left.
 	test('reads totals anew on each scrape', async () => {
 		let accounts = ['a', 'b'];
--- a/src/cli/node/explainCommand.ts
+++ b/src/cli/node/explainCommand.ts
@@ -36,7 +36,7 @@
 }
 
 function formatPool(pool: AccountPoolFacts & { readonly reasons: readonly WaitReason[] }): readonly string[] {
-	const wait = pool.oldestWaitMs === undefined ? '' : `, the oldest for ${Math.round(pool.oldestWaitMs)} ms`;
+	const wait = pool.queued === 0 ? '' : `, none started for ${Math.round(pool.stalledMs ?? 0)} ms`;
 	const reuseLimit = pool.reuseLimit === undefined ? 'none' : round(pool.reuseLimit);
 	const servers = pool.backendServers.map(
 		({ id, status, slotLimit, configuredSlots }) =>
--- a/src/daemon/node/accountFacts.ts
+++ b/src/daemon/node/accountFacts.ts
@@ -45,6 +45,7 @@
 		schedulerReachable: entry.hasScheduler,
 		queued: state?.queued ?? 0,
 		running: state?.running ?? 0,
+		stalledMs: parts.dispatch.queues.of(pool, account.id).stalledMs,
 		queueLimit: parts.dispatch.queues.limitOf(pool, account.id),
 		deliveredService: state?.charged ?? 0,
 		virtualService: state?.virtualService ?? entry.floor,
--- a/src/daemon/node/metricReaders.ts
+++ b/src/daemon/node/metricReaders.ts
@@ -20,7 +20,7 @@
 ): MetricReaders {
 	const { follower, network, store, callers } = parts;
 	return {
-		...createPoolReaders(() => parts.slots.dump()),
+		...createPoolReaders(parts),
 		requestsInProgress: () => [{ value: callers.requestsInProgress }],
 		configurationVersion: () => [{ value: follower.version }],
 		atMostOnceRecords: () => [...parts.counters.claims].map(([result, value]) => ({ labels: { result }, value })),
@@ -38,16 +38,17 @@
 	};
 }
 
-function createPoolReaders(dump: () => readonly PoolDump[]): MetricReaders {
+function createPoolReaders({ slots, dispatch }: RouterParts): MetricReaders {
+	const dump = (): readonly PoolDump[] => slots.dump();
 	const perPool = (read: (pool: PoolDump) => number) => () =>
 		dump().map((pool) => ({ labels: { pool: pool.pool }, value: read(pool) }));
 	const perScheduled = (read: (scheduler: SchedulerDump) => number) => () =>
 		dump().flatMap(({ pool, schedulerState }) =>
 			schedulerState === undefined ? [] : [{ labels: { pool }, value: read(schedulerState) }],
 		);
-	const perAccount = (read: (account: EntryDump['accounts'][number]) => number) => () =>
+	const perAccount = (read: (account: EntryDump['accounts'][number], pool: string) => number) => () =>
 		dump().flatMap(({ pool, entry }) =>
-			busiestAccounts(entry).map((account) => ({ labels: { pool, account: account.id }, value: read(account) })),
+			busiestAccounts(entry).map((account) => ({ labels: { pool, account: account.id }, value: read(account, pool) })),
 		);
 	return {
 		virtualServiceSpread: perScheduled(spreadOf),
@@ -55,6 +56,7 @@
 		accountVirtualService: perAccount(({ virtualService }) => virtualService),
 		accountService: perAccount(({ charged }) => charged),
 		accountQueued: perAccount(({ queued }) => queued),
+		accountStalled: perAccount(({ id }, pool) => dispatch.queues.of(pool, id).stalledMs / 1_000),
 		slots: () => dump().flatMap(readSlots),
 		idleWhileWaiting: perPool(countIdleWhileWaiting),
 		poolContended: perPool(({ entry }) => (entry.contended ? 1 : 0)),
--- a/src/dispatch/common/accountQueues.ts
+++ b/src/dispatch/common/accountQueues.ts
@@ -47,6 +47,11 @@
 		return this.queued;
 	}
 
+	/** Milliseconds in which requests waited and none started; 0 when none waits. */
+	public get stalledMs(): number {
+		return this.queued > 0 && this.drainSince !== undefined ? this.clock.now() - this.drainSince : 0;
+	}
+
 	/** Counts a request that begins to wait. */
 	public enter(): void {
 		if (this.queued === 0) {
@@ -77,9 +82,8 @@
 	 * @returns milliseconds until then at the present drain rate
 	 */
 	public waitMs(ahead: number): number {
-		const stalledMs = this.queued > 0 && this.drainSince !== undefined ? this.clock.now() - this.drainSince : 0;
 		// A queue that has not moved for longer than its mean interval drains more slowly than the mean says.
-		return ahead * Math.max(this.intervalMs ?? INITIAL_INTERVAL_MS, stalledMs);
+		return ahead * Math.max(this.intervalMs ?? INITIAL_INTERVAL_MS, this.stalledMs);
 	}
 
 	/**
