Look for drifted entries on a timer only

Each report made the scheduler compare the view of every entry with all its demand, and views that had drifted by then were sent at once.

--- /dev/null
+++ b/src/peers/test/grpcPeerNetwork.test.ts
@@ -0,0 +1,117 @@
+import { afterEach, describe, expect, test } from '@jest/globals';
+import * as grpc from '@grpc/grpc-js';
+import { Effect } from 'effect';
+import { DisposableStore } from '../../base/common/lifecycle.js';
+import { PeerFrame, PeerServiceClient } from '../common/generated/masticloom/peers/v1/peers.js';
+import type { PeerStatus } from '../common/peerNetwork.js';
+import { GrpcPeerNetwork } from '../node/grpcPeerNetwork.js';
+import { INSECURE_PEERS } from '../node/peerSecurity.js';
+import { type FrameStream, PeerSession } from '../node/peerSession.js';
+
+let cleanup = DisposableStore.create();
+afterEach(() => {
+	cleanup.dispose();
+	cleanup = DisposableStore.create();
+});
+
+interface Listening {
+	readonly network: GrpcPeerNetwork;
+	readonly port: number;
+}
+
+async function listen(instance: string): Promise<Listening> {
+	const network = cleanup.add(
+		GrpcPeerNetwork.create({
+			...INSECURE_PEERS,
+			instance,
+			failureDomain: 'east-1',
+			address: '127.0.0.1:0',
+			serveConfiguration: () => ({ version: 0, document: new Uint8Array() }),
+		}),
+	);
+	return { network, port: await network.listen() };
+}
+
+/** Opens a stream in the name of a peer, as a second or restarted process of it would. */
+function openStream(
+	port: number,
+	instance: string,
+	incarnation: string,
+): grpc.ClientDuplexStream<PeerFrame, PeerFrame> {
+	const client = new PeerServiceClient(`127.0.0.1:${port}`, grpc.credentials.createInsecure());
+	const stream = client.connect();
+	stream.on('error', () => undefined);
+	stream.on('data', () => undefined);
+	cleanup.add({
+		dispose: () => {
+			stream.cancel();
+			client.close();
+		},
+	});
+	stream.write(PeerFrame.fromPartial({ hello: { instance, incarnation, failureDomain: 'east-1' } }));
+	return stream;
+}
+
+function nextStatus(network: GrpcPeerNetwork, matches: (peer: PeerStatus) => boolean): Promise<PeerStatus> {
+	return new Promise((resolve) => {
+		const subscription = network.onDidChangePeer((peer) => {
+			if (matches(peer)) {
+				subscription.dispose();
+				resolve(peer);
+			}
+		});
+	});
+}
+
+describe('peer network', () => {
+	// Guards against a peer that counts as lost when its former stream ends after it opened a newer one, and against
+	// frames that are sent on the former one.
+	test('follows the newer of two streams of a peer', async () => {
+		const { network, port } = await listen('router-2');
+		const first = nextStatus(network, ({ session }) => session === 1);
+		const former = openStream(port, 'router-1', 'one');
+		await first;
+		const second = nextStatus(network, ({ session }) => session === 2);
+		openStream(port, 'router-1', 'two');
+		expect((await second).incarnation).toBe('two');
+		const ended = new Promise((resolve) => former.on('end', resolve));
+		await ended;
+		expect(network.peers()).toMatchObject([{ instance: 'router-1', state: 'connected', session: 2 }]);
+	});
+
+	// Guards against a router that never learns that a peer is dead when the peer is the one that opens the stream: it
+	// would keep slots for it as for one behind a partition.
+	test('finds out that a peer which opens the stream is dead', async () => {
+		const { network, port } = await listen('router-2');
+		const dead = await listen('router-1');
+		network.setEndpoints([{ instance: 'router-1', address: `127.0.0.1:${dead.port}` }]);
+		const connected = nextStatus(network, ({ state }) => state === 'connected');
+		dead.network.setEndpoints([{ instance: 'router-2', address: `127.0.0.1:${port}` }]);
+		await connected;
+		const refused = nextStatus(network, (peer) => peer.refused);
+		dead.network.dispose();
+		expect(await refused).toMatchObject({ state: 'gone' });
+	});
+});
+
+describe('peer session', () => {
+	// Guards against memory that grows without limit while a peer does not read.
+	test('ends when too many frames wait for the peer', async () => {
+		let written = 0;
+		const stream: FrameStream = {
+			get writableLength() {
+				return written;
+			},
+			write: () => ++written > 0,
+			on: () => undefined,
+		};
+		const session = PeerSession.create(stream, () => ({}));
+		const end = Effect.runPromise(session.run(() => undefined));
+		for (let frame = 0; frame < 1_002; frame++) {
+			session.post({ reports: [] });
+			await new Promise(setImmediate);
+		}
+		expect(written).toBe(1_001);
+		expect((await end).reason).toBe('silent');
+	});
+});
--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -192,12 +192,15 @@
 		}
 	}
 
-	/** @returns entries for which {@link takeUpdate} has something to send */
-	public entriesToUpdate(): readonly string[] {
+	/**
+	 * @param withDrift whether to look for entries whose view has drifted, which takes time in proportion to all demand
+	 * @returns entries for which {@link takeUpdate} has something to send
+	 */
+	public entriesToUpdate(withDrift: boolean): readonly string[] {
 		const figures = this.poolFigures();
 		const result: string[] = [];
 		for (const entry of this.entries.values()) {
-			if (entry.dirty || (entry.synchronised && hasDrifted(entry, this.ledger, figures))) {
+			if (entry.dirty || (withDrift && entry.synchronised && hasDrifted(entry, this.ledger, figures))) {
 				result.push(entry.instance);
 			}
 		}
--- a/src/scheduling/node/slotService.ts
+++ b/src/scheduling/node/slotService.ts
@@ -337,7 +337,7 @@
 
 	private tick(): void {
 		for (const pool of this.pools.values()) {
-			this.flushUpdates(pool);
+			this.flushUpdates(pool, true);
 		}
 	}
 
@@ -361,12 +361,12 @@
 		});
 	}
 
-	private flushUpdates(pool: PoolState): void {
+	private flushUpdates(pool: PoolState, withDrift = false): void {
 		const { scheduler } = pool;
 		if (scheduler === undefined) {
 			return;
 		}
-		for (const instance of scheduler.entriesToUpdate()) {
+		for (const instance of scheduler.entriesToUpdate(withDrift)) {
 			const update = scheduler.takeUpdate(instance);
 			if (update === undefined) {
 				continue;
--- a/src/scheduling/test/leaseHarness.ts
+++ b/src/scheduling/test/leaseHarness.ts
@@ -247,7 +247,7 @@
 	}
 
 	private flush(): void {
-		for (const instance of this.scheduler.entriesToUpdate()) {
+		for (const instance of this.scheduler.entriesToUpdate(true)) {
 			const client = this.clients.find((item) => item.instance === instance);
 			const update: PoolUpdate | undefined = this.scheduler.takeUpdate(instance);
 			if (client !== undefined && update !== undefined && client.connected) {
--- a/src/scheduling/test/poolHarness.ts
+++ b/src/scheduling/test/poolHarness.ts
@@ -73,7 +73,7 @@
 		});
 		this.routers = Array.from({ length: terms.routers }, (_, index) => this.createRouter(index));
 		this.scheduler.finishRebuild();
-		this.time.every(SCHEDULER_TICK_MS, () => this.flush());
+		this.time.every(SCHEDULER_TICK_MS, () => this.flush(true));
 		this.time.every(RELAX_INTERVAL_MS, () => this.scheduler.relax());
 		this.time.every(DELIVERY_STEP_MS, () => this.deliver());
 		terms.sources.forEach((source, index) => {
@@ -233,8 +233,8 @@
 		});
 	}
 
-	private flush(): void {
-		for (const instance of this.scheduler.entriesToUpdate()) {
+	private flush(withDrift = false): void {
+		for (const instance of this.scheduler.entriesToUpdate(withDrift)) {
 			const router = this.routers.find((item) => item.instance === instance);
 			const update = this.scheduler.takeUpdate(instance);
 			if (router !== undefined && update !== undefined) {
