--- a/tools/slopes/messageSlopes.ts
+++ b/tools/slopes/messageSlopes.ts
@@ -63,13 +63,22 @@
 	}
 }
 
-/** @returns CPU of the scheduler per report that returns one slot and is answered by a grant, against backlogged accounts */
+/** @returns CPU of the scheduler per report of one account, and per search for drifted views, against backlogged accounts */
 export function measureDecisions(): readonly Slope[] {
-	const points = BACKLOGGED_COUNTS.map((count): SlopePoint => ({ x: count, y: timeDecisions(count) }));
-	return [slopeOf('decisions-cpu', { x: 'backlogged accounts', y: 'scheduler CPU per report and grant, µs' }, points)];
+	const reports: SlopePoint[] = [];
+	const scans: SlopePoint[] = [];
+	for (const x of BACKLOGGED_COUNTS) {
+		const withoutScan = timeDecisions(x, false);
+		reports.push({ x, y: withoutScan });
+		scans.push({ x, y: timeDecisions(x, true) - withoutScan });
+	}
+	return [
+		slopeOf('decisions-cpu', { x: 'backlogged accounts', y: 'scheduler CPU per report, µs' }, reports),
+		slopeOf('drift-scan-cpu', { x: 'backlogged accounts', y: 'scheduler CPU per search for drift, µs' }, scans),
+	];
 }
 
-function timeDecisions(backlogged: number): number {
+function timeDecisions(backlogged: number, withScan: boolean): number {
 	const slotLimits = new Map(Array.from({ length: BACKENDS }, (_, index) => [index + 1, SLOTS]));
 	const scheduler = PoolScheduler.create(1, 1, { slack: 2, slotLimits, shareOf: () => 1 });
 	const incarnation = randomUUID();
@@ -91,7 +100,7 @@
 	for (let round = 0; round < REPORTS_PER_POINT; round++) {
 		const figures = { accounts: [round % backlogged], demands: [2 * QUEUED], charged: [round] };
 		scheduler.applyReport('entry', incarnation, { ...empty, ...figures });
-		for (const instance of scheduler.entriesToUpdate()) {
+		for (const instance of scheduler.entriesToUpdate(withScan)) {
 			scheduler.takeUpdate(instance);
 		}
 	}
