Check silent backend connections together

A socket timeout for each request adds several listeners to it and takes them off again. A request that is given up for silence no longer counts as the death of its backend server.

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -42,8 +42,9 @@
  * - `refused`: the server said that it did not start the request.
  * - `fenced`: the server has seen a higher fencing number, so another attempt has replaced this one.
  * - `broken`: the connection died while the request was in progress.
+ * - `silent`: nothing was heard of the request for too long, so the router gave it up.
  */
-export type BackendFailureKind = 'unreachable' | 'refused' | 'fenced' | 'broken';
+export type BackendFailureKind = 'unreachable' | 'refused' | 'fenced' | 'broken' | 'silent';
 
 /** An attempt that brought no whole answer. */
 export interface BackendFailure {
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -7,7 +7,9 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 
 // Longest silence on a connection with a request in progress. Plain services may work for minutes before they answer.
-const SILENCE_LIMIT_MS = 600_000;
+// All requests are checked together: a socket timeout for each one costs several listeners per request.
+const SILENCE_CHECK_MS = 10_000;
+const SILENT_CHECKS = 60;
 
 const CONFLICT = 409;
 
@@ -38,7 +40,9 @@
 
 /** Calls backend servers over HTTP/1.1 with connections that are kept open. */
 export class HttpBackendClient implements IBackendClient, IDisposable {
-	private readonly agent = new http.Agent({ keepAlive: true, scheduling: 'lifo', timeout: SILENCE_LIMIT_MS });
+	private readonly agent = new http.Agent({ keepAlive: true, scheduling: 'lifo' });
+	private readonly active = new Set<Attempt>();
+	private readonly silenceTimer = setInterval(() => this.checkSilence(), SILENCE_CHECK_MS).unref();
 	private readonly endpoints = new Map<string, Endpoint>();
 
 	private constructor() {}
@@ -50,12 +54,17 @@
 
 	/** Closes all connections. */
 	public dispose(): void {
+		clearInterval(this.silenceTimer);
 		this.agent.destroy();
 	}
 
 	public call(server: BackendServer, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure> {
 		return Effect.callback<void, BackendFailure>((resume) => {
-			const attempt = new Attempt(server, request, sink, resume);
+			const attempt: Attempt = new Attempt(server, request, sink, (result) => {
+				this.active.delete(attempt);
+				resume(result);
+			});
+			this.active.add(attempt);
 			const endpoint = this.endpointOf(server.url);
 			const outgoing = http.request({
 				host: endpoint.host,
@@ -66,10 +75,19 @@
 				headers: headerList(request, endpoint.authority),
 			});
 			attempt.start(outgoing);
-			return Effect.sync(() => attempt.cancel());
+			return Effect.sync(() => {
+				this.active.delete(attempt);
+				attempt.cancel();
+			});
 		});
 	}
 
+	private checkSilence(): void {
+		for (const attempt of this.active) {
+			attempt.checkSilence();
+		}
+	}
+
 	private endpointOf(url: string): Endpoint {
 		let endpoint = this.endpoints.get(url);
 		if (endpoint === undefined) {
@@ -85,6 +103,7 @@
 	private outgoing: http.ClientRequest | undefined;
 	private sent = false;
 	private settled = false;
+	private silentChecks = 0;
 
 	public constructor(
 		private readonly server: BackendServer,
@@ -107,11 +126,19 @@
 				this.send();
 			});
 		});
-		outgoing.on('timeout', () => outgoing.destroy(new Error('no data in time')));
 		outgoing.on('error', (error) => this.fail(this.sent ? 'broken' : 'unreachable', error.message));
 		outgoing.on('response', (response) => this.receive(response));
 	}
 
+	/** Breaks the connection when nothing has arrived for too long. */
+	public checkSilence(): void {
+		this.silentChecks++;
+		if (this.silentChecks > SILENT_CHECKS) {
+			this.fail(this.sent ? 'silent' : 'unreachable', 'no data in time');
+			this.outgoing?.destroy();
+		}
+	}
+
 	public cancel(): void {
 		this.settled = true;
 		this.outgoing?.destroy();
@@ -136,6 +163,7 @@
 		const framed = isFramed(this.request.method, response);
 		this.sink.head({ status, headers: passedHeaders(response.headers) });
 		response.on('data', (chunk: Buffer) => {
+			this.silentChecks = 0;
 			if (!this.settled && !this.sink.write(chunk, () => response.resume())) {
 				response.pause();
 			}
@@ -152,7 +180,7 @@
 	}
 
 	private fail(kind: BackendFailure['kind'], message: string): void {
-		const verdict = kind === 'broken' || kind === 'fenced' ? 'may-have-run' : 'not-run';
+		const verdict = kind === 'unreachable' || kind === 'refused' ? 'not-run' : 'may-have-run';
 		this.settle(Effect.fail({ kind, verdict, message: `backend server ${this.server.id}: ${message}` }));
 	}
 
