--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -1,4 +1,5 @@
 import type { PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
+import type { AccountDemand } from './accountNumbers.js';
 import { acknowledge, createEntryRecord, type EntryRecord, voidGrants } from './entryRecord.js';
 import { type EntryDemand, mostUnmet, ServiceLedger } from './serviceLedger.js';
 import { SlotLeases } from './slotLeases.js';
@@ -111,15 +112,16 @@
 			entry.dirty = true;
 			return;
 		}
+		const accounts = entry.numbers.unpack(report);
 		// Sequence numbers start anew with each term.
 		acknowledge(entry, report.term === this.term ? report.acknowledged : 0, this.ledger, this.leases);
 		if (report.complete) {
-			this.resetEntry(entry, report);
+			this.resetEntry(entry, report, accounts);
 		}
 		for (const { backend, held } of report.slots) {
 			this.leases.setHeld(entry, backend, held);
 		}
-		for (const demand of report.accounts) {
+		for (const demand of accounts) {
 			const known = entry.demand.get(demand.account);
 			entry.demand.set(demand.account, this.ledger.apply(instance, known, demand, report.complete));
 		}
@@ -191,12 +193,15 @@
 		}
 	}
 
-	/** @returns entries for which {@link takeUpdate} has something to send */
-	public entriesToUpdate(): readonly string[] {
+	/**
+	 * @param withDrift whether to look for entries whose view has drifted, which takes time in proportion to all demand
+	 * @returns entries for which {@link takeUpdate} has something to send
+	 */
+	public entriesToUpdate(withDrift: boolean): readonly string[] {
 		const figures = this.poolFigures();
 		const result: string[] = [];
 		for (const entry of this.entries.values()) {
-			if (entry.dirty || (entry.synchronised && hasDrifted(entry, this.ledger, figures))) {
+			if (entry.dirty || (withDrift && entry.synchronised && hasDrifted(entry, this.ledger, figures))) {
 				result.push(entry.instance);
 			}
 		}
@@ -345,7 +350,7 @@
 	}
 
 	/** A complete report lists everything, so what it leaves out is zero, and the entry knows nothing but its slots. */
-	private resetEntry(entry: EntryRecord, report: PoolReport): void {
+	private resetEntry(entry: EntryRecord, report: PoolReport, demands: readonly AccountDemand[]): void {
 		entry.synchronised = true;
 		entry.dirty = true;
 		voidGrants(entry, (grant) => grant.sequence <= entry.lostSequence, this.ledger, this.leases);
@@ -359,10 +364,11 @@
 				this.leases.setHeld(entry, backend, 0);
 			}
 		}
-		const accounts = new Set(report.accounts.map((demand) => demand.account));
+		const accounts = new Set(demands.map((demand) => demand.account));
 		for (const [key, demand] of entry.demand) {
 			demand.sent = undefined;
 			if (!accounts.has(key)) {
+				demand.running = false;
 				this.ledger.setQueued(demand, 0);
 			}
 		}
--- a/src/scheduling/test/poolHarness.ts
+++ b/src/scheduling/test/poolHarness.ts
@@ -61,10 +61,11 @@
 		this.service = terms.shares.map(() => 0);
 		this.waitingOf = terms.shares.map(() => 0);
 		this.draws = terms.sources.map((source) => randomOf(terms.seed, source));
-		const perBackend = terms.slots / terms.backends;
-		const slotLimits = new Map(
-			Array.from({ length: terms.backends }, (_, index) => [KEY_BASE - 1 - index, perBackend]),
-		);
+		const slotLimits = new Map<number, number>();
+		for (let slot = 0; slot < terms.slots; slot++) {
+			const key = KEY_BASE - 1 - (slot % terms.backends);
+			slotLimits.set(key, (slotLimits.get(key) ?? 0) + 1);
+		}
 		this.scheduler = PoolScheduler.create(POOL, 1, {
 			slack: terms.slack,
 			slotLimits,
@@ -72,7 +73,7 @@
 		});
 		this.routers = Array.from({ length: terms.routers }, (_, index) => this.createRouter(index));
 		this.scheduler.finishRebuild();
-		this.time.every(SCHEDULER_TICK_MS, () => this.flush());
+		this.time.every(SCHEDULER_TICK_MS, () => this.flush(true));
 		this.time.every(RELAX_INTERVAL_MS, () => this.scheduler.relax());
 		this.time.every(DELIVERY_STEP_MS, () => this.deliver());
 		terms.sources.forEach((source, index) => {
@@ -232,8 +233,8 @@
 		});
 	}
 
-	private flush(): void {
-		for (const instance of this.scheduler.entriesToUpdate()) {
+	private flush(withDrift = false): void {
+		for (const instance of this.scheduler.entriesToUpdate(withDrift)) {
 			const router = this.routers.find((item) => item.instance === instance);
 			const update = this.scheduler.takeUpdate(instance);
 			if (router !== undefined && update !== undefined) {
