Test queue limits and the truth of Retry-After in virtual time

A refusal must follow the present drain rate, also when the queue has stopped moving, and requests that were given up must not count as drained.

--- /dev/null
+++ b/src/dispatch/test/accountQueues.test.ts
@@ -0,0 +1,79 @@
+import { describe, expect, test } from '@jest/globals';
+import { AccountQueue, AccountQueues } from '../common/accountQueues.js';
+
+const LIMIT = 10;
+
+function filledQueue(clock: { readonly now: () => number }, length: number): AccountQueue {
+	const queue = AccountQueue.create(clock);
+	for (let index = 0; index < length; index++) {
+		queue.enter();
+	}
+	return queue;
+}
+
+describe('AccountQueue', () => {
+	// Guards against a Retry-After that ignores how fast the queue drains, so that callers come back in vain or too late.
+	test('tells refused callers when half the queue will have drained, and follows a change of the rate', () => {
+		let now = 0;
+		const queue = filledQueue({ now: () => now }, LIMIT);
+		const drain = (intervalMs: number, count: number): void => {
+			for (let start = 0; start < count; start++) {
+				now += intervalMs;
+				queue.leave(true);
+				queue.enter();
+			}
+		};
+		drain(2_000, 5);
+		expect(queue.admit(LIMIT, undefined)).toEqual({ reason: 'queue-full', retryAfterSeconds: 10 });
+		drain(200, 100);
+		expect(queue.admit(LIMIT, undefined)).toEqual({ reason: 'queue-full', retryAfterSeconds: 2 });
+		now += 30_000; // Nothing has started since, so the past rate is no longer true.
+		expect(queue.admit(LIMIT, undefined)).toEqual({ reason: 'queue-full', retryAfterSeconds: 150 });
+	});
+
+	// Guards against a request that waits for a deadline it cannot meet, and against a refusal of one that can.
+	test('refuses deadlines below the expected wait only', () => {
+		let now = 0;
+		const queue = filledQueue({ now: () => now }, 5);
+		now += 1_000;
+		queue.leave(true);
+		expect(queue.admit(LIMIT, 3_000)).toEqual({ reason: 'deadline', retryAfterSeconds: 1 });
+		expect(queue.admit(LIMIT, 4_000)).toBeUndefined();
+	});
+
+	// Guards against given-up requests that make the queue look faster than it is.
+	test('does not count requests that were given up as drained', () => {
+		let now = 0;
+		const queue = filledQueue({ now: () => now }, 5);
+		now += 1_000;
+		queue.leave(true);
+		queue.leave(false);
+		expect([queue.length, queue.waitMs(3)]).toEqual([3, 3_000]);
+	});
+});
+
+describe('AccountQueues', () => {
+	// Guards against one account whose queue takes the memory of all, and a small share that cannot queue at all.
+	test('derives limits from shares', () => {
+		const queues = AccountQueues.create({ now: () => 0 });
+		const account = (id: string, share: number) => ({ id, share, tokenDigests: [], services: ['s'] });
+		const service = {
+			id: 's',
+			pool: 'p',
+			kind: 'plain',
+			operations: [],
+			resumable: false,
+			maximumBodyBytes: 1,
+		} as const;
+		const server = { id: 'b', pool: 'p', url: 'http://127.0.0.1:1', slots: 10, checksFencing: false };
+		queues.configure({
+			version: 1,
+			accounts: [account('large', 9_999), account('medium', 1_000), account('small', 1)],
+			services: [service],
+			pools: [{ id: 'p', slack: 1 }],
+			backendServers: [server],
+		});
+		const limits = ['large', 'medium', 'small'].map((id) => queues.limitOf('p', id));
+		expect(limits).toEqual([582, 59, 32]);
+	});
+});
