--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -9,7 +9,6 @@
 	type FetchConfigurationResponse,
 	type PeerFrame,
 	PeerServiceClient,
-	PeerServiceService,
 } from '../common/generated/masticloom/peers/v1/peers.js';
 import type {
 	IPeerNetwork,
@@ -20,6 +19,7 @@
 	PeerStatus,
 } from '../common/peerNetwork.js';
 import type { PeerSecurity } from './peerSecurity.js';
+import { createCountedService, type PeerTraffic } from './countedService.js';
 import { isRefused } from './probe.js';
 import { PeerSession, type SessionEnd } from './peerSession.js';
 
@@ -67,6 +67,8 @@
 	private readonly changeEmitter = this.register(Emitter.create<PeerStatus>());
 	private readonly receiveEmitter = this.register(Emitter.create<PeerMessage>());
 	private readonly server = new grpc.Server();
+	private readonly sent: PeerTraffic = { messages: 0, bytes: 0 };
+	private readonly service = createCountedService(this.sent);
 	private configurationVersion = 0;
 	private leaving = false;
 
@@ -96,7 +98,7 @@
 	 * @throws Error when the address cannot be bound
 	 */
 	public listen(): Promise<number> {
-		this.server.addService(PeerServiceService, {
+		this.server.addService(this.service.definition, {
 			connect: (stream: grpc.ServerDuplexStream<PeerFrame, PeerFrame>) => this.accept(stream),
 			fetchConfiguration: (
 				call: grpc.ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
@@ -134,6 +136,11 @@
 		return [...this.records.values()].map(toStatus);
 	}
 
+	/** @returns frames sent to peers since the start, for metrics */
+	public traffic(): Readonly<PeerTraffic> {
+		return { ...this.sent };
+	}
+
 	public setEndpoints(endpoints: readonly PeerEndpoint[]): void {
 		const wanted = new Map(endpoints.map((endpoint) => [endpoint.instance, endpoint]));
 		for (const [instance, record] of this.records) {
@@ -215,7 +222,7 @@
 	private openClient({ address, instance }: PeerEndpoint): InstanceType<typeof PeerServiceClient> {
 		// TLS checks the certificate of the answering router against this name in place of its IP address.
 		const options = { ...CHANNEL_OPTIONS, 'grpc.ssl_target_name_override': instance };
-		return new PeerServiceClient(address, this.options.clientCredentials(), options);
+		return new this.service.client(address, this.options.clientCredentials(), options);
 	}
 
 	private runSession(
--- a/src/peers/test/grpcPeerNetwork.test.ts
+++ b/src/peers/test/grpcPeerNetwork.test.ts
@@ -91,6 +91,8 @@
 		const refused = nextStatus(network, (peer) => peer.refused);
 		dead.network.dispose();
 		expect(await refused).toMatchObject({ state: 'gone' });
+		// The hello and the first heartbeat at least.
+		expect(network.traffic().messages).toBeGreaterThan(0);
 	});
 });
 
