--- a/src/admin/common/explanation.ts
+++ b/src/admin/common/explanation.ts
@@ -19,8 +19,9 @@
 	readonly queued: number;
 	readonly running: number;
 	/** Requests that may be queued on this router before the next is refused. */
-	readonly queueLimit: number;
-	readonly oldestWaitMs?: number;
+	readonly queueLimit?: number;
+	/** Time in which requests waited and none started. */
+	readonly stalledMs?: number;
 	/** Service delivered by this router since its start. */
 	readonly deliveredService: number;
 	/** Service of the account in the pool divided by its share, as last known here. */
@@ -111,7 +112,7 @@
 }
 
 function explainQueue(pool: AccountPoolFacts): WaitReason | undefined {
-	if (pool.queued < pool.queueLimit) {
+	if (pool.queueLimit === undefined || pool.queued < pool.queueLimit) {
 		return undefined;
 	}
 	return {
--- a/src/admin/common/metricFamilies.ts
+++ b/src/admin/common/metricFamilies.ts
@@ -22,9 +22,9 @@
 		'Difference between the highest and lowest virtual service of backlogged accounts, at the scheduler of the pool.',
 		['pool'],
 	),
-	fairnessGapBound: gauge(
-		'masticloom_fairness_gap_bound_cost_units',
-		'Bound of the fairness gap for the accounts backlogged now, at the scheduler of the pool.',
+	slack: gauge(
+		'masticloom_slack_cost_units',
+		'How far above the floor an account may be and still reuse a slot, at the scheduler of the pool.',
 		['pool'],
 	),
 	accountVirtualService: gauge(
@@ -38,27 +38,22 @@
 		['pool', 'account'],
 	),
 	accountQueued: gauge('masticloom_account_queued_requests', 'Requests queued on this router.', ['pool', 'account']),
-	oldestWait: gauge(
-		'masticloom_oldest_wait_seconds',
-		'Age of the request that has been queued longest on this router.',
-		['pool'],
+	accountStalled: gauge(
+		'masticloom_account_stalled_seconds',
+		'Time in which requests of an account waited on this router and none of them started.',
+		['pool', 'account'],
 	),
 	requestsInProgress: gauge(
 		'masticloom_requests_in_progress',
 		'Requests accepted by this router and not yet answered.',
 		[],
 	),
-	cutRequests: counter(
-		'masticloom_requests_cut_total',
-		'Requests that a shutdown ended before their answer was complete.',
-		[],
-	),
 	atMostOnceRecords: counter('masticloom_at_most_once_records_total', 'Claims of at-most-once records, by result.', [
 		'result',
 	]),
 	backendState: gauge(
 		'masticloom_backend_server_state',
-		'1 for the present state of a backend server (live, leaving, down, unknown).',
+		'1 for the present state of a backend server (live, draining, leaving, down, unknown).',
 		['pool', 'backend_server', 'state'],
 	),
 	backendRunning: gauge(
@@ -82,25 +77,23 @@
 		['pool', 'state'],
 	),
 	poolContended: gauge('masticloom_pool_contended', '1 while a pool has unmet demand and no free slot.', ['pool']),
-	idleWhileWaiting: counter(
-		'masticloom_idle_slot_seconds_while_waiting_total',
-		'Slot time that was idle at the scheduler or this router while a request that could use it waited.',
+	idleWhileWaiting: gauge(
+		'masticloom_idle_slots_while_waiting',
+		'Slots that are idle at this router or free at the scheduler while a request that could use them waits.',
 		['pool'],
 	),
-	controlBytes: counter(
-		'masticloom_control_bytes_total',
-		'Bytes on the wire that are not payload of callers, by channel (peers, store, list) and direction.',
-		['channel', 'direction'],
+	peerBytes: counter(
+		'masticloom_peer_bytes_total',
+		'Bytes of messages between routers with the gRPC and HTTP/2 frame headers, by direction (sent, received).',
+		['direction'],
 	),
-	controlMessages: counter('masticloom_control_messages_total', 'Messages between routers by direction.', [
-		'direction',
-	]),
+	peerMessages: counter('masticloom_peer_messages_total', 'Messages between routers by direction.', ['direction']),
 	storeCalls: counter(
 		'masticloom_store_calls_total',
 		'Calls to the key-value store; a waiting watch counts as one.',
 		[],
 	),
-	peers: gauge('masticloom_peers', 'Other routers by state (connected, listed).', ['state']),
+	peers: gauge('masticloom_peers', 'Other routers by state (connecting, connected, silent, gone).', ['state']),
 	schedulerTerm: gauge('masticloom_scheduler_term', 'Highest scheduler term heard of.', ['pool']),
 	schedulerRole: gauge('masticloom_scheduler_role', '1 while this router is the scheduler of the pool.', ['pool']),
 	ready: gauge('masticloom_ready', '1 while the router is ready for traffic.', []),
--- a/src/cli/node/explainCommand.ts
+++ b/src/cli/node/explainCommand.ts
@@ -36,7 +36,7 @@
 }
 
 function formatPool(pool: AccountPoolFacts & { readonly reasons: readonly WaitReason[] }): readonly string[] {
-	const wait = pool.oldestWaitMs === undefined ? '' : `, the oldest for ${Math.round(pool.oldestWaitMs)} ms`;
+	const wait = pool.queued === 0 ? '' : `, none started for ${Math.round(pool.stalledMs ?? 0)} ms`;
 	const reuseLimit = pool.reuseLimit === undefined ? 'none' : round(pool.reuseLimit);
 	const servers = pool.backendServers.map(
 		({ id, status, slotLimit, configuredSlots }) =>
@@ -44,7 +44,7 @@
 	);
 	return [
 		`Pool ${pool.pool}, scheduler ${pool.scheduler ?? 'unknown'}`,
-		`  requests on this router: ${pool.queued} of at most ${pool.queueLimit} queued${wait}; ${pool.running} running`,
+		`  requests on this router: ${pool.queued} of at most ${pool.queueLimit ?? 'any number'} queued${wait}; ${pool.running} running`,
 		`  service by share: ${round(pool.virtualService)}, floor ${round(pool.floor)}, reuse limit ${reuseLimit}`,
 		`  service by this router: ${round(pool.deliveredService)} cost units`,
 		`  slots of this router: ${pool.slotsHeld} held, ${pool.slotsIdle} idle`,
--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -8,7 +8,7 @@
 	type FetchConfigurationRequest,
 	type FetchConfigurationResponse,
 	type PeerFrame,
-	PeerServiceClient,
+	type PeerServiceClient,
 } from '../common/generated/masticloom/peers/v1/peers.js';
 import type {
 	IPeerNetwork,
@@ -19,19 +19,22 @@
 	PeerStatus,
 } from '../common/peerNetwork.js';
 import type { PeerSecurity } from './peerSecurity.js';
-import { createCountedService, type PeerTraffic } from './countedService.js';
 import { isRefused } from './probe.js';
 import { PeerSession, type SessionEnd } from './peerSession.js';
+import { PeerTraffic } from './peerTraffic.js';
 
 const RECONNECT_DELAY_MS = 200;
 const FETCH_TIMEOUT_MS = 2_000;
 const INCARNATION_BYTES = 8;
+// The library's 4 MiB are less than a configuration of 19,000 accounts with two tokens each.
+const MAXIMUM_MESSAGE_BYTES = 67_108_864;
 
 // Each attempt uses its own connection, so that the channel's own backoff does not delay the next one.
 const CHANNEL_OPTIONS: grpc.ChannelOptions = {
 	'grpc.use_local_subchannel_pool': 1,
 	'grpc.enable_retries': 0,
 	'grpc.enable_http_proxy': 0,
+	'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
 };
 
 const log = logOf('peers');
@@ -67,11 +70,11 @@
 	private readonly changeEmitter = this.register(Emitter.create<PeerStatus>());
 	private readonly receiveEmitter = this.register(Emitter.create<PeerMessage>());
 	private readonly server = new grpc.Server();
-	private readonly sent: PeerTraffic = { messages: 0, bytes: 0 };
-	private readonly service = createCountedService(this.sent);
 	private configurationVersion = 0;
 	private leaving = false;
 
+	/** Messages to and from peers since the start. */
+	public readonly traffic = PeerTraffic.create();
 	public readonly onDidChangePeer = this.changeEmitter.event;
 	public readonly onDidReceive = this.receiveEmitter.event;
 	/** Random identifier of this process. */
@@ -98,7 +101,7 @@
 	 * @throws Error when the address cannot be bound
 	 */
 	public listen(): Promise<number> {
-		this.server.addService(this.service.definition, {
+		this.server.addService(this.traffic.service, {
 			connect: (stream: grpc.ServerDuplexStream<PeerFrame, PeerFrame>) => this.accept(stream),
 			fetchConfiguration: (
 				call: grpc.ServerUnaryCall<FetchConfigurationRequest, FetchConfigurationResponse>,
@@ -136,11 +139,6 @@
 		return [...this.records.values()].map(toStatus);
 	}
 
-	/** @returns frames sent to peers since the start, for metrics */
-	public traffic(): Readonly<PeerTraffic> {
-		return { ...this.sent };
-	}
-
 	public setEndpoints(endpoints: readonly PeerEndpoint[]): void {
 		const wanted = new Map(endpoints.map((endpoint) => [endpoint.instance, endpoint]));
 		for (const [instance, record] of this.records) {
@@ -219,10 +217,10 @@
 		});
 	}
 
-	private openClient({ address, instance }: PeerEndpoint): InstanceType<typeof PeerServiceClient> {
+	private openClient({ address, instance }: PeerEndpoint): PeerServiceClient {
 		// TLS checks the certificate of the answering router against this name in place of its IP address.
 		const options = { ...CHANNEL_OPTIONS, 'grpc.ssl_target_name_override': instance };
-		return new this.service.client(address, this.options.clientCredentials(), options);
+		return new this.traffic.Client(address, this.options.clientCredentials(), options);
 	}
 
 	private runSession(
--- a/src/scheduling/common/fairQueue.ts
+++ b/src/scheduling/common/fairQueue.ts
@@ -17,6 +17,10 @@
 	base: number;
 	/** Virtual service above the floor, when the scheduler last sent it; undefined before that. */
 	excess: number | undefined;
+	/** The scheduler sent it since the account was last idle here; before that, it may be old. */
+	informed: boolean;
+	/** Charged service when the floor was last heard, in cost units. */
+	chargedAtFloor: number;
 	/** Figures of the last report, to tell what is news. */
 	reportedQueued: number;
 	reportedCharged: number;
@@ -85,6 +89,8 @@
 				charged: 0,
 				base: 0,
 				excess: undefined,
+				informed: false,
+				chargedAtFloor: 0,
 				reportedQueued: 0,
 				reportedCharged: 0,
 				reportedExpected: 0,
@@ -102,6 +108,9 @@
 	 * @param request what to queue
 	 */
 	public enqueue(state: AccountState<T>, request: T): void {
+		if (state.queue.length === 0 && state.running === 0) {
+			state.informed = false;
+		}
 		if (state.queue.length === 0 && this.serviceOf(state) < this.floor) {
 			// Idle time earns no credit, and no backlogged account is below the floor.
 			state.base += this.floor - this.serviceOf(state);
@@ -198,9 +207,29 @@
 	 */
 	public setExcess(state: AccountState<T>, excess: number): void {
 		state.excess = excess;
+		state.informed = true;
 		state.base = this.floor + excess - state.reportedCharged / state.share;
 	}
 
+	/**
+	 * @param state account at this entry
+	 * @returns virtual service above the floor when the floor was last heard; 0 when it is not known
+	 */
+	public excessAtFloor(state: AccountState<T>): number {
+		if (!state.informed) {
+			return 0;
+		}
+		const own = state.base + state.chargedAtFloor / state.share - this.floor;
+		return Math.max(0, own, state.excess ?? 0);
+	}
+
+	/** Notes how much service was charged when the floor was heard. */
+	public markFloor(): void {
+		for (const state of this.states.values()) {
+			state.chargedAtFloor = state.charged;
+		}
+	}
+
 	/**
 	 * Moves to the floor of another scheduler, whose virtual time differs, and keeps each account's distance from it.
 	 *
--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -4,6 +4,7 @@
 import { type EntryDemand, mostUnmet, ServiceLedger } from './serviceLedger.js';
 import { SlotLeases } from './slotLeases.js';
 import { hasDrifted, type PoolFigures, writeUpdate } from './updateWriter.js';
+import type { SchedulerDump } from './schedulingDump.js';
 
 /** Smallest slack that the reporting quantum is derived from, in mean request costs. */
 const MINIMUM_QUANTUM_SLACK = 0.5;
@@ -94,6 +95,7 @@
 	/** Starts to grant slots. */
 	public finishRebuild(): void {
 		this.rebuilding = false;
+		this.ledger.finishRebuild();
 		this.allocate();
 	}
 
@@ -196,7 +198,7 @@
 	 * @param withDrift whether to look for entries whose view has drifted, which takes time in proportion to all demand
 	 * @returns entries for which {@link takeUpdate} has something to send
 	 */
-	public entriesToUpdate(withDrift: boolean): readonly string[] {
+	public entriesToUpdate(withDrift = true): readonly string[] {
 		const figures = this.poolFigures();
 		const result: string[] = [];
 		for (const entry of this.entries.values()) {
@@ -245,7 +247,7 @@
 	}
 
 	/** @returns figures for the state dump */
-	public dump(): unknown {
+	public dump(): SchedulerDump {
 		return {
 			...this.figures(),
 			slack: this.slack(),
--- a/src/scheduling/node/slotService.ts
+++ b/src/scheduling/node/slotService.ts
@@ -7,6 +7,7 @@
 import type { PeerMessage, PeerStatus } from '../../peers/common/peerNetwork.js';
 import { type PendingRequest, PoolEntry, type SlotLease, type Urgency } from '../common/poolEntry.js';
 import { type PoolLimits, PoolScheduler } from '../common/poolScheduler.js';
+import type { PoolDump } from '../common/schedulingDump.js';
 import type { ISlotService, Slot, SlotRequest } from '../common/slotService.js';
 import { LAZY_REPORT_MS, RELAX_INTERVAL_MS, SCHEDULER_TICK_MS } from '../common/timing.js';
 import { computeLimits } from './limits.js';
@@ -131,7 +132,7 @@
 	}
 
 	/** @returns figures for the state dump */
-	public dump(): unknown {
+	public dump(): readonly PoolDump[] {
 		return [...this.pools.values()].map((pool) => ({
 			pool: pool.id,
 			scheduler: pool.schedulerInstance,
