--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -95,6 +95,7 @@
 	/** Starts to grant slots. */
 	public finishRebuild(): void {
 		this.rebuilding = false;
+		this.ledger.finishRebuild();
 		this.allocate();
 	}
 
@@ -197,7 +198,7 @@
 	 * @param withDrift whether to look for entries whose view has drifted, which takes time in proportion to all demand
 	 * @returns entries for which {@link takeUpdate} has something to send
 	 */
-	public entriesToUpdate(withDrift: boolean): readonly string[] {
+	public entriesToUpdate(withDrift = true): readonly string[] {
 		const figures = this.poolFigures();
 		const result: string[] = [];
 		for (const entry of this.entries.values()) {
--- a/src/scheduling/common/serviceLedger.ts
+++ b/src/scheduling/common/serviceLedger.ts
@@ -5,6 +5,8 @@
 export interface AccountLedger {
 	readonly key: number;
 	virtualService: number;
+	/** Part of the virtual service that entries charged without a scheduler, while the state is rebuilt. */
+	growth: number;
 	/** Normalised start charge of granted requests that no report has acknowledged. */
 	granted: number;
 	/** Expected cost of the next request, in cost units. */
@@ -46,6 +48,7 @@
 	private readonly backlogged = new Set<AccountLedger>();
 	private virtualTime = 0;
 	private cachedFloor: number | undefined;
+	private rebuilding = true;
 
 	private constructor(private shares: (account: number) => number | undefined) {}
 
@@ -73,6 +76,11 @@
 		return this.accounts.values();
 	}
 
+	/** Ends the collection of complete reports, in which distances from the floor of the former scheduler are merged. */
+	public finishRebuild(): void {
+		this.rebuilding = false;
+	}
+
 	/** @param shareOf share by short key of the account */
 	public setShares(shareOf: (account: number) => number | undefined): void {
 		this.shares = shareOf;
@@ -135,8 +143,10 @@
 			this.virtualTime = Math.max(this.virtualTime, floor);
 			this.backlogged.delete(account);
 		} else if (!this.backlogged.has(account)) {
-			// Idle time earns no credit: a newly backlogged account starts at the floor.
-			account.virtualService = Math.max(account.virtualService, floor);
+			if (!this.rebuilding) {
+				// Idle time earns no credit: a newly backlogged account starts at the floor.
+				account.virtualService = Math.max(account.virtualService, floor);
+			}
 			this.backlogged.add(account);
 		}
 		this.cachedFloor = undefined;
@@ -197,13 +207,25 @@
 		const demand: EntryDemand = { account, instance, queued: 0, running: false, granted: 0, charged, sent: undefined };
 		account.demand.set(instance, demand);
 		if (complete !== undefined) {
-			// The entry may come from another scheduler, whose floor differs. Taking its distance from the floor in place of
-			// its value bounds how long the accounts of the two sides of a partition are treated unequally after the rejoin.
-			account.virtualService = Math.max(account.virtualService, this.floor + complete.excess);
+			this.mergeDistance(account, complete);
 		}
 		return demand;
 	}
 
+	/**
+	 * The entry may come from another scheduler, whose floor differs. Taking its distance from the floor in place of its
+	 * value bounds how long the accounts of the two sides of a partition are treated unequally after the rejoin. Entries
+	 * know the same distance, so the largest counts, but each charged its own service since.
+	 */
+	private mergeDistance(account: AccountLedger, { excess, growth }: AccountDemand): void {
+		if (this.rebuilding) {
+			account.virtualService = Math.max(account.virtualService - account.growth, excess) + account.growth + growth;
+			account.growth += growth;
+			return;
+		}
+		account.virtualService = Math.max(account.virtualService, this.floor + excess + growth);
+	}
+
 	private computeFloor(): number {
 		let floor = Infinity;
 		for (const account of this.backlogged) {
@@ -215,7 +237,7 @@
 	private accountOf(key: number): AccountLedger {
 		let account = this.accounts.get(key);
 		if (account === undefined) {
-			account = { key, virtualService: 0, granted: 0, expected: 0, queued: 0, demand: new Map() };
+			account = { key, virtualService: 0, growth: 0, granted: 0, expected: 0, queued: 0, demand: new Map() };
 			this.accounts.set(key, account);
 		}
 		return account;
