--- a/tools/slopes/messageSlopes.ts
+++ b/tools/slopes/messageSlopes.ts
@@ -9,8 +9,7 @@
 const SECONDS = 4;
 const BACKLOGGED_COUNTS = [100, 500, 1_000, 1_900];
 const REPORTS_PER_POINT = 2_000;
-const BACKENDS = 11;
-const SLOTS = 100_000;
+const BACKEND = 1;
 const QUEUED = 1;
 const EXPECTED_COST = 100;
 
@@ -63,7 +62,7 @@
 	}
 }
 
-/** @returns CPU of the scheduler per report of one account, and per search for drifted views, against backlogged accounts */
+/** @returns CPU of the scheduler per report and grant, and per search for drifted views, against backlogged accounts */
 export function measureDecisions(): readonly Slope[] {
 	const reports: SlopePoint[] = [];
 	const scans: SlopePoint[] = [];
@@ -73,13 +72,14 @@
 		scans.push({ x, y: timeDecisions(x, true) - withoutScan });
 	}
 	return [
-		slopeOf('decisions-cpu', { x: 'backlogged accounts', y: 'scheduler CPU per report, µs' }, reports),
+		slopeOf('decisions-cpu', { x: 'backlogged accounts', y: 'scheduler CPU per report and grant, µs' }, reports),
 		slopeOf('drift-scan-cpu', { x: 'backlogged accounts', y: 'scheduler CPU per search for drift, µs' }, scans),
 	];
 }
 
 function timeDecisions(backlogged: number, withScan: boolean): number {
-	const slotLimits = new Map(Array.from({ length: BACKENDS }, (_, index) => [index + 1, SLOTS]));
+	// Each report returns the only slot, so that each is answered by exactly one grant.
+	const slotLimits = new Map([[BACKEND, 1]]);
 	const scheduler = PoolScheduler.create(1, 1, { slack: 2, slotLimits, shareOf: () => 1 });
 	const incarnation = randomUUID();
 	const numbers = Array.from({ length: backlogged }, (_, index) => index);
@@ -99,7 +99,8 @@
 	const startedAt = process.cpuUsage();
 	for (let round = 0; round < REPORTS_PER_POINT; round++) {
 		const figures = { accounts: [round % backlogged], demands: [2 * QUEUED], charged: [round] };
-		scheduler.applyReport('entry', incarnation, { ...empty, ...figures });
+		const slots = [{ backend: BACKEND, held: 0, failed: false }];
+		scheduler.applyReport('entry', incarnation, { ...empty, ...figures, slots });
 		for (const instance of scheduler.entriesToUpdate(withScan)) {
 			scheduler.takeUpdate(instance);
 		}
