Return slots before a router leaves, and show contended time

The scheduling slice can now give up idle slots for a router that shuts down, so the shutdown calls it before the scheduler role is handed over; peers otherwise hold such slots for 1 s after the router is gone. The slopes tool passes the argument that the scheduler now takes, with the value that keeps what it measured.

--- a/src/admin/common/metricFamilies.ts
+++ b/src/admin/common/metricFamilies.ts
@@ -77,6 +77,11 @@
 		['pool', 'state'],
 	),
 	poolContended: gauge('masticloom_pool_contended', '1 while a pool has unmet demand and no free slot.', ['pool']),
+	poolContendedTime: counter(
+		'masticloom_pool_contended_seconds_total',
+		'Time for which a pool was contended while this router scheduled it.',
+		['pool'],
+	),
 	idleWhileWaiting: gauge(
 		'masticloom_idle_slots_while_waiting',
 		'Slots that are idle at this router or free at the scheduler while a request that could use them waits.',
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -112,7 +112,7 @@
 	});
 }
 
-function toSteps({ callers, membership }: RouterParts, setLeaving: () => void): ShutdownSteps {
+function toSteps({ callers, membership, slots }: RouterParts, setLeaving: () => void): ShutdownSteps {
 	return {
 		announce: () => {
 			setLeaving();
@@ -122,7 +122,10 @@
 		idle: callers.idle,
 		endRequests: () => callers.endRequests(),
 		leave: Effect.andThen(
-			Effect.sync(() => membership.leave()),
+			Effect.sync(() => {
+				slots.leave();
+				membership.leave();
+			}),
 			Effect.sleep(HANDOVER_MS),
 		),
 	};
--- a/src/daemon/node/metricReaders.ts
+++ b/src/daemon/node/metricReaders.ts
@@ -60,6 +60,8 @@
 		slots: () => dump().flatMap(readSlots),
 		idleWhileWaiting: perPool(countIdleWhileWaiting),
 		poolContended: perPool(({ entry }) => (entry.contended ? 1 : 0)),
+		poolContendedTime: () =>
+			slots.figures().map(({ pool, contendedMs }) => ({ labels: { pool }, value: contendedMs / 1_000 })),
 		schedulerTerm: perPool(({ entry }) => entry.term),
 		schedulerRole: perPool(({ schedulerState }) => (schedulerState === undefined ? 0 : 1)),
 	};
--- a/tools/slopes/messageSlopes.ts
+++ b/tools/slopes/messageSlopes.ts
@@ -91,7 +91,7 @@
 	for (let round = 0; round < REPORTS_PER_POINT; round++) {
 		const figures = { accounts: [round % backlogged], demands: [2 * QUEUED], charged: [round] };
 		scheduler.applyReport('entry', incarnation, { ...empty, ...figures });
-		for (const instance of scheduler.entriesToUpdate()) {
+		for (const instance of scheduler.entriesToUpdate(true)) {
 			scheduler.takeUpdate(instance);
 		}
 	}
