--- a/src/cli/node/commandLine.ts
+++ b/src/cli/node/commandLine.ts
@@ -1,4 +1,5 @@
 import sade from 'sade';
+import { VERSION } from '../../base/common/version.js';
 import { ConfigurationPublisher } from '../../configuration/node/configurationPublisher.js';
 import { EtcdStore } from '../../platform/node/etcdStore.js';
 import { HttpInstanceList } from '../../platform/node/httpInstanceList.js';
@@ -69,7 +70,9 @@
 }
 
 function defineCommands(output: Output): ReturnType<typeof sade> {
-	const program = sade('masticloom').describe('Applies configurations to a fleet of routers and shows its state.');
+	const program = sade('masticloom')
+		.version(VERSION)
+		.describe('Applies configurations to a fleet of routers and shows its state.');
 	program
 		.command('check <file>', 'Check a configuration file.')
 		.action((file: string) => Promise.resolve(check(file, output)));
--- a/src/daemon/node/main.ts
+++ b/src/daemon/node/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { Effect } from 'effect';
 import sade from 'sade';
+import { VERSION } from '../../base/common/version.js';
 import { logOf, setLogLevel } from '../../base/node/log.js';
 import { runDaemon } from './daemon.js';
 import { watchSignals } from './signals.js';
@@ -18,6 +19,7 @@
 }
 
 sade('masticloomd', true)
+	.version(VERSION)
 	.describe('Runs one masticloom router.')
 	.option('--settings', 'INI file with the settings of this router (required)')
 	.example('--settings /etc/masticloom/router.ini')
