--- a/src/scheduling/common/accountNumbers.ts
+++ b/src/scheduling/common/accountNumbers.ts
@@ -10,14 +10,16 @@
 	readonly charged: number;
 	/** Expected cost of the next request, in cost units; absent when it has hardly changed since it was last sent. */
 	readonly expected: number | undefined;
-	/** Virtual service above the floor; only meant in complete reports. */
+	/** Virtual service above the floor as of the last update; 0 when it is not known. Only meant in complete reports. */
 	readonly excess: number;
+	/** Normalised service charged since the last update; only meant in complete reports. */
+	readonly growth: number;
 }
 
 /** The part of a report that lists accounts. */
 export type ReportedAccounts = Pick<
 	PoolReport,
-	'newAccounts' | 'accounts' | 'demands' | 'charged' | 'excesses' | 'expectedCosts'
+	'newAccounts' | 'accounts' | 'demands' | 'charged' | 'excesses' | 'growths' | 'expectedCosts'
 >;
 
 /** Numbers that stand for accounts on one stream, from one complete report to the next. */
@@ -67,6 +69,7 @@
 			demands: demands.map(({ queued, running }) => 2 * queued + Number(running)),
 			charged: demands.map(({ charged }) => charged),
 			excesses: complete ? demands.map(({ excess }) => excess) : [],
+			growths: complete ? demands.map(({ growth }) => growth) : [],
 			expectedCosts: demands.flatMap((demand) =>
 				demand.expected === undefined ? [] : [{ account: numberOf(demand), cost: demand.expected }],
 			),
@@ -100,6 +103,7 @@
 					charged: report.charged[index] ?? 0,
 					expected: expected.get(number),
 					excess: report.excesses[index] ?? 0,
+					growth: report.growths[index] ?? 0,
 				},
 			];
 		});
--- a/src/scheduling/common/poolEntry.ts
+++ b/src/scheduling/common/poolEntry.ts
@@ -132,6 +132,7 @@
 		this.hasScheduler = true;
 		this.applied = update.sequence;
 		this.queue.floor = update.floor;
+		this.queue.markFloor();
 		this.slack = update.slack ?? this.slack;
 		this.quantum = update.quantum ?? this.quantum;
 		this.contended = update.contended;
@@ -374,7 +375,8 @@
 	}
 
 	private reportAccount(state: AccountState<PendingRequest>, complete: boolean): AccountDemand {
-		const excess = complete ? Math.max(0, this.queue.serviceOf(state) - this.queue.floor) : 0;
+		const excess = complete ? this.queue.excessAtFloor(state) : 0;
+		const growth = Math.max(0, state.charged - state.chargedAtFloor) / state.share;
 		state.reportedQueued = state.queue.length;
 		state.reportedCharged = Math.round(state.charged);
 		state.reportedRunning = state.running > 0;
@@ -390,6 +392,7 @@
 			charged: state.reportedCharged,
 			expected: retuned ? value : undefined,
 			excess,
+			growth,
 			running: state.reportedRunning,
 		};
 	}
