--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -104,7 +104,7 @@
 				const state = (await callJson('GET', `${router.adminUrl}/state`)) as {
 					readonly configuration: { readonly version?: number };
 				};
-				return (state.configuration.version ?? 0) >= version;
+				return (state.configuration.version ?? 0) >= version || `version ${state.configuration.version ?? 0}`;
 			});
 			await orEnded(router.program, inForce);
 		}
@@ -118,8 +118,8 @@
 					router.program,
 					until(READY_LIMIT_MS, `${router.name} ready`, async () => {
 						const response = await fetch(`${router.adminUrl}/readyz`);
-						await response.text();
-						return response.status === 200;
+						const reason = await response.text();
+						return response.status === 200 || reason;
 					}),
 				),
 			),
--- a/tools/fleet/processes.ts
+++ b/tools/fleet/processes.ts
@@ -7,6 +7,7 @@
 import { fileURLToPath } from 'node:url';
 
 const READY_LIMIT_MS = 20_000;
+const POLL_INTERVAL_MS = 50;
 const LAST_LINES_KEPT = 20;
 // Below the range from which the system takes ports of outgoing connections, so that a router can restart on its port.
 const FIRST_PORT = 20_000;
@@ -185,23 +186,25 @@
  *
  * @param limitMs limit in milliseconds
  * @param what what is waited for, for the error
- * @param check the condition; an error counts as false
+ * @param check says whether the condition holds, or why not yet; an error counts as a reason
  * @throws Error when the limit passes first
  */
-export async function until(limitMs: number, what: string, check: () => Promise<boolean>): Promise<void> {
+export async function until(limitMs: number, what: string, check: () => Promise<true | string>): Promise<void> {
 	const end = performance.now() + limitMs;
 	let last = '';
 	while (performance.now() < end) {
 		try {
-			if (await check()) {
+			const result = await check();
+			if (result === true) {
 				return;
 			}
+			last = result;
 		} catch (error) {
-			last = `: ${String(error)}`;
+			last = String(error);
 		}
-		await sleep(50);
+		await sleep(POLL_INTERVAL_MS);
 	}
-	throw new Error(`${what} not within ${limitMs} ms${last}`);
+	throw new Error(`${what}: not within ${limitMs} ms: ${last}`);
 }
 
 /**
--- a/tools/measure/run.ts
+++ b/tools/measure/run.ts
@@ -117,7 +117,11 @@
 	const faults = Promise.all(
 		scenario.faults.map(async (fault) => {
 			await sleep(fault.atMs);
-			await fault.run(context);
+			try {
+				await fault.run(context);
+			} catch (error) {
+				context.fail(`a step of the scenario failed: ${String(error)}`);
+			}
 		}),
 	);
 	await Promise.all([sleep(scenario.durationMs), faults]);
--- a/tools/measure/scenario.ts
+++ b/tools/measure/scenario.ts
@@ -38,6 +38,8 @@
 	readonly breaksBackends: boolean;
 	/** The gap holds in all phases, or only after the last fault, or is only printed. */
 	readonly gapHolds: 'always' | 'last-phase' | 'printed';
+	/** Least sum of the shares of accounts that are backlogged at once, for the bound; all when absent. */
+	readonly backloggedShares?: number;
 	/** Slack of the pools, in mean request costs. */
 	readonly slack: number;
 }
