--- a/src/configuration/node/configurationFollower.ts
+++ b/src/configuration/node/configurationFollower.ts
@@ -8,7 +8,13 @@
 import type { IConfigurationService } from '../common/configurationService.js';
 import type { Configuration } from '../common/model.js';
 import { decodeDocument, encodeDocument } from './configurationDocument.js';
-import { adoptConfiguration, loadSnapshot, type LoadError, type PartCache } from './configurationSnapshot.js';
+import {
+	adoptConfiguration,
+	loadSnapshot,
+	type LoadError,
+	type PartCache,
+	type PartProgress,
+} from './configurationSnapshot.js';
 
 const log = logOf('configuration');
 
@@ -67,6 +73,7 @@
 	private readonly random: () => number;
 	private configuration: Configuration | undefined;
 	private cache: PartCache = new Map();
+	private readonly progress: PartProgress = new Map();
 	private document: { readonly version: number; readonly bytes: Uint8Array } | undefined;
 	/** The newest head that a watch delivered and that was not read yet. */
 	private watchedHead: KeyValue | undefined;
@@ -200,7 +207,8 @@
 					return;
 				}
 			}
-			const snapshot = yield* loadSnapshot(this.options.store, this.cache, watched);
+			const snapshot = yield* loadSnapshot(this.options.store, this.cache, watched, this.progress);
+			this.progress.clear();
 			this.headRevision = snapshot.headRevision;
 			this.accept(snapshot.configuration, snapshot.cache, 'the store');
 		});
--- a/src/configuration/node/configurationSnapshot.ts
+++ b/src/configuration/node/configurationSnapshot.ts
@@ -25,6 +25,9 @@
 /** Items of configuration parts by the parts' digests. */
 export type PartCache = ReadonlyMap<string, readonly ConfigurationItem[]>;
 
+/** Parts that an unfinished load has read, for the next attempt. */
+export type PartProgress = Map<string, readonly ConfigurationItem[]>;
+
 /** A configuration as the store has it. */
 export interface ConfigurationSnapshot {
 	readonly head: ConfigurationHead;
@@ -34,6 +37,12 @@
 	readonly cache: PartCache;
 }
 
+/** A head as it was read from the store. */
+export interface StoredHead {
+	readonly head: ConfigurationHead;
+	readonly revision: number;
+}
+
 /** Why a configuration could not be read. */
 export interface LoadError {
 	/** `unusable`: the store answered, and what it holds cannot be used. */
@@ -55,12 +64,15 @@
  * @param store the platform's store
  * @param cache parts that are known already
  * @param known a head that was read a moment ago, in place of the first read
+ * @param progress keeps the parts that were read when the load fails; a load of 82 parts that began anew after each
+ *   refused read would never end at a store that is over its rate
  * @returns the snapshot; the empty one when nothing was published yet
  */
 export function loadSnapshot(
 	store: IKeyValueStore,
 	cache: PartCache,
 	known?: KeyValue,
+	progress: PartProgress = new Map(),
 ): Effect.Effect<ConfigurationSnapshot, LoadError> {
 	return Effect.gen(function* () {
 		// A part disappears when a newer head no longer needs it, so a missing part means that the head is outdated.
@@ -69,7 +81,7 @@
 			if (stored === undefined) {
 				return EMPTY_SNAPSHOT;
 			}
-			const snapshot = yield* loadParts(store, cache, stored.head, stored.revision);
+			const snapshot = yield* loadParts(store, cache, stored, progress);
 			if (snapshot !== undefined) {
 				return snapshot;
 			}
@@ -85,10 +97,7 @@
  * @param known a head that was read a moment ago, in place of the read
  * @returns the head and its store revision, or undefined when nothing was published yet
  */
-export function readHead(
-	store: IKeyValueStore,
-	known?: KeyValue,
-): Effect.Effect<{ readonly head: ConfigurationHead; readonly revision: number } | undefined, LoadError> {
+export function readHead(store: IKeyValueStore, known?: KeyValue): Effect.Effect<StoredHead | undefined, LoadError> {
 	return Effect.gen(function* () {
 		const stored = known ?? (yield* read(store, HEAD_KEY));
 		if (stored === undefined) {
@@ -124,30 +133,49 @@
 	return { configuration: { version: configuration.version, ...content }, cache: adopted };
 }
 
+function loadPart(
+	store: IKeyValueStore,
+	name: string,
+	progress: PartProgress,
+): Effect.Effect<readonly ConfigurationItem[] | undefined, LoadError> {
+	return Effect.gen(function* () {
+		const stored = yield* read(store, partKey(name));
+		if (stored === undefined) {
+			return undefined;
+		}
+		const items = yield* decodePart(name, new TextDecoder().decode(stored.value));
+		progress.set(digestOfPart(name), items);
+		return items;
+	});
+}
+
 function loadParts(
 	store: IKeyValueStore,
 	cache: PartCache,
-	head: ConfigurationHead,
-	headRevision: number,
+	{ head, revision: headRevision }: StoredHead,
+	progress: PartProgress,
 ): Effect.Effect<ConfigurationSnapshot | undefined, LoadError> {
 	return Effect.gen(function* () {
 		const needed = new Map<string, readonly ConfigurationItem[]>();
+		const missing: string[] = [];
 		for (const { name } of partEntries(head.parts)) {
-			const cached = cache.get(digestOfPart(name));
-			if (cached !== undefined) {
-				needed.set(digestOfPart(name), cached);
+			const digest = digestOfPart(name);
+			const known = cache.get(digest) ?? progress.get(digest);
+			if (known === undefined) {
+				missing.push(name);
+			} else {
+				needed.set(digest, known);
 			}
 		}
-		const missing = partEntries(head.parts).filter(({ name }) => !needed.has(digestOfPart(name)));
-		const stored = yield* Effect.forEach(missing, ({ name }) => read(store, partKey(name)), {
+		const loaded = yield* Effect.forEach(missing, (name) => loadPart(store, name, progress), {
 			concurrency: PARALLEL_READS,
 		});
-		for (const [index, { name }] of missing.entries()) {
-			const part = stored[index];
-			if (part === undefined) {
+		for (const [index, name] of missing.entries()) {
+			const items = loaded[index];
+			if (items === undefined) {
 				return undefined;
 			}
-			needed.set(digestOfPart(name), yield* decodePart(name, new TextDecoder().decode(part.value)));
+			needed.set(digestOfPart(name), items);
 		}
 		const content = joinParts((section, bucket) => needed.get(digestOfPart(head.parts[section][bucket] ?? '')) ?? []);
 		return { head, headRevision, configuration: { version: head.version, ...content }, cache: needed };
--- /dev/null
+++ b/src/configuration/test/configurationSnapshot.test.ts
@@ -0,0 +1,53 @@
+import { describe, expect, test } from '@jest/globals';
+import { Effect } from 'effect';
+import { PlatformStandIn } from '../../../standins/platform/platformStandIn.js';
+import type { IKeyValueStore, StoreError } from '../../platform/common/keyValueStore.js';
+import { EtcdStore } from '../../platform/node/etcdStore.js';
+import { ConfigurationPublisher } from '../node/configurationPublisher.js';
+import { type ConfigurationSnapshot, loadSnapshot, type PartProgress } from '../node/configurationSnapshot.js';
+import { accountOf, contentOf } from './fixtures.js';
+
+const ACCOUNTS = 200;
+const READS_BEFORE_REFUSAL = 10;
+
+/** Wraps a store so that it refuses every so many reads, as one that is over its rate does. */
+function refusingReads(store: IKeyValueStore, readsBeforeRefusal: number): IKeyValueStore {
+	let reads = 0;
+	return {
+		get: (key, options) =>
+			Effect.suspend(() => {
+				reads = (reads + 1) % (readsBeforeRefusal + 1);
+				const refusal: StoreError = { outcome: 'no-effect', message: 'the store answered 429' };
+				return reads === 0 ? Effect.fail(refusal) : store.get(key, options);
+			}),
+		compareAndSwap: (key, revision, value, leaseId) => store.compareAndSwap(key, revision, value, leaseId),
+		list: (prefix, options) => store.list(prefix, options),
+		remove: (key, revision) => store.remove(key, revision),
+		grantLease: (seconds) => store.grantLease(seconds),
+		keepAlive: (leaseId) => store.keepAlive(leaseId),
+		watch: (key, onChange, start) => store.watch(key, onChange, start),
+	};
+}
+
+describe('loadSnapshot', () => {
+	// Guards against a router that never gets a configuration of many parts while the store is over its rate.
+	test('goes on with the parts it has after a refused read', async () => {
+		const standIn = await PlatformStandIn.start();
+		const store = EtcdStore.create(standIn.storeUrl);
+		const publisher = ConfigurationPublisher.create(store);
+		const base = await Effect.runPromise(publisher.load());
+		const accounts = Array.from({ length: ACCOUNTS }, (_, index) => accountOf(`account-${index}`));
+		await Effect.runPromise(publisher.publish(base, contentOf(accounts)));
+		const refusing = refusingReads(store, READS_BEFORE_REFUSAL);
+		const progress: PartProgress = new Map();
+		let snapshot: ConfigurationSnapshot | undefined;
+		const parts = (await Effect.runPromise(publisher.load())).cache.size;
+		for (let attempt = 0; attempt < parts && snapshot === undefined; attempt++) {
+			const result = await Effect.runPromise(Effect.result(loadSnapshot(refusing, new Map(), undefined, progress)));
+			snapshot = result._tag === 'Success' ? result.success : undefined;
+		}
+		await standIn.close();
+		expect(parts).toBeGreaterThan(READS_BEFORE_REFUSAL);
+		expect(snapshot?.configuration.accounts).toHaveLength(ACCOUNTS);
+	});
+});
