Reach a router that restarts while the instance list is down

Storing the list in the key-value service was ruled out, since that is down as well. Now a router that lost a peer opens the stream itself when a new process listens at the peer's address for 1 s without coming by, the greeting carries the sender's address so that the configuration can be fetched, and a connected peer counts as knowledge of the fleet.

--- a/src/membership/common/membershipService.ts
+++ b/src/membership/common/membershipService.ts
@@ -29,6 +29,6 @@
 	 * @returns whether the instance list shows it as leaving
 	 */
 	isLeaving(backendServer: string): boolean;
-	/** @returns whether the list was read once and every listed router was connected or tried */
+	/** @returns whether the list was read once or a peer connected, and every listed router was connected or tried */
 	isSettled(): boolean;
 }
--- a/src/membership/node/membershipService.ts
+++ b/src/membership/node/membershipService.ts
@@ -99,7 +99,10 @@
 		// Of two routers only one opens the stream, so a dead one may never be tried from here.
 		const isTried = (peer: PeerStatus): boolean =>
 			peer.state !== 'connecting' || now - (this.listedSinceMs.get(peer.instance) ?? now) > CONNECT_LIMIT_MS;
-		return this.listRead && this.network.peers().every(isTried);
+		const peers = this.network.peers();
+		// While the list is down, a restarted router knows the peers that connect to it.
+		const knowsPeers = this.listRead || peers.some((peer) => peer.state === 'connected');
+		return knowsPeers && peers.every(isTried);
 	}
 
 	private followList(): Effect.Effect<never> {
--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -24,6 +24,8 @@
 import { PeerTraffic } from './peerTraffic.js';
 
 const RECONNECT_DELAY_MS = 200;
+/** A new process at a dead peer's address has this long to open the stream itself. */
+const REPLACEMENT_DIAL_MS = 1_000;
 const FETCH_TIMEOUT_MS = 2_000;
 const INCARNATION_BYTES = 8;
 // The library's 4 MiB are less than a configuration of 19,000 accounts with two tokens each.
@@ -301,6 +303,9 @@
 		record.incarnation = hello.incarnation;
 		record.failureDomain = hello.failureDomain;
 		record.leaving = false;
+		if (record.endpoint.address === '') {
+			record.endpoint = { instance: hello.instance, address: hello.address };
+		}
 		log.debug(`Connected to ${hello.instance}.`);
 		session.post(this.heartbeat());
 		this.changeEmitter.fire(toStatus(record));
@@ -341,26 +346,44 @@
 		}
 	}
 
-	/** Finds out whether a peer that opens the stream itself is dead or only out of reach. */
+	/**
+	 * Finds out whether a peer that opens the stream itself is dead or only out of reach. Opens the stream to a process
+	 * that took a dead one's place and does not come by itself: it may know no peers while the instance list is down.
+	 */
 	private probe(record: PeerRecord): Effect.Effect<void> {
 		const self = this;
 		const { sessionCount } = record;
 		const isOpen = (): boolean =>
 			record.sessionCount !== sessionCount || self.records.get(record.endpoint.instance) !== record;
 		return Effect.gen(function* () {
+			let acceptingMs = 0;
 			for (;;) {
 				yield* Effect.sleep(RECONNECT_DELAY_MS);
+				const refused = isOpen() || (yield* isRefused(record.endpoint.address));
 				if (isOpen()) {
 					return;
 				}
-				const refused = yield* isRefused(record.endpoint.address);
-				if (isOpen()) {
-					return;
-				}
-				if (refused) {
+				if (refused && !record.refused) {
 					self.finishAttempt(record, true);
-					return;
 				}
+				acceptingMs = refused ? 0 : acceptingMs + RECONNECT_DELAY_MS;
+				if (record.refused && acceptingMs >= REPLACEMENT_DIAL_MS) {
+					return yield* self.dialOnce(record);
+				}
+			}
+		});
+	}
+
+	private dialOnce(record: PeerRecord): Effect.Effect<void> {
+		const client = this.openClient(record.endpoint);
+		const session = Effect.ensuring(
+			Effect.suspend(() => this.runSession(client.connect(), record)),
+			Effect.sync(() => client.close()),
+		);
+		return Effect.map(session, (end) => {
+			// A replaced session has a newer one beside it, which the peer opened.
+			if (end.reason !== 'replaced') {
+				this.finishSession(record, end);
 			}
 		});
 	}
@@ -390,8 +413,8 @@
 	}
 
 	private hello(): PeerFrameParts {
-		const { instance, failureDomain } = this.options;
-		return { hello: { instance, failureDomain, incarnation: this.incarnation } };
+		const { instance, failureDomain, address } = this.options;
+		return { hello: { instance, failureDomain, address, incarnation: this.incarnation } };
 	}
 
 	private heartbeat(): PeerFrameParts {
