Charge generated tokens only

The usage event and the end marker of a stream were counted as tokens, two cost units too many per stream, which overcharged accounts with short requests. Reading the usage itself was put off: it comes with the last event only and would not change what is charged while a stream runs. The test counts 0 for a final chunk; it counted 2 before.

--- a/src/dispatch/node/answerRelay.ts
+++ b/src/dispatch/node/answerRelay.ts
@@ -1,6 +1,6 @@
 import type { BackendHead, IAnswerSink } from '../../backends/common/backendClient.js';
 import type { StoredOutcome } from '../../idempotency/common/idempotencyService.js';
-import { countEvents, EventStream } from './eventStream.js';
+import { countTokens, EventStream } from './eventStream.js';
 
 /** Answers up to this size are passed on when they are whole, so that one that is cut off can be retried. */
 const HELD_ANSWER_BYTES = 64 * 1024;
@@ -81,7 +81,7 @@
 	public write(chunk: Uint8Array, resume: () => void, onTokens: (count: number) => void): boolean {
 		const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
 		if (this.stream !== undefined) {
-			onTokens(countEvents(bytes));
+			onTokens(countTokens(bytes));
 			const ready = this.stream.push(bytes);
 			return ready === undefined || this.pass(ready, resume);
 		}
--- a/src/dispatch/node/eventStream.ts
+++ b/src/dispatch/node/eventStream.ts
@@ -5,6 +5,8 @@
 const ID_START = Buffer.from('id:');
 const ID_LINE_START = Buffer.from('\nid:');
 const END_MARKER = Buffer.from('data: [DONE]');
+const END_MARKER_LINE = Buffer.from('\ndata: [DONE]');
+const NO_CHOICES = Buffer.from('"choices":[]');
 const ID_LINES = /(?:^|\n)id: ?([^\r\n]*)/g;
 const LINE_FEED = 0x0a;
 
@@ -98,15 +100,24 @@
 }
 
 /**
+ * Counts generated tokens. The event with the usage, which has no choices, and the end marker carry none.
+ *
  * @param chunk bytes of a stream
- * @returns number of events that begin in them
+ * @returns number of events with a token that begin in them
  */
-export function countEvents(chunk: Buffer): number {
-	let count = chunk.subarray(0, DATA_FIELD.length).equals(DATA_FIELD) ? 1 : 0;
+export function countTokens(chunk: Buffer): number {
+	let count = startsWith(chunk, DATA_FIELD) ? 1 : 0;
 	for (let at = chunk.indexOf(DATA_LINE_START); at >= 0; at = chunk.indexOf(DATA_LINE_START, at + 1)) {
 		count++;
 	}
-	return count;
+	const ends = startsWith(chunk, END_MARKER) || chunk.includes(END_MARKER_LINE);
+	// The quotes are escaped within a token's text, so that no text passes for the field.
+	const withoutToken = (ends ? 1 : 0) + (chunk.includes(NO_CHOICES) ? 1 : 0);
+	return Math.max(0, count - withoutToken);
+}
+
+function startsWith(chunk: Buffer, text: Buffer): boolean {
+	return chunk.subarray(0, text.length).equals(text);
 }
 
 function endsWithMarker(part: Buffer): boolean {
--- a/src/dispatch/test/eventStream.test.ts
+++ b/src/dispatch/test/eventStream.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
-import { countEvents, EventStream } from '../node/eventStream.js';
+import { countTokens, EventStream } from '../node/eventStream.js';
 
 const MARKER = 'data: [DONE]\n\n';
 
@@ -59,6 +59,10 @@
 
 	// Guards against tokens that are charged twice or not at all when a chunk holds several events.
 	test('counts the events of a chunk', () => {
-		expect(countEvents(Buffer.from(eventsOf(['a', 'data: b', 'c'])))).toBe(3);
+		expect(countTokens(Buffer.from(eventsOf(['a', 'data: b', 'c'])))).toBe(3);
+		// The usage and the end marker are no tokens; counted as such they overcharge accounts with short requests.
+		const last = `id: 4\ndata: {"choices":[],"usage":{"completion_tokens":3}}\n\n${MARKER}`;
+		expect(countTokens(Buffer.from(eventsOf(['"choices":[]']) + last))).toBe(1);
+		expect(countTokens(Buffer.from(last))).toBe(0);
 	});
 });
