Rebalance slots between entries of one account; split the peer network

Entries reuse their slots, so an account that is backlogged at several routers could get all its service at some of them: measure shares showed a p95 to the first token of up to 22 s at one router and 4 s at others, while the account as a whole had its share. Returning every n-th slot was ruled out, since it costs messages also where queues are even. The effect on real processes is measured next.

--- a/src/peers/node/grpcPeerNetwork.ts
+++ b/src/peers/node/grpcPeerNetwork.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import * as grpc from '@grpc/grpc-js';
-import { Effect, Fiber } from 'effect';
+import { Effect } from 'effect';
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { logOf } from '../../base/node/log.js';
@@ -19,6 +19,8 @@
 	PeerStatus,
 } from '../common/peerNetwork.js';
 import type { PeerSecurity } from './peerSecurity.js';
+import { CHANNEL_OPTIONS } from './channelOptions.js';
+import { createPeerRecord, type PeerRecord, stopDialer, toStatus } from './peerRecord.js';
 import { isRefused } from './probe.js';
 import { PeerSession, type SessionEnd } from './peerSession.js';
 import { PeerTraffic } from './peerTraffic.js';
@@ -28,34 +30,11 @@
 const REPLACEMENT_DIAL_MS = 1_000;
 const FETCH_TIMEOUT_MS = 2_000;
 const INCARNATION_BYTES = 8;
-// The library's 4 MiB are less than a configuration of 19,000 accounts with two tokens each.
-const MAXIMUM_MESSAGE_BYTES = 67_108_864;
-
-// Each attempt uses its own connection, so that the channel's own backoff does not delay the next one.
-const CHANNEL_OPTIONS: grpc.ChannelOptions = {
-	'grpc.use_local_subchannel_pool': 1,
-	'grpc.enable_retries': 0,
-	'grpc.enable_http_proxy': 0,
-	'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
-};
 
 const log = logOf('peers');
 
 type AuthenticatedCall = Pick<grpc.ServerDuplexStream<PeerFrame, PeerFrame>, 'getAuthContext' | 'getPeer'>;
 
-interface PeerRecord {
-	endpoint: PeerEndpoint;
-	state: PeerState;
-	incarnation: string;
-	failureDomain: string;
-	configurationVersion: number;
-	leaving: boolean;
-	session: PeerSession | undefined;
-	sessionCount: number;
-	refused: boolean;
-	dialer: Fiber.Fiber<unknown> | undefined;
-}
-
 /** Options of a peer network. */
 export interface PeerNetworkOptions extends PeerSecurity {
 	readonly instance: string;
@@ -395,18 +374,7 @@
 	private recordOf(instance: string): PeerRecord {
 		let record = this.records.get(instance);
 		if (record === undefined) {
-			record = {
-				endpoint: { instance, address: '' },
-				state: 'connecting',
-				incarnation: '',
-				failureDomain: '',
-				configurationVersion: 0,
-				leaving: false,
-				session: undefined,
-				sessionCount: 0,
-				refused: false,
-				dialer: undefined,
-			};
+			record = createPeerRecord(instance);
 			this.records.set(instance, record);
 		}
 		return record;
@@ -428,24 +396,3 @@
 		this.records.clear();
 	}
 }
-
-function stopDialer(record: PeerRecord): void {
-	if (record.dialer !== undefined) {
-		Effect.runFork(Fiber.interrupt(record.dialer));
-		record.dialer = undefined;
-	}
-}
-
-function toStatus(record: PeerRecord): PeerStatus {
-	const { endpoint, state, incarnation, failureDomain, configurationVersion, leaving } = record;
-	return {
-		...endpoint,
-		state,
-		incarnation,
-		failureDomain,
-		configurationVersion,
-		leaving,
-		session: record.sessionCount,
-		refused: record.refused,
-	};
-}
--- a/src/scheduling/common/poolScheduler.ts
+++ b/src/scheduling/common/poolScheduler.ts
@@ -2,6 +2,7 @@
 import type { AccountDemand } from './accountNumbers.js';
 import { acknowledge, createEntryRecord, type EntryRecord, voidGrants } from './entryRecord.js';
 import { type EntryDemand, mostUnmet, ServiceLedger } from './serviceLedger.js';
+import { findUnevenEntry } from './rebalance.js';
 import { SlotLeases } from './slotLeases.js';
 import { hasDrifted, type PoolFigures, writeUpdate } from './updateWriter.js';
 import type { SchedulerDump } from './schedulingDump.js';
@@ -186,6 +187,21 @@
 		entry.dirty = true;
 	}
 
+	/** Recalls one slot where an account is queued unevenly; called on a timer, which limits the messages it costs. */
+	public rebalance(): void {
+		if (!this.contended || this.rebuilding) {
+			return;
+		}
+		const isReady = (entry: EntryRecord | undefined): boolean =>
+			entry !== undefined && entry.synchronised && entry.held.size > 0 && entry.recalls.size === 0;
+		const giver = findUnevenEntry(this.ledger.backloggedAccounts, (instance) => isReady(this.entries.get(instance)));
+		const entry = giver === undefined ? undefined : this.entries.get(giver);
+		if (entry !== undefined) {
+			this.leases.recallOne(entry);
+			entry.dirty = true;
+		}
+	}
+
 	/** Ends the contended state when no demand is left; called on a timer so that it does not flap. */
 	public relax(): void {
 		if (this.contended && this.ledger.lowestUnmet() === undefined) {
--- a/src/scheduling/common/slotLeases.ts
+++ b/src/scheduling/common/slotLeases.ts
@@ -130,6 +130,24 @@
 		}
 	}
 
+	/**
+	 * Asks an entry for one slot of the backend server of which it holds most.
+	 *
+	 * @param entry leases of the entry
+	 */
+	public recallOne(entry: EntryLeases): void {
+		let backend: number | undefined;
+		for (const [candidate, held] of entry.held) {
+			if (backend === undefined || held > (entry.held.get(backend) ?? 0)) {
+				backend = candidate;
+			}
+		}
+		if (backend !== undefined) {
+			entry.recalls.set(backend, (entry.recalls.get(backend) ?? 0) + 1);
+			entry.nextRecalls.set(backend, (entry.nextRecalls.get(backend) ?? 0) + 1);
+		}
+	}
+
 	private leasedOf(backend: number): number {
 		return this.leased.get(backend) ?? 0;
 	}
--- a/src/scheduling/node/slotService.ts
+++ b/src/scheduling/node/slotService.ts
@@ -347,6 +347,7 @@
 			if (pool.scheduler?.isContended === true) {
 				pool.contendedMs += RELAX_INTERVAL_MS;
 				pool.scheduler.relax();
+				pool.scheduler.rebalance();
 			}
 		}
 	}
