--- a/tools/measure/fleetShape.ts
+++ b/tools/measure/fleetShape.ts
@@ -25,7 +25,10 @@
 /** Slack of the pools, in mean request costs. */
 export const SLACK = 2;
 
-/** The scheduler's reporting quantum as a fraction of the slack (src/scheduling/common/poolScheduler.ts). */
+/**
+ * Reporting quantum as a fraction of the slack, for the bound's `q`. The scheduler uses 0.25 (poolScheduler.ts); the
+ * smaller value gives a stricter bound and is kept.
+ */
 export const QUANTUM_FRACTION = 0.125;
 
 /** Client accounts of a run. */
