Use one function for both ways to recall slots

The read-through found that rebalancing wrote the same two counters that the recall of excess slots writes; both now call one function. The comment of the slopes tool's pause called milliseconds ticks a second, and its message builder had an odd name.

--- a/src/scheduling/common/slotLeases.ts
+++ b/src/scheduling/common/slotLeases.ts
@@ -121,8 +121,7 @@
 				const available = (entry.held.get(backend) ?? 0) - (entry.recalls.get(backend) ?? 0);
 				const count = Math.min(excess, available);
 				if (count > 0) {
-					entry.recalls.set(backend, (entry.recalls.get(backend) ?? 0) + count);
-					entry.nextRecalls.set(backend, (entry.nextRecalls.get(backend) ?? 0) + count);
+					recall(entry, backend, count);
 					excess -= count;
 					onRecall(entry);
 				}
@@ -143,8 +142,7 @@
 			}
 		}
 		if (backend !== undefined) {
-			entry.recalls.set(backend, (entry.recalls.get(backend) ?? 0) + 1);
-			entry.nextRecalls.set(backend, (entry.nextRecalls.get(backend) ?? 0) + 1);
+			recall(entry, backend, 1);
 		}
 	}
 
@@ -157,6 +155,12 @@
 	}
 }
 
+/** Notes that an entry is to return slots, and that the next update tells it so. */
+function recall(entry: EntryLeases, backend: number, count: number): void {
+	entry.recalls.set(backend, (entry.recalls.get(backend) ?? 0) + count);
+	entry.nextRecalls.set(backend, (entry.nextRecalls.get(backend) ?? 0) + count);
+}
+
 function setCount(counts: Map<number, number>, key: number, count: number): void {
 	if (count === 0) {
 		counts.delete(key);
--- a/tools/slopes/peerTraffic.ts
+++ b/tools/slopes/peerTraffic.ts
@@ -21,13 +21,13 @@
 	},
 });
 
-/** Ticks a second in which the sender writes what is due; a multiple of the frame rates in use. */
+/** Pause after which the sender writes the updates that are due. */
 const TICK_MS = 4;
 const SETTLE_MS = 500;
 const GRANTS_PER_UPDATE = 2;
 const BASES_PER_UPDATE = 2;
 
-function updateNumber(sequence: number): PoolUpdate {
+function createUpdate(sequence: number): PoolUpdate {
 	const list = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => index);
 	return {
 		pool: shortKey('models'),
@@ -71,7 +71,7 @@
 	while (performance.now() < end) {
 		const due = Math.floor(((performance.now() - startedAt) / 1_000) * rate);
 		while (due - sent >= batch) {
-			const updates = Array.from({ length: batch }, () => updateNumber(++sent));
+			const updates = Array.from({ length: batch }, () => createUpdate(++sent));
 			network.send('b-receiver', { updates });
 			frames++;
 			// The network merges what is sent within one turn, so each frame gets a turn of its own.
