--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
 // slices that share a layer do not import from each other.
 const LAYERS = [
 	['base'],
-	['settings', 'platform', 'peers'],
+	['settings', 'store', 'peers'],
 	['configuration', 'membership', 'idempotency'],
 	['backends', 'scheduling'],
 	['dispatch'],
@@ -51,7 +51,7 @@
 };
 
 export default tseslint.config(
-	{ ignores: ['dist', 'node_modules', 'coverage', '**/generated/**'] },
+	{ ignores: ['dist', 'target', 'node_modules', 'coverage', '**/generated/**'] },
 	js.configs.recommended,
 	{
 		files: ['**/*.ts'],
--- a/jest.config.js
+++ b/jest.config.js
@@ -7,7 +7,7 @@
 	// The cleanup wraps the setters of everything reachable from globals, and recurses without end on a running effect fiber.
 	testEnvironmentOptions: { globalsCleanup: 'off' },
 	// Git keeps no empty directories, and jest refuses a root that does not exist.
-	roots: ['src', 'standins', 'tools']
+	roots: ['platform', 'src', 'standins', 'tools']
 		.filter((root) => existsSync(join(import.meta.dirname, root)))
 		.map((root) => `<rootDir>/${root}`),
 	testMatch: ['**/*.test.ts'],
--- /dev/null
+++ b/src/admission/common/admission.ts
@@ -0,0 +1,127 @@
+import type { EngineOption } from '../../engines/common/engineFleet.js';
+import type { Standing } from '../../shares/common/fleetShares.js';
+
+/** What decides whether a request is sent to an engine now. */
+export interface AdmissionInputs {
+	/** Engines that could take the request, the best one first. */
+	readonly options: readonly EngineOption[];
+	/** How the request's account stands against its fair share. */
+	readonly standing: Standing;
+	/** Time within which the first event is on time, counted from the caller's first attempt, in milliseconds. */
+	readonly aimMs: number;
+	/** Milliseconds of the aim that are left; negative when the answer can only be late. */
+	readonly aimLeftMs: number;
+	/** Milliseconds until the caller gives up. */
+	readonly deadlineLeftMs: number;
+}
+
+/** Why a request is refused. */
+export type RefusalReason = 'no-server' | 'over-share' | 'busy';
+
+/** Where a request goes, or when it may come back. */
+export type AdmissionDecision =
+	| { readonly kind: 'place'; readonly option: EngineOption; readonly limitMs: number }
+	| {
+			readonly kind: 'refuse';
+			readonly reason: RefusalReason;
+			readonly retryAfterMs: number;
+			readonly limitMs: number;
+			/** Wait at the best engine; undefined without one. */
+			readonly waitMs: number | undefined;
+	  };
+
+/** Time from the start of reading to the first event at the caller, beyond the time to read: steps and the network. */
+const FIRST_EVENT_OVERHEAD_MS = 40;
+
+/** Longest wait that is accepted, as a part of the aim. Beyond, streams slow down until they end after their deadline. */
+const LONGEST_WAIT_OF_AIM = 0.6;
+
+/** Wait that is accepted for prompts whose own reading takes most of the aim, so that large ones are served as well. */
+const SHORTEST_WAIT_OF_AIM = 0.3;
+
+/** Wait that is accepted for answers that can only be late, as a part of the aim. */
+const LATE_WAIT_OF_AIM = 0.25;
+
+/** Part of its fair share up to which an account is treated as one that uses little. */
+const FULL_TREATMENT_SHARE = 0.9;
+
+/** Part of its fair share from which an account gets only what would be left idle. */
+const SPARE_ONLY_SHARE = 1.25;
+
+/** Part of the usual wait limit for accounts that get only what would be left idle. */
+const SPARE_LIMIT_FACTOR = 0.12;
+
+/** Shortest time after which a refused caller is asked to return: an engine's queue changes little in less. */
+const SHORTEST_RETRY_MS = 80;
+
+/** An account beyond its share is asked to return when about this part of the share window has passed. */
+const OVER_SHARE_RETRY_MS = 1_000;
+
+/** Callers return at the latest after this part of the time that they have left. */
+const LATEST_RETURN_OF_DEADLINE = 0.33;
+
+/** Asked when no server of the service can be used; a crashed one is back after some seconds. */
+const NO_SERVER_RETRY_MS = 500;
+
+/**
+ * Decides whether a request to a model engine is sent now, and to which engine, or is refused at once.
+ *
+ * A request waits at an engine only as long as its first event can still be on time. An account close to or beyond its
+ * fair share is accepted at shorter and shorter waits, so that engines that are nearly idle serve anyone, and busy ones
+ * serve those who have received least.
+ *
+ * Load pattern: work arrives at up to twice the engines' pace for seconds, most of it from one account after the other.
+ *
+ * @param inputs what decides
+ * @returns the decision
+ */
+export function decideAdmission(inputs: AdmissionInputs): AdmissionDecision {
+	const usable = inputs.options.filter(({ health }) => health.usable);
+	const [best] = usable.length > 0 ? usable : inputs.options;
+	if (best === undefined) {
+		return {
+			kind: 'refuse',
+			reason: 'no-server',
+			retryAfterMs: clampReturn(NO_SERVER_RETRY_MS, inputs),
+			limitMs: 0,
+			waitMs: undefined,
+		};
+	}
+	const limitMs = waitLimitMs(inputs, best.readMs);
+	const accepted = usable.find(({ waitMs }) => waitMs <= limitMs);
+	if (accepted !== undefined) {
+		return { kind: 'place', option: accepted, limitMs };
+	}
+	const overShare = inputs.standing.usedShare > FULL_TREATMENT_SHARE;
+	const shortestWaitMs = Math.min(...inputs.options.map(({ waitMs }) => waitMs));
+	const retryAfterMs = overShare ? OVER_SHARE_RETRY_MS : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
+	return {
+		kind: 'refuse',
+		reason: overShare ? 'over-share' : 'busy',
+		retryAfterMs: clampReturn(retryAfterMs, inputs),
+		limitMs,
+		waitMs: shortestWaitMs,
+	};
+}
+
+function waitLimitMs(inputs: AdmissionInputs, readMs: number): number {
+	const { aimMs, aimLeftMs, standing } = inputs;
+	const leftMs = aimLeftMs - readMs - FIRST_EVENT_OVERHEAD_MS;
+	const limitMs =
+		aimLeftMs <= FIRST_EVENT_OVERHEAD_MS
+			? aimMs * LATE_WAIT_OF_AIM
+			: Math.min(aimMs * LONGEST_WAIT_OF_AIM, Math.max(aimMs * SHORTEST_WAIT_OF_AIM, leftMs));
+	return limitMs * shareFactor(standing.usedShare);
+}
+
+function shareFactor(usedShare: number): number {
+	if (usedShare <= FULL_TREATMENT_SHARE) {
+		return 1;
+	}
+	const excess = (usedShare - FULL_TREATMENT_SHARE) / (SPARE_ONLY_SHARE - FULL_TREATMENT_SHARE);
+	return Math.max(SPARE_LIMIT_FACTOR, 1 - excess * (1 - SPARE_LIMIT_FACTOR));
+}
+
+function clampReturn(milliseconds: number, { deadlineLeftMs }: AdmissionInputs): number {
+	return Math.min(milliseconds, Math.max(0, deadlineLeftMs) * LATEST_RETURN_OF_DEADLINE);
+}
--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -1,6 +1,5 @@
 import type { Effect } from 'effect';
 import type { Verdict } from '../../base/common/verdict.js';
-import type { BackendServer } from '../../configuration/common/model.js';
 
 /** A request as it goes to a backend server. */
 export interface BackendRequest {
@@ -9,6 +8,15 @@
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 	readonly body: Uint8Array;
+	/** Value of the header `host`; the server's address when absent. */
+	readonly authority?: string | undefined;
+}
+
+/** Where a request goes. */
+export interface BackendTarget {
+	readonly id: string;
+	/** Base URL with an IP address, such as `http://10.0.0.7:8000`. */
+	readonly url: string;
 }
 
 /** Status and headers of an answer. */
@@ -53,6 +61,27 @@
 	readonly message: string;
 }
 
+/** What the answers of a kind of backend server mean. */
+export interface BackendProtocol {
+	/**
+	 * Reads whether the server did not start the request.
+	 *
+	 * @param head status and headers of an answer
+	 * @returns why the server refused, or undefined when the answer is the request's
+	 */
+	readonly refusalOf: (head: BackendHead) => 'refused' | 'fenced' | undefined;
+	/**
+	 * Checks that an answer belongs to a request; a connection may carry an answer too many.
+	 *
+	 * @param request what was sent
+	 * @param head status and headers of the answer
+	 * @returns false when the answer belongs to another request
+	 */
+	readonly isAnswerTo: (request: BackendRequest, head: BackendHead) => boolean;
+	/** Whether an answer without a length is whole when its connection is closed without a reset. */
+	readonly endsWithConnection: boolean;
+}
+
 /** Sends requests to backend servers. */
 export interface IBackendClient {
 	/**
@@ -63,5 +92,5 @@
 	 * @param sink receives the answer
 	 * @returns succeeds after an answer whose HTTP framing is whole was passed on
 	 */
-	call(server: BackendServer, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure>;
+	call(server: BackendTarget, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure>;
 }
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -1,8 +1,16 @@
 import * as http from 'node:http';
 import { Effect } from 'effect';
 import type { IDisposable } from '../../base/common/lifecycle.js';
-import type { BackendServer } from '../../configuration/common/model.js';
-import type { BackendFailure, BackendRequest, IAttemptSink, IBackendClient } from '../common/backendClient.js';
+import type {
+	BackendFailure,
+	BackendHead,
+	BackendProtocol,
+	BackendRequest,
+	BackendTarget,
+	IAttemptSink,
+	IBackendClient,
+} from '../common/backendClient.js';
+import { GuardedAgent } from './guardedAgent.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -28,6 +36,22 @@
 	NOT_STARTED_HEADER,
 ]);
 
+/** The protocol of masticloom's own deployments. */
+const OWN_PROTOCOL: BackendProtocol = {
+	refusalOf: ({ status, headers }) => {
+		if (headers[NOT_STARTED_HEADER] !== 'true') {
+			return undefined;
+		}
+		return status === CONFLICT ? 'fenced' : 'refused';
+	},
+	isAnswerTo: () => true,
+	endsWithConnection: false,
+};
+
+const NO_NAMES: ReadonlySet<string> = new Set();
+
+const BODILESS_METHODS = new Set(['GET', 'HEAD']);
+
 const NO_BODY_STATUS = new Set([204, 304]);
 
 interface Endpoint {
@@ -40,16 +64,24 @@
 
 /** Calls backend servers over HTTP/1.1 with connections that are kept open. */
 export class HttpBackendClient implements IBackendClient, IDisposable {
-	private readonly agent = new http.Agent({ keepAlive: true, scheduling: 'lifo' });
+	private readonly agent = new GuardedAgent({ keepAlive: true, scheduling: 'lifo' });
 	private readonly active = new Set<Attempt>();
 	private readonly silenceTimer = setInterval(() => this.checkSilence(), SILENCE_CHECK_MS).unref();
 	private readonly endpoints = new Map<string, Endpoint>();
 
-	private constructor() {}
+	private constructor(private readonly protocol: BackendProtocol) {}
+
+	/**
+	 * @param protocol meaning of the servers' answers
+	 * @returns a client without open connections
+	 */
+	public static create(protocol: BackendProtocol = OWN_PROTOCOL): HttpBackendClient {
+		return new HttpBackendClient(protocol);
+	}
 
-	/** @returns a client without open connections */
-	public static create(): HttpBackendClient {
-		return new HttpBackendClient();
+	/** Connections opened since the start. */
+	public get connectionsOpened(): number {
+		return this.agent.connectionsOpened;
 	}
 
 	/** Closes all connections. */
@@ -58,9 +90,9 @@
 		this.agent.destroy();
 	}
 
-	public call(server: BackendServer, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure> {
+	public call(server: BackendTarget, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure> {
 		return Effect.callback<void, BackendFailure>((resume) => {
-			const attempt: Attempt = new Attempt(server, request, sink, (result) => {
+			const attempt: Attempt = new Attempt(server, request, this.protocol, sink, (result) => {
 				this.active.delete(attempt);
 				resume(result);
 			});
@@ -106,8 +138,9 @@
 	private silentChecks = 0;
 
 	public constructor(
-		private readonly server: BackendServer,
+		private readonly server: BackendTarget,
 		private readonly request: BackendRequest,
+		private readonly protocol: BackendProtocol,
 		private readonly sink: IAttemptSink,
 		private readonly resume: Settle,
 	) {}
@@ -154,14 +187,20 @@
 	}
 
 	private receive(response: http.IncomingMessage): void {
-		const status = response.statusCode ?? 0;
-		if (response.headers[NOT_STARTED_HEADER] === 'true') {
+		const head: BackendHead = { status: response.statusCode ?? 0, headers: passedHeaders(response.headers) };
+		const refusal = this.protocol.refusalOf({ status: head.status, headers: definedHeaders(response.headers) });
+		if (!this.protocol.isAnswerTo(this.request, head)) {
+			this.fail('broken', 'sent the answer to another request');
+			this.outgoing?.destroy();
+			return;
+		}
+		if (refusal !== undefined) {
 			response.resume();
-			this.fail(status === CONFLICT ? 'fenced' : 'refused', `refused with status ${status}`);
+			this.fail(refusal, `refused with status ${head.status}`);
 			return;
 		}
-		const framed = isFramed(this.request.method, response);
-		this.sink.head({ status, headers: passedHeaders(response.headers) });
+		const framed = this.protocol.endsWithConnection || isFramed(this.request.method, response);
+		this.sink.head(head);
 		response.on('data', (chunk: Buffer) => {
 			this.silentChecks = 0;
 			if (!this.settled && !this.sink.write(chunk, () => response.resume())) {
@@ -194,7 +233,7 @@
 
 // Node.js writes a list of names and values as it is; an object is first copied into a map, header by header.
 function headerList(request: BackendRequest, authority: string): string[] {
-	const list: string[] = ['host', authority];
+	const list: string[] = ['host', request.authority ?? authority];
 	for (const name in request.headers) {
 		const value = request.headers[name] ?? '';
 		if (typeof value === 'string') {
@@ -203,7 +242,9 @@
 			value.forEach((item) => list.push(name, item));
 		}
 	}
-	list.push('content-length', String(request.body.length));
+	if (request.body.length > 0 || !BODILESS_METHODS.has(request.method)) {
+		list.push('content-length', String(request.body.length));
+	}
 	return list;
 }
 
@@ -218,12 +259,19 @@
 }
 
 function passedHeaders(headers: http.IncomingHttpHeaders): Record<string, string | readonly string[]> {
-	const passed: Record<string, string | readonly string[]> = {};
+	return definedHeaders(headers, HOP_BY_HOP_HEADERS);
+}
+
+function definedHeaders(
+	headers: http.IncomingHttpHeaders,
+	dropped: ReadonlySet<string> = NO_NAMES,
+): Record<string, string | readonly string[]> {
+	const kept: Record<string, string | readonly string[]> = {};
 	for (const name in headers) {
 		const value = headers[name];
-		if (value !== undefined && !HOP_BY_HOP_HEADERS.has(name)) {
-			passed[name] = value;
+		if (value !== undefined && !dropped.has(name)) {
+			kept[name] = value;
 		}
 	}
-	return passed;
+	return kept;
 }
--- a/src/callers/common/forwardedHeaders.ts
+++ b/src/callers/common/forwardedHeaders.ts
@@ -1,4 +1,4 @@
-import type { HeaderFields } from './requestHints.js';
+import type { HeaderFields } from '../../base/common/headerFields.js';
 
 /** Headers that concern one connection only, or that the router sets itself. */
 const DROPPED = new Set([
--- a/src/callers/common/requestHints.ts
+++ b/src/callers/common/requestHints.ts
@@ -1,3 +1,5 @@
+import type { HeaderFields } from '../../base/common/headerFields.js';
+
 const MAXIMUM_KEY_CHARACTERS = 255;
 const LARGEST_DEADLINE_MS = 24 * 3_600_000;
 const WHOLE_NUMBER = /^\d{1,15}$/;
@@ -10,9 +12,6 @@
 	readonly costHint: number | undefined;
 }
 
-/** Headers by lower-case name. */
-export type HeaderFields = Readonly<Record<string, string | readonly string[] | undefined>>;
-
 /**
  * Reads `Idempotency-Key`, `Masticloom-Deadline-Ms` and `Masticloom-Cost-Hint`.
  *
--- a/src/cli/node/commandLine.ts
+++ b/src/cli/node/commandLine.ts
@@ -1,8 +1,8 @@
 import sade from 'sade';
 import { VERSION } from '../../base/common/version.js';
 import { ConfigurationPublisher } from '../../configuration/node/configurationPublisher.js';
-import { EtcdStore } from '../../platform/node/etcdStore.js';
-import { HttpInstanceList } from '../../platform/node/httpInstanceList.js';
+import { EtcdStore } from '../../store/node/etcdStore.js';
+import { HttpInstanceList } from '../../store/node/httpInstanceList.js';
 import { type AdminOptions, DEFAULT_ADMIN_ADDRESS } from './adminClient.js';
 import { apply } from './applyCommand.js';
 import { check } from './checkCommand.js';
--- a/src/cli/node/fleetStatus.ts
+++ b/src/cli/node/fleetStatus.ts
@@ -1,5 +1,5 @@
 import { Effect } from 'effect';
-import type { IInstanceList } from '../../platform/common/instanceList.js';
+import type { IInstanceList } from '../../store/common/instanceList.js';
 import { type AdminOptions, askAdmin } from './adminClient.js';
 
 const ROUTERS_AT_ONCE = 32;
--- a/src/configuration/node/configurationFollower.ts
+++ b/src/configuration/node/configurationFollower.ts
@@ -3,7 +3,7 @@
 import { Disposable } from '../../base/common/lifecycle.js';
 import { rendezvous } from '../../base/common/shortKey.js';
 import { logOf } from '../../base/node/log.js';
-import type { IKeyValueStore, KeyValue } from '../../platform/common/keyValueStore.js';
+import type { IKeyValueStore, KeyValue } from '../../store/common/keyValueStore.js';
 import { HEAD_KEY } from '../common/configurationHead.js';
 import type { IConfigurationService } from '../common/configurationService.js';
 import type { Configuration } from '../common/model.js';
--- a/src/configuration/node/configurationPublisher.ts
+++ b/src/configuration/node/configurationPublisher.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { Effect, Result } from 'effect';
-import type { IKeyValueStore, KeyValue, StoreError, SwapResult } from '../../platform/common/keyValueStore.js';
+import type { IKeyValueStore, KeyValue, StoreError, SwapResult } from '../../store/common/keyValueStore.js';
 import { compareContent, type ConfigurationChange } from '../common/configurationChanges.js';
 import {
 	type ConfigurationHead,
--- a/src/configuration/node/configurationSnapshot.ts
+++ b/src/configuration/node/configurationSnapshot.ts
@@ -1,5 +1,5 @@
 import { Effect } from 'effect';
-import type { IKeyValueStore, KeyValue } from '../../platform/common/keyValueStore.js';
+import type { IKeyValueStore, KeyValue } from '../../store/common/keyValueStore.js';
 import {
 	type ConfigurationHead,
 	decodeHead,
--- a/src/configuration/test/configurationFollower.test.ts
+++ b/src/configuration/test/configurationFollower.test.ts
@@ -2,7 +2,7 @@
 import { Effect, Fiber } from 'effect';
 import { PlatformStandIn } from '../../../standins/platform/platformStandIn.js';
 import { setLogLevel } from '../../base/node/log.js';
-import { EtcdStore } from '../../platform/node/etcdStore.js';
+import { EtcdStore } from '../../store/node/etcdStore.js';
 import { ConfigurationFollower, type RouterReference } from '../node/configurationFollower.js';
 import { ConfigurationPublisher } from '../node/configurationPublisher.js';
 import { accountOf, changeUntilAccepted, contentOf } from './fixtures.js';
--- a/src/configuration/test/configurationPublisher.test.ts
+++ b/src/configuration/test/configurationPublisher.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import { PlatformStandIn } from '../../../standins/platform/platformStandIn.js';
-import { EtcdStore } from '../../platform/node/etcdStore.js';
+import { EtcdStore } from '../../store/node/etcdStore.js';
 import { HEAD_KEY, partEntries, partKey } from '../common/configurationHead.js';
 import { ConfigurationPublisher } from '../node/configurationPublisher.js';
 import { EMPTY_SNAPSHOT } from '../node/configurationSnapshot.js';
--- a/src/configuration/test/configurationSnapshot.test.ts
+++ b/src/configuration/test/configurationSnapshot.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import { PlatformStandIn } from '../../../standins/platform/platformStandIn.js';
-import type { IKeyValueStore, StoreError } from '../../platform/common/keyValueStore.js';
-import { EtcdStore } from '../../platform/node/etcdStore.js';
+import type { IKeyValueStore, StoreError } from '../../store/common/keyValueStore.js';
+import { EtcdStore } from '../../store/node/etcdStore.js';
 import { ConfigurationPublisher } from '../node/configurationPublisher.js';
 import { type ConfigurationSnapshot, loadSnapshot, type PartProgress } from '../node/configurationSnapshot.js';
 import { accountOf, contentOf } from './fixtures.js';
--- a/src/configuration/test/fixtures.ts
+++ b/src/configuration/test/fixtures.ts
@@ -1,5 +1,5 @@
 import { Effect } from 'effect';
-import type { IKeyValueStore, StoreError, SwapResult } from '../../platform/common/keyValueStore.js';
+import type { IKeyValueStore, StoreError, SwapResult } from '../../store/common/keyValueStore.js';
 import type { ClientAccount, ConfigurationContent } from '../common/model.js';
 import type { PartCache } from '../node/configurationSnapshot.js';
 import { ConfigurationPublisher, type Publication, type PublishError } from '../node/configurationPublisher.js';
--- a/src/daemon/test/routerFixture.ts
+++ b/src/daemon/test/routerFixture.ts
@@ -5,7 +5,7 @@
 import { PlatformStandIn } from '../../../standins/platform/platformStandIn.js';
 import type { ConfigurationContent } from '../../configuration/common/model.js';
 import { ConfigurationPublisher } from '../../configuration/node/configurationPublisher.js';
-import { EtcdStore } from '../../platform/node/etcdStore.js';
+import { EtcdStore } from '../../store/node/etcdStore.js';
 import { formatAddress, type Settings } from '../../settings/common/settings.js';
 import type { ShutdownResult } from '../common/shutdown.js';
 import { type Listening, runDaemon } from '../node/daemon.js';
--- a/src/dispatch/node/fingerprint.ts
+++ b/src/dispatch/node/fingerprint.ts
@@ -1,5 +1,11 @@
 import { createHash } from 'node:crypto';
-import type { DispatchRequest } from '../common/dispatchService.js';
+
+/** What identifies a request. */
+export interface IdentifiedRequest {
+	readonly account: { readonly id: string };
+	readonly service: { readonly id: string };
+	readonly request: { readonly method: string; readonly path: string; readonly body: Uint8Array };
+}
 
 /** Peers exchange fingerprints; 128 bits make collisions of different requests impossible in practice. */
 const FINGERPRINT_BYTES = 16;
@@ -10,7 +16,7 @@
  * @param request any request
  * @returns hexadecimal fingerprint
  */
-export function fingerprintOf(request: DispatchRequest): string {
+export function fingerprintOf(request: IdentifiedRequest): string {
 	const digest = digestOf(request, request.account.id);
 	return digest.subarray(0, FINGERPRINT_BYTES).toString('hex');
 }
@@ -21,11 +27,11 @@
  * @param request a call with a key
  * @returns hexadecimal digest of service, method, path and body
  */
-export function requestDigestOf(request: DispatchRequest): string {
+export function requestDigestOf(request: IdentifiedRequest): string {
 	return digestOf(request, '').toString('hex');
 }
 
-function digestOf({ service, request }: DispatchRequest, prefix: string): Buffer {
+function digestOf({ service, request }: IdentifiedRequest, prefix: string): Buffer {
 	return createHash('sha256')
 		.update(JSON.stringify([prefix, service.id, request.method, request.path]))
 		.update(request.body)
--- /dev/null
+++ b/src/engines/common/directory.ts
@@ -0,0 +1,20 @@
+/** A backend server as its registration describes it. */
+export interface RegisteredServer {
+	readonly id: string;
+	readonly service: string;
+	/** `ip:port` */
+	readonly address: string;
+	readonly failureDomain: string;
+	/** Requests in progress that the server runs at once. */
+	readonly slots: number;
+	readonly leaving: boolean;
+	/** Unix milliseconds of the server's start; undefined when it does not say. It tells incarnations apart. */
+	readonly startedAt: number | undefined;
+}
+
+/** All registrations as of one revision of the store. */
+export interface Registrations {
+	/** Revision of the store; it only grows. */
+	readonly revision: number;
+	readonly servers: readonly RegisteredServer[];
+}
--- /dev/null
+++ b/src/fleet/common/fleetTiming.ts
@@ -0,0 +1,26 @@
+/** Events are sent to peers together after this time; at the sizes of today a peer has one event in 30 ms. */
+export const LEAST_FLUSH_DELAY_MS = 10;
+
+/** Added to the delay for each peer, so that the datagrams of a router stay below 1,000 a second at any size. */
+export const FLUSH_DELAY_PER_PEER_MS = 1.5;
+
+/** Usage of accounts changes over a window of seconds. */
+export const LEAST_USAGE_INTERVAL_MS = 200;
+export const USAGE_INTERVAL_PER_PEER_MS = 8;
+
+/** Without anything else to say, a router shows this often that it lives. */
+export const HEARTBEAT_INTERVAL_MS = 500;
+
+/** A peer that was not heard of for this long is lost: three heartbeats. */
+export const PEER_SILENCE_MS = 1_600;
+
+/** A lost peer is still sent to for this long, because it may be cut off. */
+export const LOST_PEER_KEPT_MS = 120_000;
+export const LOST_PEER_INTERVAL_MS = 1_000;
+
+/** News of a peer is waited for this long at the store before the peer is asked; a change reaches all within it. */
+export const BEHIND_TOLERANCE_MS = 150;
+
+/** A peer is asked for what it knows at most this often. */
+export const FETCH_INTERVAL_MS = 300;
+export const FETCH_TIMEOUT_MS = 800;
--- /dev/null
+++ b/src/fleet/node/fleetExchange.ts
@@ -0,0 +1,368 @@
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import { randomInt } from 'node:crypto';
+import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import type { IClock } from '../../base/common/clock.js';
+import { Emitter } from '../../base/common/event.js';
+import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { shortKey } from '../../base/common/shortKey.js';
+import type { IDecisionLog } from '../../base/node/structuredLog.js';
+import type { EngineFleet } from '../../engines/common/engineFleet.js';
+import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
+import { readAddress } from '../../settings/node/values.js';
+import type { FleetShares } from '../../shares/common/fleetShares.js';
+import {
+	FLUSH_DELAY_PER_PEER_MS,
+	HEARTBEAT_INTERVAL_MS,
+	LEAST_FLUSH_DELAY_MS,
+	LEAST_USAGE_INTERVAL_MS,
+	LOST_PEER_INTERVAL_MS,
+	LOST_PEER_KEPT_MS,
+	PEER_SILENCE_MS,
+	USAGE_INTERVAL_PER_PEER_MS,
+} from '../common/fleetTiming.js';
+import {
+	type CrashNotice,
+	type FirstEvent,
+	type Placement,
+	RouterState,
+} from '../common/generated/masticloom/fleet/v1/fleet.js';
+
+/** Largest number that a random incarnation can have. */
+const INCARNATION_LIMIT = 2 ** 47;
+
+/** A datagram above this size is split by the network, and lost when one piece is. */
+const LARGEST_EVENTS_PER_DATAGRAM = 30;
+
+/** Another router, as its datagrams describe it. */
+export interface FleetPeer {
+	readonly instance: string;
+	readonly incarnation: number;
+	readonly failureDomain: string;
+	/** Address for requests between routers. */
+	readonly peerAddress: SocketAddress;
+	readonly datagramAddress: SocketAddress;
+	readonly leaving: boolean;
+	/** Monotonic milliseconds of its last datagram. */
+	readonly heardAt: number;
+	/** Newest change that the peer knows, by followed prefix. */
+	readonly followedRevisions: readonly number[];
+	readonly lost: boolean;
+	readonly sequence: number;
+}
+
+/** What a router tells its peers about itself. */
+export interface FleetIdentity {
+	readonly instance: string;
+	readonly failureDomain: string;
+	readonly peerAddress: SocketAddress;
+	readonly datagramAddress: SocketAddress;
+}
+
+/** Parts of the router whose state is exchanged. */
+export interface ExchangedState {
+	readonly engines: EngineFleet;
+	readonly shares: FleetShares;
+	/** Newest change that is known, by followed prefix. */
+	readonly followedRevisions: () => readonly number[];
+	readonly suspects: CrashSuspects;
+}
+
+/**
+ * Exchanges the state of routers by datagrams. All of it is soft: a later datagram replaces what an earlier one said, so
+ * nothing is sent again when it is lost, and a peer that cannot be reached holds nothing up.
+ */
+export class FleetExchange extends Disposable {
+	private readonly incarnation = randomInt(INCARNATION_LIMIT);
+	private readonly peersByName = new Map<string, FleetPeer>();
+	private readonly changeEmitter = this.register(Emitter.create<FleetPeer>());
+	private readonly socket: Socket = createSocket('udp4');
+	private readonly placements: { readonly notice: Omit<Placement, 'ageMs'>; readonly at: number }[] = [];
+	private readonly firstEvents: { readonly notice: Omit<FirstEvent, 'ageMs'>; readonly at: number }[] = [];
+	private readonly crashes: CrashNotice[] = [];
+	private flushTimer: NodeJS.Timeout | undefined;
+	private sequence = 0;
+	private lastSentAt = 0;
+	private lastUsageAt = 0;
+	private lastLostSendAt = 0;
+	private leaving = false;
+	private sent = 0;
+
+	/** Fires when a peer was heard of for the first time, has news from the store, was lost or came back. */
+	public readonly onDidHear = this.changeEmitter.event;
+
+	private constructor(
+		private readonly identity: FleetIdentity,
+		private readonly state: ExchangedState,
+		private readonly clock: IClock,
+		private readonly log: IDecisionLog,
+	) {
+		super();
+		this.register(
+			toDisposable(() => {
+				clearTimeout(this.flushTimer);
+				this.socket.close();
+			}),
+		);
+		const timer = setInterval(() => this.tick(), HEARTBEAT_INTERVAL_MS / 2);
+		this.register(toDisposable(() => clearInterval(timer)));
+		this.register(
+			state.engines.onDidPlace(({ server, sequence, workMs, parts, at }) => {
+				const notice = { engine: shortKey(server), sequence, workMs: Math.round(workMs), parts: [...parts] };
+				this.placements.push({ notice, at });
+				this.scheduleFlush();
+			}),
+		);
+		this.register(
+			state.engines.onDidReachFirstEvent(({ server, sequence, abandoned, at }) => {
+				this.firstEvents.push({ notice: { engine: shortKey(server), sequence, abandoned }, at });
+				this.scheduleFlush();
+			}),
+		);
+		this.register(
+			state.suspects.onDidLearn(({ fingerprint, deaths, quarantineMs }) => {
+				this.crashes.push({
+					fingerprint: Buffer.from(fingerprint, 'hex'),
+					deaths,
+					quarantineMs: Math.round(quarantineMs),
+				});
+				this.log.write('crash-suspect', { fingerprint, deaths, quarantineMs: Math.round(quarantineMs) });
+				this.scheduleFlush();
+			}),
+		);
+		this.socket.on('message', (bytes, source) => this.receive(bytes, source));
+		this.socket.on('error', (error) => log.write('datagram-socket-failed', { reason: error.message }));
+	}
+
+	/**
+	 * @param identity of this router
+	 * @param state what is exchanged
+	 * @param clock measures ages
+	 * @param log receives changes of peers
+	 * @returns an exchange that does not listen yet
+	 */
+	public static create(
+		identity: FleetIdentity,
+		state: ExchangedState,
+		clock: IClock,
+		log: IDecisionLog,
+	): FleetExchange {
+		return new FleetExchange(identity, state, clock, log);
+	}
+
+	/** Datagrams sent since the start. */
+	public get sentCount(): number {
+		return this.sent;
+	}
+
+	/** Routers that are heard of, without this one. */
+	public get peers(): readonly FleetPeer[] {
+		return [...this.peersByName.values()];
+	}
+
+	/** Routers that serve, this one included. */
+	public get routerCount(): number {
+		return 1 + this.peers.filter(({ lost, leaving }) => !lost && !leaving).length;
+	}
+
+	/** @returns completes when datagrams can be received */
+	public listen(): Promise<void> {
+		return new Promise((resolve, reject) => {
+			const { host, port } = this.identity.datagramAddress;
+			this.socket.once('error', reject);
+			this.socket.bind(port, host, () => {
+				this.socket.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	/**
+	 * Greets a router that may exist, so that both learn of each other.
+	 *
+	 * @param address to which its datagrams go
+	 */
+	public introduce(address: SocketAddress): void {
+		const own = this.identity.datagramAddress;
+		const isKnown = this.peers.some(({ datagramAddress, lost }) => datagramAddress.host === address.host && !lost);
+		if (isKnown || (address.host === own.host && address.port === own.port)) {
+			return;
+		}
+		this.send(this.encode({ replyRequested: true, withUsage: true }), address);
+	}
+
+	/** Tells peers that this router leaves. */
+	public leave(): void {
+		this.leaving = true;
+		this.flush();
+	}
+
+	private scheduleFlush(): void {
+		const delayMs = Math.max(LEAST_FLUSH_DELAY_MS, this.peersByName.size * FLUSH_DELAY_PER_PEER_MS);
+		this.flushTimer ??= setTimeout(() => this.flush(), delayMs);
+	}
+
+	private flush(): void {
+		clearTimeout(this.flushTimer);
+		this.flushTimer = undefined;
+		const now = this.clock.now();
+		const usageIntervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, this.peersByName.size * USAGE_INTERVAL_PER_PEER_MS);
+		const withUsage = now - this.lastUsageAt >= usageIntervalMs;
+		if (withUsage) {
+			this.lastUsageAt = now;
+		}
+		this.lastSentAt = now;
+		const toLost = now - this.lastLostSendAt >= LOST_PEER_INTERVAL_MS;
+		if (toLost) {
+			this.lastLostSendAt = now;
+		}
+		const bytes = this.encode({ replyRequested: false, withUsage });
+		for (const peer of this.peersByName.values()) {
+			if (!peer.lost || toLost) {
+				this.send(bytes, peer.datagramAddress);
+			}
+		}
+		if (this.placements.length > 0 || this.firstEvents.length > 0) {
+			this.scheduleFlush();
+		}
+	}
+
+	private encode(options: { readonly replyRequested: boolean; readonly withUsage: boolean }): Uint8Array {
+		const now = this.clock.now();
+		const toAge = (at: number): number => Math.max(0, Math.round(now - at));
+		const state = RouterState.create({
+			instance: this.identity.instance,
+			incarnation: this.incarnation,
+			sequence: ++this.sequence,
+			failureDomain: this.identity.failureDomain,
+			peerAddress: formatAddress(this.identity.peerAddress),
+			datagramAddress: formatAddress(this.identity.datagramAddress),
+			leaving: this.leaving,
+			replyRequested: options.replyRequested,
+			followedRevisions: [...this.state.followedRevisions()],
+		});
+		if (!options.replyRequested) {
+			state.placements = this.placements
+				.splice(0, LARGEST_EVENTS_PER_DATAGRAM)
+				.map(({ notice, at }) => ({ ...notice, ageMs: toAge(at) }));
+			state.firstEvents = this.firstEvents
+				.splice(0, LARGEST_EVENTS_PER_DATAGRAM)
+				.map(({ notice, at }) => ({ ...notice, ageMs: toAge(at) }));
+			state.crashes = this.crashes.splice(0, LARGEST_EVENTS_PER_DATAGRAM);
+		}
+		if (options.withUsage) {
+			state.hasUsage = true;
+			state.usage = [...this.state.shares.ownUsage(now)];
+			state.streams = [...this.state.engines.ownInProgress()]
+				.filter(([, requests]) => requests > 0)
+				.map(([server, requests]) => ({ engine: shortKey(server), requests }));
+		}
+		return RouterState.encode(state).finish();
+	}
+
+	private send(bytes: Uint8Array, { host, port }: SocketAddress): void {
+		this.sent++;
+		// An unreachable peer is noticed by its silence.
+		this.socket.send(bytes, port, host, () => undefined);
+	}
+
+	private receive(bytes: Buffer, source: RemoteInfo): void {
+		let state: RouterState;
+		try {
+			state = RouterState.decode(bytes);
+		} catch (error) {
+			this.log.write('datagram-unreadable', { source: source.address, reason: String(error) });
+			return;
+		}
+		const peerAddress = readAddress(state.peerAddress).unwrapOr(undefined);
+		const datagramAddress = readAddress(state.datagramAddress).unwrapOr(undefined);
+		if (state.instance === this.identity.instance || peerAddress === undefined || datagramAddress === undefined) {
+			return;
+		}
+		const before = this.peersByName.get(state.instance);
+		if (before?.incarnation === state.incarnation && state.sequence <= before.sequence) {
+			return;
+		}
+		const now = this.clock.now();
+		if (before !== undefined && before.incarnation !== state.incarnation) {
+			this.forgetWork(state.instance, now);
+		}
+		const peer: FleetPeer = {
+			instance: state.instance,
+			incarnation: state.incarnation,
+			failureDomain: state.failureDomain,
+			peerAddress,
+			datagramAddress,
+			leaving: state.leaving,
+			heardAt: now,
+			followedRevisions: state.followedRevisions,
+			lost: false,
+			sequence: state.sequence,
+		};
+		this.peersByName.set(state.instance, peer);
+		this.logChange(before, peer);
+		this.apply(state, now);
+		this.changeEmitter.fire(peer);
+		if (state.replyRequested) {
+			this.send(this.encode({ replyRequested: false, withUsage: true }), datagramAddress);
+		}
+	}
+
+	private apply(state: RouterState, now: number): void {
+		const { engines, shares, suspects } = this.state;
+		for (const { engine, sequence, workMs, ageMs, parts } of state.placements) {
+			engines.applyPlacement(state.instance, { server: engine, sequence, workMs, parts }, now - ageMs);
+		}
+		for (const { engine, sequence, abandoned, ageMs } of state.firstEvents) {
+			engines.applyFirstEvent(state.instance, { server: engine, sequence, abandoned }, now - ageMs);
+		}
+		for (const { fingerprint, deaths, quarantineMs } of state.crashes) {
+			const name = Buffer.from(fingerprint).toString('hex');
+			suspects.applyNotice(state.instance, { fingerprint: name, deaths, quarantineMs, claimMs: 0 });
+		}
+		if (state.hasUsage) {
+			shares.applyPeer(state.instance, state.usage, now);
+			engines.applyInProgress(state.instance, new Map(state.streams.map(({ engine, requests }) => [engine, requests])));
+		}
+	}
+
+	private tick(): void {
+		const now = this.clock.now();
+		for (const peer of this.peersByName.values()) {
+			const silentMs = now - peer.heardAt;
+			if (silentMs > LOST_PEER_KEPT_MS) {
+				this.peersByName.delete(peer.instance);
+			} else if (silentMs > PEER_SILENCE_MS && !peer.lost) {
+				const lostPeer: FleetPeer = { ...peer, lost: true };
+				this.peersByName.set(peer.instance, lostPeer);
+				this.forgetWork(peer.instance, now);
+				this.log.write('peer-lost', {
+					peer: peer.instance,
+					incarnation: peer.incarnation,
+					silentMs: Math.round(silentMs),
+				});
+				this.changeEmitter.fire(lostPeer);
+			}
+		}
+		if (now - this.lastSentAt >= HEARTBEAT_INTERVAL_MS / 2) {
+			this.flush();
+		}
+	}
+
+	private forgetWork(instance: string, now: number): void {
+		this.state.engines.removeRouter(instance, now);
+		this.state.shares.removePeer(instance);
+	}
+
+	private logChange(before: FleetPeer | undefined, peer: FleetPeer): void {
+		const fields = { peer: peer.instance, incarnation: peer.incarnation, failureDomain: peer.failureDomain };
+		if (before === undefined) {
+			this.log.write('peer-found', fields);
+		} else if (before.incarnation !== peer.incarnation) {
+			this.log.write('peer-restarted', fields);
+		} else if (before.lost) {
+			this.log.write('peer-regained', fields);
+		} else if (peer.leaving && !before.leaving) {
+			this.log.write('peer-leaving', fields);
+		}
+	}
+}
--- /dev/null
+++ b/src/fleet/node/snapshotExchange.ts
@@ -0,0 +1,155 @@
+import * as http from 'node:http';
+import { Effect } from 'effect';
+import type { IClock } from '../../base/common/clock.js';
+import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import type { IDecisionLog } from '../../base/node/structuredLog.js';
+import type { SocketAddress } from '../../settings/common/settings.js';
+import type { Snapshot } from '../../store/common/revisionedStore.js';
+import { callJson } from '../../store/node/httpJson.js';
+import type { PrefixFollower } from '../../store/node/prefixFollower.js';
+import { BEHIND_TOLERANCE_MS, FETCH_INTERVAL_MS, FETCH_TIMEOUT_MS } from '../common/fleetTiming.js';
+import type { FleetExchange, FleetPeer } from './fleetExchange.js';
+
+const PATH = '/followed/';
+
+/** A snapshot as routers send it to each other. */
+interface EncodedSnapshot {
+	readonly revision: number;
+	readonly entries: readonly { readonly key: string; readonly revision: number; readonly value: string }[];
+}
+
+/**
+ * Lets routers that cannot read the store learn from their peers what it holds. Each datagram names the newest change
+ * that its sender knows; a router that stays behind it asks the sender for a snapshot.
+ */
+export class SnapshotExchange extends Disposable {
+	private readonly server = http.createServer((request, response) => this.answer(request, response));
+	private readonly agent = new http.Agent({ keepAlive: false });
+	private readonly behindSince: (number | undefined)[] = [];
+	private readonly fetchedAt: number[] = [];
+
+	private constructor(
+		private readonly followers: readonly PrefixFollower[],
+		exchange: FleetExchange,
+		private readonly clock: IClock,
+		private readonly log: IDecisionLog,
+	) {
+		super();
+		this.register(exchange.onDidHear((peer) => this.compare(peer)));
+		this.register(
+			toDisposable(() => {
+				this.server.close();
+				this.server.closeAllConnections();
+				this.agent.destroy();
+			}),
+		);
+	}
+
+	/**
+	 * @param followers what is exchanged, in the same order on all routers
+	 * @param exchange tells what peers know
+	 * @param clock measures how long this router is behind
+	 * @param log receives what was taken over
+	 * @returns an exchange that does not listen yet
+	 */
+	public static create(
+		followers: readonly PrefixFollower[],
+		exchange: FleetExchange,
+		clock: IClock,
+		log: IDecisionLog,
+	): SnapshotExchange {
+		return new SnapshotExchange(followers, exchange, clock, log);
+	}
+
+	/**
+	 * @param address for peers
+	 * @returns completes when peers can ask
+	 */
+	public listen({ host, port }: SocketAddress): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(port, host, () => {
+				this.server.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	private compare(peer: FleetPeer): void {
+		const now = this.clock.now();
+		for (const [index, follower] of this.followers.entries()) {
+			const known = follower.snapshot()?.revision ?? 0;
+			if (peer.lost || (peer.followedRevisions[index] ?? 0) <= known) {
+				if (this.behindSince[index] !== undefined && !peer.lost) {
+					this.behindSince[index] = undefined;
+				}
+				continue;
+			}
+			const since = (this.behindSince[index] ??= now);
+			const isDue = now - (this.fetchedAt[index] ?? -Infinity) >= FETCH_INTERVAL_MS;
+			if (isDue && (known === 0 || !follower.isConnected || now - since >= BEHIND_TOLERANCE_MS)) {
+				this.fetchedAt[index] = now;
+				Effect.runFork(this.fetch(peer, index, follower));
+			}
+		}
+	}
+
+	private fetch(peer: FleetPeer, index: number, follower: PrefixFollower): Effect.Effect<void> {
+		const url = new URL(`http://${peer.peerAddress.host}:${peer.peerAddress.port}${PATH}${index}`);
+		return Effect.tryPromise((signal) =>
+			callJson(url, { method: 'GET', agent: this.agent, timeoutMs: FETCH_TIMEOUT_MS, signal }),
+		).pipe(
+			Effect.matchEffect({
+				onFailure: (error) =>
+					Effect.sync(() =>
+						this.log.write('peer-snapshot-failed', { peer: peer.instance, reason: String(error.cause) }),
+					),
+				onSuccess: (answer) =>
+					Effect.sync(() => {
+						const snapshot = decodeSnapshot(answer.body);
+						if (answer.status !== 200 || snapshot === undefined) {
+							this.log.write('peer-snapshot-failed', { peer: peer.instance, status: answer.status });
+							return;
+						}
+						const applied = follower.apply(snapshot);
+						this.log.write('peer-snapshot', {
+							peer: peer.instance,
+							prefix: follower.prefix,
+							revision: snapshot.revision,
+							applied,
+						});
+					}),
+			}),
+		);
+	}
+
+	private answer(request: http.IncomingMessage, response: http.ServerResponse): void {
+		const index = request.url?.startsWith(PATH) === true ? Number(request.url.slice(PATH.length)) : -1;
+		const snapshot = this.followers[index]?.snapshot();
+		if (snapshot === undefined) {
+			response.writeHead(404).end();
+			return;
+		}
+		const encoded: EncodedSnapshot = {
+			revision: snapshot.revision,
+			entries: snapshot.entries.map(({ key, revision, value }) => ({
+				key,
+				revision,
+				value: Buffer.from(value).toString('base64'),
+			})),
+		};
+		response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(encoded));
+	}
+}
+
+function decodeSnapshot(body: unknown): Snapshot | undefined {
+	const encoded = body as Partial<EncodedSnapshot> | undefined;
+	if (typeof encoded?.revision !== 'number' || !Array.isArray(encoded.entries)) {
+		return undefined;
+	}
+	const entries = encoded.entries as EncodedSnapshot['entries'];
+	return {
+		revision: encoded.revision,
+		entries: entries.map(({ key, revision, value }) => ({ key, revision, value: Buffer.from(value, 'base64') })),
+	};
+}
--- /dev/null
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -0,0 +1,106 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2, 4, 8, 16];
+const ERROR_BUCKETS_SECONDS = [-0.4, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5];
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Counters and histograms of the gateway. */
+export class GatewayMetrics {
+	private readonly registry = new Registry();
+	private readonly requests = new Counter({
+		name: 'masticloom_gateway_requests_total',
+		help: 'Requests of callers by service, status sent and reason.',
+		labelNames: ['service', 'status', 'reason'],
+		registers: [this.registry],
+	});
+	private readonly retries = new Counter({
+		name: 'masticloom_gateway_retries_total',
+		help: 'Requests that were sent to a further backend server, by service.',
+		labelNames: ['service'],
+		registers: [this.registry],
+	});
+	private readonly firstEvent = new Histogram({
+		name: 'masticloom_gateway_first_event_seconds',
+		help: 'Time from the arrival of a request to the first bytes of its answer, by service.',
+		labelNames: ['service'],
+		buckets: LATENCY_BUCKETS_SECONDS,
+		registers: [this.registry],
+	});
+	private readonly predictionError = new Histogram({
+		name: 'masticloom_gateway_prediction_error_seconds',
+		help: 'Observed time to the first event less the predicted time, by service.',
+		labelNames: ['service'],
+		buckets: ERROR_BUCKETS_SECONDS,
+		registers: [this.registry],
+	});
+	private readonly total = new Histogram({
+		name: 'masticloom_gateway_request_seconds',
+		help: 'Time from the arrival of a request to the end of its answer, by service.',
+		labelNames: ['service'],
+		buckets: LATENCY_BUCKETS_SECONDS,
+		registers: [this.registry],
+	});
+
+	private constructor() {}
+
+	/** @returns metrics without observations */
+	public static create(): GatewayMetrics {
+		return new GatewayMetrics();
+	}
+
+	/** Media type of {@link render}. */
+	public get contentType(): string {
+		return this.registry.contentType;
+	}
+
+	/** @returns all metrics in the Prometheus text format */
+	public render(): Promise<string> {
+		return this.registry.metrics();
+	}
+
+	/**
+	 * Adds a value that is read when the metrics are rendered.
+	 *
+	 * @param name of the metric
+	 * @param help what it shows
+	 * @param read present value
+	 */
+	public addGauge(name: string, help: string, read: () => number): void {
+		new Gauge({
+			name,
+			help,
+			registers: [this.registry],
+			collect() {
+				this.set(read());
+			},
+		});
+	}
+
+	/**
+	 * @param service of the request; empty when it had no route
+	 * @param status sent to the caller; 0 when the caller left before
+	 * @param reason why the router answered itself; empty for an answer of a backend server
+	 * @param totalMs time from the arrival to the end
+	 */
+	public countRequest(service: string, status: number, reason: string, totalMs: number): void {
+		this.requests.inc({ service, status: String(status), reason });
+		this.total.observe({ service }, totalMs / MILLISECONDS_PER_SECOND);
+	}
+
+	/** @param service of the request that is sent again */
+	public countRetry(service: string): void {
+		this.retries.inc({ service });
+	}
+
+	/**
+	 * @param service of the request
+	 * @param observedMs time to the first bytes
+	 * @param predictedMs what was predicted; undefined for plain services
+	 */
+	public observeFirstEvent(service: string, observedMs: number, predictedMs: number | undefined): void {
+		this.firstEvent.observe({ service }, observedMs / MILLISECONDS_PER_SECOND);
+		if (predictedMs !== undefined) {
+			this.predictionError.observe({ service }, (observedMs - predictedMs) / MILLISECONDS_PER_SECOND);
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/node/gatewayServer.ts
@@ -0,0 +1,263 @@
+import * as http from 'node:http';
+import type { Socket } from 'node:net';
+import { Effect } from 'effect';
+import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { OpenRequests } from '../../callers/node/openRequests.js';
+import { readBody } from '../../callers/node/readBody.js';
+import type { IngressLimits } from '../../routing/common/model.js';
+import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
+import type { IngressFields } from '../common/ingress.js';
+import { CallerElapsed } from '../common/callerElapsed.js';
+import { GatewayAnswer } from './gatewayAnswer.js';
+import { RequestRun, type RunContext } from './requestRun.js';
+
+/** Header fields beyond the limit of the configuration are read up to this size, so that they get a proper answer. */
+const LARGEST_HEADER_BYTES = 128 * 1_024;
+
+/** Time beyond the idle limit after which the router closes a connection, so that callers never meet the close. */
+const IDLE_MARGIN_MS = 2_000;
+
+/** Longest time for a whole request to arrive; bodies are small, and slow callers hold memory. */
+const REQUEST_TIMEOUT_MS = 30_000;
+
+/** Asked while the router has no configuration yet. */
+const NOT_READY_RETRY_MS = 500;
+
+/** The separator and line end of each header field. */
+const BYTES_PER_HEADER = 4;
+
+const STATUS_TEXTS: Readonly<Record<number, string>> = {
+	400: 'Bad Request',
+	408: 'Request Timeout',
+	431: 'Request Header Fields Too Large',
+};
+
+/** Answers requests of callers over HTTP/1.1 by passing them on to backend servers. */
+export class GatewayServer extends Disposable {
+	private readonly server: http.Server;
+	private readonly open = OpenRequests.create();
+	private readonly elapsed = CallerElapsed.create();
+	private readonly busySockets = new Set<Socket>();
+	private closing = false;
+	private refusing = false;
+
+	private constructor(
+		private readonly context: RunContext,
+		private readonly table: () => RouteTable | undefined,
+	) {
+		super();
+		this.server = http.createServer(
+			{ maxHeaderSize: LARGEST_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
+			(request, response) => this.handle(request, response),
+		);
+		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.answerBadInput(error, socket));
+		this.register(
+			toDisposable(() => {
+				this.server.close();
+				this.server.closeAllConnections();
+			}),
+		);
+	}
+
+	/**
+	 * @param context parts that run requests
+	 * @param table routes in force; undefined before there is a configuration
+	 * @returns a server that does not listen yet
+	 */
+	public static create(context: RunContext, table: () => RouteTable | undefined): GatewayServer {
+		return new GatewayServer(context, table);
+	}
+
+	/** Requests whose answer is not complete. */
+	public get requestsInProgress(): number {
+		return this.open.size;
+	}
+
+	/** Completes when no request is in progress. */
+	public get idle(): Effect.Effect<void> {
+		return this.open.idle;
+	}
+
+	/** @param limits of the configuration in force */
+	public setLimits(limits: IngressLimits): void {
+		this.server.headersTimeout = limits.headerTimeoutMs;
+		this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+	}
+
+	/** Goes on accepting, but asks callers not to use their connections again. */
+	public startClosing(): void {
+		this.closing = true;
+	}
+
+	/**
+	 * Refuses new requests and closes connections without one. The address stays open until the end, since a balancer
+	 * without another instance goes on sending connections, and a refusal tells callers more than a reset.
+	 */
+	public stopAccepting(): void {
+		this.closing = true;
+		this.refusing = true;
+		this.server.closeIdleConnections();
+	}
+
+	/**
+	 * Ends the requests in progress, each with an answer that says whether it may have run.
+	 *
+	 * @returns number of these requests
+	 */
+	public endRequests(): number {
+		return this.open.endAll();
+	}
+
+	/**
+	 * @param host IP address
+	 * @param port TCP port; 0 picks a free one
+	 * @returns the port that was bound
+	 */
+	public listen(host: string, port: number): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(port, host, () => {
+				this.server.off('error', reject);
+				const address = this.server.address();
+				resolve(typeof address === 'object' && address !== null ? address.port : port);
+			});
+		});
+	}
+
+	private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
+		const { codec, clock } = this.context;
+		const arrivedAt = clock.now();
+		const fields = codec.decode(request.headers);
+		const answer = GatewayAnswer.create(response, codec.requestIdHeader, fields.id, () => this.closing);
+		this.open.add(response);
+		this.busySockets.add(request.socket);
+		response.once('close', () => this.busySockets.delete(request.socket));
+		const table = this.table();
+		if (table === undefined || this.refusing) {
+			this.refuse(answer, fields, 503, table === undefined ? 'no-configuration' : 'shutting-down', NOT_READY_RETRY_MS);
+			request.resume();
+			return;
+		}
+		const { limits } = table.configuration;
+		if (headerBytes(request.rawHeaders) > limits.maximumHeaderBytes) {
+			this.refuse(answer, fields, 431, 'header-too-large');
+			request.resume();
+			return;
+		}
+		const routing = findRouting(table, request, fields);
+		if (typeof routing === 'string') {
+			this.refuse(answer, fields, routing === 'unknown-route' ? 404 : 401, routing);
+			request.resume();
+			return;
+		}
+		readBody(request, limits.maximumBodyBytes, (body) => {
+			if (body === 'too-large') {
+				this.refuse(answer, fields, 413, 'body-too-large');
+				request.resume();
+			} else if (body !== 'incomplete') {
+				this.run(request, response, answer, { fields, routing, table, body, arrivedAt });
+			}
+		});
+	}
+
+	private run(
+		request: http.IncomingMessage,
+		response: http.ServerResponse,
+		answer: GatewayAnswer,
+		accepted: {
+			readonly fields: IngressFields;
+			readonly routing: RoutingResult;
+			readonly table: RouteTable;
+			readonly body: Buffer;
+			readonly arrivedAt: number;
+		},
+	): void {
+		const { fields, routing, table, body, arrivedAt } = accepted;
+		const run = RequestRun.create(
+			this.context,
+			{
+				fields,
+				routing,
+				body,
+				arrivedAt,
+				configurationVersion: table.configuration.version,
+				hasEngines: table.service(routing.service)?.engine !== undefined,
+				method: request.method ?? 'GET',
+				target: request.url ?? '/',
+				host: request.headers.host ?? '',
+				headers: request.headers,
+				elapsedBeforeMs: this.elapsed.elapsedMs(routing.route.name, fields.deadlineMs),
+			},
+			answer,
+		);
+		const fiber = Effect.runFork(run.run());
+		this.open.setEnd(response, () => {
+			run.endEarly();
+			fiber.interruptUnsafe();
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				fiber.interruptUnsafe();
+			}
+		});
+	}
+
+	private refuse(
+		answer: GatewayAnswer,
+		fields: IngressFields,
+		status: number,
+		code: string,
+		retryAfterMs?: number,
+	): void {
+		const version = this.table()?.configuration.version;
+		this.context.log.write('refused', { id: fields.id, status, reason: code, configuration: version });
+		this.context.metrics.countRequest('', status, code, 0);
+		answer.sendOwn({ status, code, verdict: 'not-run', retryAfterMs });
+	}
+
+	private answerBadInput(error: NodeJS.ErrnoException, socket: Socket): void {
+		// An answer in progress must not be mixed with another one.
+		if (!socket.writable || error.code === 'ECONNRESET' || this.busySockets.has(socket)) {
+			socket.destroy();
+			return;
+		}
+		const status = statusOfBadInput(error.code);
+		this.context.log.write('refused', { status, reason: error.code ?? error.message });
+		this.context.metrics.countRequest('', status, 'bad-input', 0);
+		socket.end(`HTTP/1.1 ${status} ${STATUS_TEXTS[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	}
+}
+
+function findRouting(
+	table: RouteTable,
+	request: http.IncomingMessage,
+	fields: IngressFields,
+): ReturnType<RouteTable['find']> {
+	const target = request.url ?? '/';
+	const queryAt = target.indexOf('?');
+	return table.find({
+		id: fields.id,
+		host: request.headers.host ?? '',
+		path: queryAt < 0 ? target : target.slice(0, queryAt),
+		key: fields.key,
+	});
+}
+
+function headerBytes(rawHeaders: readonly string[]): number {
+	let bytes = 0;
+	for (const text of rawHeaders) {
+		bytes += text.length;
+	}
+	return bytes + (rawHeaders.length / 2) * BYTES_PER_HEADER;
+}
+
+function statusOfBadInput(code: string | undefined): number {
+	switch (code) {
+		case 'HPE_HEADER_OVERFLOW':
+			return 431;
+		case 'ERR_HTTP_REQUEST_TIMEOUT':
+			return 408;
+		default:
+			return 400;
+	}
+}
--- /dev/null
+++ b/src/gateway/node/requestRun.ts
@@ -0,0 +1,446 @@
+import { Effect, type Exit } from 'effect';
+import { decideAdmission, type AdmissionDecision } from '../../admission/common/admission.js';
+import type { BackendFailure, BackendHead, IAttemptSink, IBackendClient } from '../../backends/common/backendClient.js';
+import type { IClock } from '../../base/common/clock.js';
+import type { HeaderFields } from '../../base/common/headerFields.js';
+import { shortKey } from '../../base/common/shortKey.js';
+import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
+import type { IDecisionLog } from '../../base/node/structuredLog.js';
+import { EventStream } from '../../dispatch/node/eventStream.js';
+import { fingerprintOf } from '../../dispatch/node/fingerprint.js';
+import type { EngineFleet, EngineOption, PromptWork } from '../../engines/common/engineFleet.js';
+import type { RoutingResult } from '../../routing/common/routeTable.js';
+import type { FleetShares } from '../../shares/common/fleetShares.js';
+import type { CrashWatch } from '../common/crashWatch.js';
+import type { IHeaderCodec, IngressFields } from '../common/ingress.js';
+import type { RetryAllowance } from '../common/retryAllowance.js';
+import type { GatewayAnswer, OwnAnswer } from './gatewayAnswer.js';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+
+/** What runs need. */
+export interface RunContext {
+	readonly clock: IClock;
+	readonly fleet: EngineFleet;
+	readonly shares: FleetShares;
+	readonly client: IBackendClient;
+	readonly codec: IHeaderCodec;
+	readonly retries: RetryAllowance;
+	readonly crashes: CrashWatch;
+	readonly log: IDecisionLog;
+	readonly metrics: GatewayMetrics;
+}
+
+/** A request that was read and has a route. */
+export interface AcceptedRequest {
+	readonly fields: IngressFields;
+	readonly routing: RoutingResult;
+	/** Version of the configuration that gave the route. */
+	readonly configurationVersion: number;
+	readonly hasEngines: boolean;
+	readonly method: string;
+	/** Path and query as they arrived. */
+	readonly target: string;
+	readonly host: string;
+	readonly headers: HeaderFields;
+	readonly body: Uint8Array;
+	/** Monotonic milliseconds. */
+	readonly arrivedAt: number;
+	/** Milliseconds since the caller's first attempt at this request. */
+	readonly elapsedBeforeMs: number;
+}
+
+/** A generated token takes as long as two that are read. */
+const GENERATED_TOKEN_COST = 2;
+
+/** Callers name the largest output; without an estimate, half of it is expected. */
+const EXPECTED_PART_OF_OUTPUT = 0.5;
+
+/** Time after which a refused caller may return when a server refused the request. */
+const REFUSED_RETRY_MS = 150;
+
+const BAD_GATEWAY = 502;
+const SERVICE_UNAVAILABLE = 503;
+const TOO_MANY_REQUESTS = 429;
+const GATEWAY_TIMEOUT = 504;
+const FIRST_ERROR_STATUS = 500;
+
+/** Runs one request until its answer has ended. */
+export class RequestRun {
+	private readonly tried = new Set<string>();
+	private readonly work: PromptWork;
+	private readonly cost: number;
+	private readonly events: EventStream | undefined;
+	private verdict: Verdict = 'not-run';
+	private attempts = 0;
+	private firstBytesAt: number | undefined;
+	private predictedMs: number | undefined;
+	private status = 0;
+	private reason = '';
+
+	private constructor(
+		private readonly context: RunContext,
+		private readonly request: AcceptedRequest,
+		private readonly answer: GatewayAnswer,
+	) {
+		const { fields, routing } = request;
+		this.work = { parts: fields.parts, promptTokens: fields.promptTokens };
+		this.cost =
+			fields.promptTokens +
+			GENERATED_TOKEN_COST * (fields.expectedOutputTokens ?? fields.maximumOutputTokens * EXPECTED_PART_OF_OUTPUT);
+		this.events = routing.route.resumable ? EventStream.create(true) : undefined;
+	}
+
+	/**
+	 * @param context parts of the router
+	 * @param request to run
+	 * @param answer receives the answer
+	 * @returns a run that has not begun
+	 */
+	public static create(context: RunContext, request: AcceptedRequest, answer: GatewayAnswer): RequestRun {
+		return new RequestRun(context, request, answer);
+	}
+
+	/** @returns ends when the answer has; interruption cancels the request at its backend server */
+	public run(): Effect.Effect<void> {
+		const { routing, fields } = this.request;
+		const limitMs = Math.min(fields.deadlineMs ?? Infinity, routing.route.timeoutMs);
+		return this.runAttempts().pipe(
+			Effect.timeoutOption(limitMs - (this.context.clock.now() - this.request.arrivedAt)),
+			Effect.map((result) => {
+				if (result._tag === 'None') {
+					const notRun = this.verdict === 'not-run';
+					this.sendOwn({
+						status: notRun ? SERVICE_UNAVAILABLE : GATEWAY_TIMEOUT,
+						code: 'deadline',
+						verdict: this.verdict,
+						retryAfterMs: notRun ? REFUSED_RETRY_MS : undefined,
+					});
+				}
+			}),
+			Effect.onExit((exit) => Effect.sync(() => this.finish(exit))),
+		);
+	}
+
+	/** Ends the request early because the router shuts down. */
+	public endEarly(): void {
+		const notRun = this.verdict === 'not-run';
+		this.sendOwn({
+			status: notRun ? SERVICE_UNAVAILABLE : BAD_GATEWAY,
+			code: 'shutting-down',
+			verdict: this.verdict,
+			retryAfterMs: notRun ? REFUSED_RETRY_MS : undefined,
+		});
+	}
+
+	private runAttempts(): Effect.Effect<void> {
+		const self = this;
+		return Effect.gen(function* () {
+			if (self.isQuarantined()) {
+				return;
+			}
+			self.recordOffered();
+			for (;;) {
+				const decision = self.decide();
+				if (decision.kind === 'refuse') {
+					self.refuse(decision);
+					return;
+				}
+				const result = yield* Effect.result(self.attempt(decision.option));
+				if (result._tag === 'Success') {
+					self.complete();
+					return;
+				}
+				const failure = result.failure;
+				self.verdict = combineVerdicts(self.verdict, failure.verdict);
+				self.logFailure(decision.option, failure);
+				if (!self.mayTryAgain(failure)) {
+					self.giveUp(failure);
+					return;
+				}
+				self.events?.dropHeld();
+			}
+		});
+	}
+
+	private isQuarantined(): boolean {
+		const { crashes, log } = this.context;
+		const quarantineMs = crashes.hasSuspects ? crashes.quarantineMs(this.fingerprint()) : 0;
+		if (quarantineMs === 0) {
+			return false;
+		}
+		log.write('admission', { id: this.request.fields.id, outcome: 'quarantined', quarantineMs: round(quarantineMs) });
+		this.sendOwn({
+			status: SERVICE_UNAVAILABLE,
+			code: 'quarantined',
+			verdict: 'not-run',
+			retryAfterMs: quarantineMs,
+		});
+		return true;
+	}
+
+	private recordOffered(): void {
+		const { shares, clock, retries } = this.context;
+		const now = clock.now();
+		if (this.request.hasEngines) {
+			shares.recordOffered(this.accountKey(), this.cost, now);
+		}
+		retries.countRequest(this.request.routing.service, now);
+	}
+
+	private decide(): AdmissionDecision {
+		const { fleet, shares, clock } = this.context;
+		const { routing, fields, arrivedAt, elapsedBeforeMs, hasEngines } = this.request;
+		const now = clock.now();
+		const elapsedMs = now - arrivedAt;
+		const options = fleet.options(routing.service, this.work, this.tried, now);
+		const standing = shares.standing(this.accountKey(), now);
+		const aimLeftMs = routing.route.aimMs - elapsedBeforeMs - elapsedMs;
+		const deadlineLeftMs = (fields.deadlineMs ?? routing.route.timeoutMs) - elapsedMs;
+		const decision = decideAdmission({
+			options,
+			standing,
+			aimMs: routing.route.aimMs,
+			aimLeftMs,
+			deadlineLeftMs,
+		});
+		const option = decision.kind === 'place' ? decision.option : options[0];
+		this.context.log.write('admission', {
+			id: fields.id,
+			route: routing.route.name,
+			account: routing.account?.name,
+			service: routing.service,
+			configuration: this.request.configurationVersion,
+			outcome: decision.kind === 'place' ? 'placed' : decision.reason,
+			server: option?.server.id,
+			waitMs: round(option?.waitMs),
+			readMs: round(option?.readMs),
+			limitMs: round(decision.limitMs),
+			aimLeftMs: round(aimLeftMs),
+			inProgress: option?.inProgress,
+			failureRate: option && Number(option.health.failureRate.toFixed(2)),
+			rereadTokens: option?.rereadTokens,
+			usedShare: Number(standing.usedShare.toFixed(2)),
+			servers: options.length,
+			retryAfterMs: decision.kind === 'refuse' ? round(decision.retryAfterMs) : undefined,
+			plain: hasEngines ? undefined : true,
+		});
+		return decision;
+	}
+
+	private attempt(option: EngineOption): Effect.Effect<void, BackendFailure> {
+		const { fleet, shares, client, codec, clock } = this.context;
+		const { request } = this;
+		const { fields, routing } = request;
+		const now = clock.now();
+		const { server } = option;
+		this.attempts++;
+		this.tried.add(server.id);
+		const sequence = fleet.place(option, request.hasEngines ? this.work : undefined, now);
+		if (request.hasEngines) {
+			shares.recordAdmitted(this.accountKey(), this.cost, now);
+			this.predictedMs = now - request.arrivedAt + option.waitMs + option.readMs;
+		}
+		const deadlineLeftMs = fields.deadlineMs === undefined ? undefined : fields.deadlineMs - (now - request.arrivedAt);
+		const state = { hadFirstEvent: false, failed: false };
+		const sink: IAttemptSink = {
+			sent: () => undefined,
+			head: (head) => {
+				state.failed = head.status >= FIRST_ERROR_STATUS;
+				this.passHead(head);
+			},
+			write: (chunk, resume) => {
+				if (!state.hadFirstEvent) {
+					state.hadFirstEvent = true;
+					fleet.recordFirstEvent(server.id, sequence, clock.now());
+					this.noteFirstBytes();
+				}
+				return this.passBytes(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length), resume);
+			},
+		};
+		const outgoing = {
+			method: request.method,
+			path: request.target,
+			authority: request.host,
+			headers: codec.encode(request.headers, {
+				server: server.id,
+				account: routing.account?.name,
+				deadlineLeftMs,
+				resumeAfter: this.events?.lastEventId,
+			}),
+			body: request.body,
+		};
+		return client.call({ id: server.id, url: `http://${server.address}` }, outgoing, sink).pipe(
+			Effect.onExit((exit) =>
+				Effect.sync(() => {
+					const endedAt = clock.now();
+					fleet.recordEnd(server.id, sequence, state.hadFirstEvent, endedAt);
+					this.recordOutcome(server.id, exit, state.failed, endedAt);
+				}),
+			),
+		);
+	}
+
+	private passHead(head: BackendHead): void {
+		if (!this.answer.hasHead) {
+			this.status = head.status;
+			this.answer.head(head);
+		}
+	}
+
+	private passBytes(chunk: Buffer, resume: () => void): boolean {
+		const ready = this.events === undefined ? chunk : this.events.push(chunk);
+		return ready === undefined || this.answer.write(ready, resume);
+	}
+
+	private noteFirstBytes(): void {
+		if (this.firstBytesAt !== undefined) {
+			return;
+		}
+		this.firstBytesAt = this.context.clock.now();
+		const observedMs = this.firstBytesAt - this.request.arrivedAt;
+		this.context.metrics.observeFirstEvent(this.request.routing.service, observedMs, this.predictedMs);
+	}
+
+	private recordOutcome(
+		server: string,
+		exit: Exit.Exit<void, BackendFailure>,
+		answeredWithError: boolean,
+		now: number,
+	): void {
+		const outcomes = this.context.fleet.outcomesOf(server);
+		if (exit._tag === 'Success') {
+			outcomes?.record(answeredWithError ? 'failed' : 'answered', now);
+			return;
+		}
+		const { crashes } = this.context;
+		const [reason] = exit.cause.reasons;
+		if (reason?._tag !== 'Fail') {
+			return; // The caller left, which says nothing about the server.
+		}
+		switch (reason.error.kind) {
+			case 'refused':
+			case 'fenced':
+				outcomes?.record('refused', now);
+				break;
+			case 'unreachable':
+				outcomes?.record('unreachable', now);
+				crashes.recordUnreachable(server);
+				break;
+			case 'silent':
+				outcomes?.record('silent', now);
+				break;
+			case 'broken':
+				outcomes?.record('failed', now);
+				if (!this.answer.hasHead) {
+					crashes.recordBroken(server, this.fingerprint());
+				}
+				break;
+		}
+	}
+
+	private mayTryAgain(failure: BackendFailure): boolean {
+		const { routing } = this.request;
+		const { route } = routing;
+		const ran = failure.verdict !== 'not-run';
+		if (ran && (route.repeat === 'once' || this.attempts >= route.maximumAttempts)) {
+			return false;
+		}
+		if (this.answer.hasHead && !route.resumable) {
+			return false;
+		}
+		const { retries, clock, metrics } = this.context;
+		if (failure.kind !== 'unreachable' && !retries.tryRetry(routing.service, clock.now())) {
+			return false;
+		}
+		metrics.countRetry(routing.service);
+		return true;
+	}
+
+	private complete(): void {
+		const rest = this.events?.takeHeld();
+		if (rest !== undefined) {
+			this.answer.write(rest, () => undefined);
+		}
+		this.verdict = 'completed';
+		this.answer.end();
+	}
+
+	private refuse(decision: AdmissionDecision & { readonly kind: 'refuse' }): void {
+		if (this.verdict !== 'not-run') {
+			this.sendOwn({ status: BAD_GATEWAY, code: decision.reason, verdict: this.verdict });
+			return;
+		}
+		this.sendOwn({
+			status: decision.reason === 'over-share' ? TOO_MANY_REQUESTS : SERVICE_UNAVAILABLE,
+			code: decision.reason,
+			verdict: 'not-run',
+			retryAfterMs: decision.retryAfterMs,
+		});
+	}
+
+	private giveUp(failure: BackendFailure): void {
+		const notRun = this.verdict === 'not-run';
+		this.sendOwn({
+			status: notRun ? SERVICE_UNAVAILABLE : BAD_GATEWAY,
+			code: `server-${failure.kind}`,
+			verdict: this.verdict,
+			retryAfterMs: notRun ? REFUSED_RETRY_MS : undefined,
+		});
+	}
+
+	private sendOwn(answer: OwnAnswer): void {
+		this.reason = answer.code;
+		if (!this.answer.hasHead) {
+			this.status = answer.status;
+		}
+		this.answer.sendOwn(answer);
+	}
+
+	private logFailure(option: EngineOption, failure: BackendFailure): void {
+		this.context.log.write('attempt-failed', {
+			id: this.request.fields.id,
+			server: option.server.id,
+			kind: failure.kind,
+			verdict: failure.verdict,
+			attempt: this.attempts,
+			headSent: this.answer.hasHead,
+			reason: failure.message,
+		});
+	}
+
+	private finish(exit: Exit.Exit<void>): void {
+		const { clock, metrics, log } = this.context;
+		const { fields, routing, arrivedAt } = this.request;
+		const totalMs = clock.now() - arrivedAt;
+		const left = exit._tag === 'Failure' && this.reason === '';
+		metrics.countRequest(routing.service, left ? 0 : this.status, left ? 'caller-left' : this.reason, totalMs);
+		log.write('request-end', {
+			id: fields.id,
+			status: this.status,
+			reason: left ? 'caller-left' : this.reason,
+			verdict: this.verdict,
+			attempts: this.attempts,
+			totalMs: round(totalMs),
+			firstBytesMs: round(this.firstBytesAt === undefined ? undefined : this.firstBytesAt - arrivedAt),
+			predictedMs: round(this.predictedMs),
+			bytes: this.answer.bytes,
+		});
+	}
+
+	private fingerprint(): string {
+		const { routing, method, target, body } = this.request;
+		return fingerprintOf({
+			account: { id: routing.account?.name ?? '' },
+			service: { id: routing.service },
+			request: { method, path: target, body },
+		});
+	}
+
+	private accountKey(): number {
+		return shortKey(this.request.routing.account?.name ?? '');
+	}
+}
+
+function round(value: number | undefined): number | undefined {
+	return value === undefined ? undefined : Math.round(value);
+}
--- a/src/idempotency/common/record.ts
+++ b/src/idempotency/common/record.ts
@@ -1,4 +1,4 @@
-import type { KeyValue } from '../../platform/common/keyValueStore.js';
+import type { KeyValue } from '../../store/common/keyValueStore.js';
 import type { LookupResult, StoredOutcome } from './idempotencyService.js';
 
 /** Largest body kept in a record. Values of the store may have a megabyte, and base64 adds a third. */
--- a/src/idempotency/node/sharedLease.ts
+++ b/src/idempotency/node/sharedLease.ts
@@ -1,6 +1,6 @@
 import { Deferred, Effect } from 'effect';
 import type { IClock } from '../../base/common/clock.js';
-import type { IKeyValueStore, StoreError } from '../../platform/common/keyValueStore.js';
+import type { IKeyValueStore, StoreError } from '../../store/common/keyValueStore.js';
 
 const ROTATION_MS = 3_600_000;
 
--- a/src/idempotency/node/storedCalls.ts
+++ b/src/idempotency/node/storedCalls.ts
@@ -2,7 +2,7 @@
 import { Effect, Fiber, Result } from 'effect';
 import { type IClock, systemClock } from '../../base/common/clock.js';
 import { logOf } from '../../base/node/log.js';
-import type { IKeyValueStore, KeyValue, StoreError } from '../../platform/common/keyValueStore.js';
+import type { IKeyValueStore, KeyValue, StoreError } from '../../store/common/keyValueStore.js';
 import type {
 	Claim,
 	ClaimResult,
--- a/src/idempotency/test/faultyStore.ts
+++ b/src/idempotency/test/faultyStore.ts
@@ -1,5 +1,5 @@
 import { Effect } from 'effect';
-import type { IKeyValueStore, KeyValue, StoreError, SwapResult } from '../../platform/common/keyValueStore.js';
+import type { IKeyValueStore, KeyValue, StoreError, SwapResult } from '../../store/common/keyValueStore.js';
 
 /** What happens to one write: its answer is lost after it took effect, or it is refused without effect. */
 export type StoreFault = 'answer-lost' | 'refused';
--- a/src/membership/node/membershipService.ts
+++ b/src/membership/node/membershipService.ts
@@ -5,7 +5,7 @@
 import { rendezvous } from '../../base/common/shortKey.js';
 import { logOf } from '../../base/node/log.js';
 import type { IPeerNetwork, PeerStatus } from '../../peers/common/peerNetwork.js';
-import type { IInstanceList, ListedInstance } from '../../platform/common/instanceList.js';
+import type { IInstanceList, ListedInstance } from '../../store/common/instanceList.js';
 import type { IMembershipService, RouterStatus } from '../common/membershipService.js';
 
 const LIST_INTERVAL_MS = 1_000;
--- a/src/membership/test/membershipService.test.ts
+++ b/src/membership/test/membershipService.test.ts
@@ -2,7 +2,7 @@
 import { Effect } from 'effect';
 import { Emitter } from '../../base/common/event.js';
 import type { IPeerNetwork, PeerMessage, PeerStatus } from '../../peers/common/peerNetwork.js';
-import type { ListedInstance } from '../../platform/common/instanceList.js';
+import type { ListedInstance } from '../../store/common/instanceList.js';
 import { MembershipService } from '../node/membershipService.js';
 
 function makePeer(instance: string, changes: Partial<PeerStatus> = {}): PeerStatus {
--- /dev/null
+++ b/src/store/node/prefixFollower.ts
@@ -0,0 +1,173 @@
+import { Effect } from 'effect';
+import { Disposable } from '../../base/common/lifecycle.js';
+import { Emitter } from '../../base/common/event.js';
+import type { IDecisionLog } from '../../base/node/structuredLog.js';
+import type { KeyValue, StoreError } from '../common/keyValueStore.js';
+import type { ChangeSet, IRevisionedStore, Snapshot } from '../common/revisionedStore.js';
+
+/** Longest wait of one watch. A connection that has gone silent is found after it, and each watch is paid for. */
+const WATCH_WAIT_MS = 2_500;
+
+/** Pause before the first repetition of a failed call; it doubles with each failure. */
+const FIRST_PAUSE_MS = 60;
+const LONGEST_PAUSE_MS = 500;
+
+/** Part of a pause that is random, so that routers do not return together. */
+const JITTER = 0.5;
+
+/** Knows all values below one prefix of the store. */
+export class PrefixFollower extends Disposable {
+	private readonly changeEmitter = this.register(Emitter.create<ReadonlyMap<string, KeyValue>>());
+	private readonly contactEmitter = this.register(Emitter.create<boolean>());
+	private entries = new Map<string, KeyValue>();
+	private knownRevision: number | undefined;
+	private lastChange = 0;
+	private failures = 0;
+	private connected = false;
+	private historyLost = false;
+
+	/** Fires when a value was written or removed. */
+	public readonly onDidChange = this.changeEmitter.event;
+	/** Fires with false when the store cannot be read any more, and with true when it can be again. */
+	public readonly onDidChangeContact = this.contactEmitter.event;
+
+	private constructor(
+		public readonly prefix: string,
+		private readonly keyValues: IRevisionedStore,
+		private readonly log: IDecisionLog,
+		private readonly random: () => number,
+	) {
+		super();
+	}
+
+	/**
+	 * @param prefix start of the keys
+	 * @param store to read from
+	 * @param log receives changes of contact
+	 * @param random numbers from 0 to 1, which spread repeated calls
+	 * @returns a follower that knows nothing yet
+	 */
+	public static create(
+		prefix: string,
+		store: IRevisionedStore,
+		log: IDecisionLog,
+		random: () => number = Math.random,
+	): PrefixFollower {
+		return new PrefixFollower(prefix, store, log, random);
+	}
+
+	/** Whether the last call to the store was answered. */
+	public get isConnected(): boolean {
+		return this.connected;
+	}
+
+	/** Revision of the newest change that is known; 0 when nothing is known. */
+	public get lastChangeRevision(): number {
+		return this.lastChange;
+	}
+
+	/** @returns what is known, or undefined before the first read */
+	public snapshot(): Snapshot | undefined {
+		return this.knownRevision === undefined
+			? undefined
+			: { entries: [...this.entries.values()], revision: this.knownRevision };
+	}
+
+	/**
+	 * Takes over a snapshot that another router read.
+	 *
+	 * @param snapshot of the same prefix
+	 * @returns whether it was newer than what is known
+	 */
+	public apply(snapshot: Snapshot): boolean {
+		if (this.knownRevision !== undefined && snapshot.revision <= this.knownRevision) {
+			return false;
+		}
+		const before = this.entries;
+		this.entries = new Map(snapshot.entries.map((entry) => [entry.key, entry]));
+		this.knownRevision = snapshot.revision;
+		const changed = before.size !== this.entries.size || snapshot.entries.some(isNewerThan(before));
+		if (changed) {
+			this.lastChange = Math.max(this.lastChange, ...snapshot.entries.map(({ revision }) => revision));
+			// A removal leaves no entry that could tell its revision.
+			if (before.size > 0 && [...before.keys()].some((key) => !this.entries.has(key))) {
+				this.lastChange = snapshot.revision;
+			}
+			this.changeEmitter.fire(this.entries);
+		}
+		return true;
+	}
+
+	/** Reads and watches until interrupted. */
+	public run(): Effect.Effect<never> {
+		const self = this;
+		return Effect.gen(function* () {
+			for (;;) {
+				const result = yield* Effect.result(self.step());
+				if (result._tag === 'Success') {
+					self.noteSuccess();
+					continue;
+				}
+				const pauseMs = self.noteFailure(result.failure);
+				yield* Effect.sleep(pauseMs);
+			}
+		});
+	}
+
+	private step(): Effect.Effect<void, StoreError> {
+		const revision = this.knownRevision;
+		if (revision === undefined || this.historyLost) {
+			return Effect.map(this.keyValues.readAll(this.prefix), (snapshot) => {
+				this.historyLost = false;
+				this.apply(snapshot);
+			});
+		}
+		return Effect.map(this.keyValues.waitForChanges(this.prefix, revision, WATCH_WAIT_MS), (result) => {
+			if (result === 'history-lost') {
+				this.historyLost = true;
+				this.log.write('store-history-lost', { prefix: this.prefix, revision });
+				return;
+			}
+			this.applyChanges(result);
+		});
+	}
+
+	private applyChanges({ changes, revision }: ChangeSet): void {
+		for (const change of changes) {
+			if (change.value === undefined) {
+				this.entries.delete(change.key);
+			} else {
+				this.entries.set(change.key, { key: change.key, revision: change.revision, value: change.value });
+			}
+			this.lastChange = Math.max(this.lastChange, change.revision);
+		}
+		this.knownRevision = Math.max(this.knownRevision ?? 0, revision);
+		if (changes.length > 0) {
+			this.changeEmitter.fire(this.entries);
+		}
+	}
+
+	private noteSuccess(): void {
+		this.failures = 0;
+		if (!this.connected) {
+			this.connected = true;
+			this.log.write('store-regained', { prefix: this.prefix, revision: this.knownRevision });
+			this.contactEmitter.fire(true);
+		}
+	}
+
+	private noteFailure(failure: StoreError): number {
+		this.failures++;
+		if (this.connected) {
+			this.connected = false;
+			this.log.write('store-lost', { prefix: this.prefix, revision: this.knownRevision, reason: failure.message });
+			this.contactEmitter.fire(false);
+		}
+		const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
+		return pauseMs * (1 - JITTER * this.random());
+	}
+}
+
+function isNewerThan(known: ReadonlyMap<string, KeyValue>): (entry: KeyValue) => boolean {
+	return ({ key, revision }) => known.get(key)?.revision !== revision;
+}
--- a/standins/platform/test/platformStandIn.test.ts
+++ b/standins/platform/test/platformStandIn.test.ts
@@ -1,8 +1,8 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals';
 import { Effect, Fiber } from 'effect';
-import type { KeyValue } from '../../../src/platform/common/keyValueStore.js';
-import { EtcdStore } from '../../../src/platform/node/etcdStore.js';
-import { HttpInstanceList } from '../../../src/platform/node/httpInstanceList.js';
+import type { KeyValue } from '../../../src/store/common/keyValueStore.js';
+import { EtcdStore } from '../../../src/store/node/etcdStore.js';
+import { HttpInstanceList } from '../../../src/store/node/httpInstanceList.js';
 import { PlatformStandIn } from '../platformStandIn.js';
 
 const KEY = 'a/key';
--- a/tools/configuration/main.ts
+++ b/tools/configuration/main.ts
@@ -12,7 +12,7 @@
 	loadSnapshot,
 } from '../../src/configuration/node/configurationSnapshot.js';
 import { digestOfToken } from '../../src/index.js';
-import { EtcdStore } from '../../src/platform/node/etcdStore.js';
+import { EtcdStore } from '../../src/store/node/etcdStore.js';
 import { callJson } from '../fleet/httpJson.js';
 import { ProcessGroup } from '../fleet/processes.js';
 
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -1,7 +1,7 @@
 import { Effect } from 'effect';
 import type { ConfigurationContent } from '../../src/configuration/common/model.js';
 import { ConfigurationPublisher } from '../../src/configuration/node/configurationPublisher.js';
-import { EtcdStore } from '../../src/platform/node/etcdStore.js';
+import { EtcdStore } from '../../src/store/node/etcdStore.js';
 import { callJson } from './httpJson.js';
 import { orEnded, ProcessGroup, type Program, until } from './processes.js';
 import { routerSettings } from './routerSettings.js';
