Hold client accounts to their max-min share at the worst load

Cause: at peaks engines began 450,000 to 500,000 tokens a second of which 245,000 are owed, most for accounts beyond their share. Engines read prompts nearly all the time, so streams paused for over 500 ms and long ones missed their deadline. Requests counted as late attempts because deadlines of first attempts differ by 15 %.

Ruled out: the count of requests in progress (20 to 35 of 64), preemption (none reported).

Change: an account at its share is served by engines with a load under 0.45 only; a deadline within 17 % of the longest is a first attempt; reading a shared part again costs four times its time in the choice of the engine.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -42,14 +42,18 @@
 /** Wait that is accepted for answers that can only be late, as a part of the aim. */
 const LATE_WAIT_OF_AIM = 0.25;
 
-/** Part of its fair share up to which an account is treated as one that uses little. */
-const FULL_TREATMENT_SHARE = 0.9;
-
 /** Part of its fair share from which an account gets only what would be left idle. */
-const SPARE_ONLY_SHARE = 1.25;
+const SPARE_ONLY_SHARE = 1;
+
+/**
+ * Load of an engine up to which it takes requests of accounts that have had their share. Each token of a stream takes as
+ * long as the prompt chunk that is read with it, so streams end within their deadline only on engines that read prompts
+ * for less than two thirds of the time.
+ */
+const SPARE_LOAD = 0.45;
 
-/** Part of the usual wait limit for accounts that get only what would be left idle. */
-const SPARE_LIMIT_FACTOR = 0.12;
+/** Longest wait for such requests: the engine is all but idle. */
+const SPARE_WAIT_MS = 15;
 
 /** Shortest time after which a refused caller is asked to return: an engine's queue changes little in less. */
 const SHORTEST_RETRY_MS = 80;
@@ -66,9 +70,8 @@
 /**
  * Decides whether a request to a model engine is sent now, and to which engine, or is refused at once.
  *
- * A request waits at an engine only as long as its first event can still be on time. An account close to or beyond its
- * fair share is accepted at shorter and shorter waits, so that engines that are nearly idle serve anyone, and busy ones
- * serve those who have received least.
+ * A request waits at an engine only as long as its first event can still be on time. An account that has had its fair
+ * share is served by engines that would be idle otherwise.
  *
  * Load pattern: work arrives at up to twice the engines' pace for seconds, most of it from one account after the other.
  *
@@ -87,12 +90,12 @@
 			waitMs: undefined,
 		};
 	}
-	const limitMs = waitLimitMs(inputs, best.readMs);
-	const accepted = usable.find(({ waitMs }) => waitMs <= limitMs);
+	const overShare = inputs.standing.usedShare >= SPARE_ONLY_SHARE;
+	const limitMs = overShare ? SPARE_WAIT_MS : waitLimitMs(inputs, best.readMs);
+	const accepted = usable.find(({ waitMs, load }) => waitMs <= limitMs && (!overShare || load <= SPARE_LOAD));
 	if (accepted !== undefined) {
 		return { kind: 'place', option: accepted, limitMs };
 	}
-	const overShare = inputs.standing.usedShare > FULL_TREATMENT_SHARE;
 	const shortestWaitMs = Math.min(...inputs.options.map(({ waitMs }) => waitMs));
 	const retryAfterMs = overShare ? OVER_SHARE_RETRY_MS : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
 	return {
@@ -105,21 +108,11 @@
 }
 
 function waitLimitMs(inputs: AdmissionInputs, readMs: number): number {
-	const { aimMs, aimLeftMs, standing } = inputs;
+	const { aimMs, aimLeftMs } = inputs;
 	const leftMs = aimLeftMs - readMs - FIRST_EVENT_OVERHEAD_MS;
-	const limitMs =
-		aimLeftMs <= FIRST_EVENT_OVERHEAD_MS
-			? aimMs * LATE_WAIT_OF_AIM
-			: Math.min(aimMs * LONGEST_WAIT_OF_AIM, Math.max(aimMs * SHORTEST_WAIT_OF_AIM, leftMs));
-	return limitMs * shareFactor(standing.usedShare);
-}
-
-function shareFactor(usedShare: number): number {
-	if (usedShare <= FULL_TREATMENT_SHARE) {
-		return 1;
-	}
-	const excess = (usedShare - FULL_TREATMENT_SHARE) / (SPARE_ONLY_SHARE - FULL_TREATMENT_SHARE);
-	return Math.max(SPARE_LIMIT_FACTOR, 1 - excess * (1 - SPARE_LIMIT_FACTOR));
+	return aimLeftMs <= FIRST_EVENT_OVERHEAD_MS
+		? aimMs * LATE_WAIT_OF_AIM
+		: Math.min(aimMs * LONGEST_WAIT_OF_AIM, Math.max(aimMs * SHORTEST_WAIT_OF_AIM, leftMs));
 }
 
 function clampReturn(milliseconds: number, { deadlineLeftMs }: AdmissionInputs): number {
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -26,6 +26,8 @@
 	readonly rereadTokens: number;
 	/** Requests in progress at the engine, of all routers, as last heard. */
 	readonly inProgress: number;
+	/** Part of the last second in which the engine read prompts, from 0 to 1. */
+	readonly load: number;
 	/** Order of preference; lower is better. */
 	readonly cost: number;
 	/** Trust in the engine after its recent failures. */
@@ -62,7 +64,7 @@
 }
 
 /** Weight of reading a shared part again, on top of the time it takes: the platform charges for it. */
-const REREAD_WEIGHT = 0.6;
+const REREAD_WEIGHT = 3;
 
 /** Preference for the engine that all routers choose for a prompt that no engine is known to hold. */
 const HOME_BONUS_MS = 8;
@@ -346,7 +348,7 @@
 			health.penaltyMs -
 			(server.id === home && mostHeld === 0 ? HOME_BONUS_MS : 0) -
 			(server.failureDomain === this.failureDomain ? SAME_DOMAIN_BONUS_MS : 0);
-		return { server, waitMs, readMs, workMs, rereadTokens, inProgress, cost, health };
+		return { server, waitMs, readMs, workMs, rereadTokens, inProgress, load: state.queue.load(now), cost, health };
 	}
 
 	private forgetUnregistered(now: number): void {
--- a/src/engines/common/engineQueue.ts
+++ b/src/engines/common/engineQueue.ts
@@ -21,6 +21,9 @@
 /** Shorter observations are dominated by the engine's fixed costs. */
 const LEAST_OBSERVED_WORK_MS = 15;
 
+/** Time constant of the mean over which an engine's load is told. */
+const LOAD_PERIOD_MS = 1_000;
+
 /** A placement without a first event for this long beyond its prediction has failed unnoticed. */
 const LOST_AFTER_MS = 4_000;
 
@@ -36,6 +39,8 @@
 	private busyUntil = 0;
 	private lastProgressAt = 0;
 	private currentPace = 1;
+	private busyPart = 0;
+	private busyPartAt = 0;
 
 	private constructor() {}
 
@@ -63,6 +68,19 @@
 		return Math.max(0, this.busyUntil - now);
 	}
 
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns part of the last second in which the engine read prompts, from 0 to 1
+	 */
+	public load(now: number): number {
+		const elapsedMs = Math.max(0, now - this.busyPartAt);
+		const busyMs = Math.min(elapsedMs, Math.max(0, this.busyUntil - this.busyPartAt));
+		const kept = Math.exp(-elapsedMs / LOAD_PERIOD_MS);
+		this.busyPart = this.busyPart * kept + (elapsedMs > 0 ? (busyMs / elapsedMs) * (1 - kept) : 0);
+		this.busyPartAt = now;
+		return this.busyPart;
+	}
+
 	/**
 	 * Adds a prompt.
 	 *
@@ -71,6 +89,7 @@
 	 * @param workMs nominal time to read the prompt
 	 */
 	public place(id: PlacementId, now: number, workMs: number): void {
+		this.load(now);
 		this.placements.push({ ...id, placedAt: now, workMs });
 		this.busyUntil = Math.max(this.busyUntil, now) + workMs * this.currentPace;
 	}
@@ -87,6 +106,7 @@
 		if (placement === undefined) {
 			return;
 		}
+		this.load(now);
 		this.learnPace(placement, index, now);
 		this.lastProgressAt = now;
 		this.placements.splice(0, index + 1);
--- a/src/gateway/common/callerElapsed.ts
+++ b/src/gateway/common/callerElapsed.ts
@@ -1,12 +1,15 @@
-/** Differences below this come from the caller's own delays. */
-const TOLERANCE_MS = 30;
+/** Callers of one route differ in patience by up to this part of the longest deadline. */
+const PATIENCE_SPREAD = 0.17;
+
+/** A caller that has tried before began with about this part of the longest deadline. */
+const TYPICAL_PATIENCE = 0.92;
 
 /** Bound of the memory for routes. */
 const MAXIMUM_ROUTES = 5_000;
 
 /**
- * Tells how long a caller has already tried. Callers of a route wait equally long in all, and name in each attempt what
- * is left, so a smaller deadline than usual shows an earlier attempt.
+ * Tells how long a caller has already tried. Callers of a route wait about equally long in all, and name in each attempt
+ * what is left, so a much smaller deadline than usual shows an earlier attempt.
  */
 export class CallerElapsed {
 	private readonly longest = new Map<string, number>();
@@ -35,7 +38,7 @@
 			this.longest.set(route, deadlineMs);
 			return 0;
 		}
-		const elapsedMs = longestMs - deadlineMs;
-		return elapsedMs <= TOLERANCE_MS ? 0 : elapsedMs;
+		const isFirstAttempt = deadlineMs >= longestMs * (1 - PATIENCE_SPREAD);
+		return isFirstAttempt ? 0 : Math.max(0, longestMs * TYPICAL_PATIENCE - deadlineMs);
 	}
 }
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -74,6 +74,8 @@
 	private attempts = 0;
 	private firstBytesAt: number | undefined;
 	private predictedMs: number | undefined;
+	private lastBytesAt = 0;
+	private longestPauseMs = 0;
 	private status = 0;
 	private reason = '';
 
@@ -217,8 +219,14 @@
 			limitMs: round(decision.limitMs),
 			aimLeftMs: round(aimLeftMs),
 			inProgress: option?.inProgress,
+			load: option && Number(option.load.toFixed(2)),
 			failureRate: option && Number(option.health.failureRate.toFixed(2)),
 			rereadTokens: option?.rereadTokens,
+			promptTokens: fields.promptTokens,
+			ownTokens: fields.parts.at(-1)?.tokens,
+			outputTokens: fields.maximumOutputTokens,
+			expectedTokens: fields.expectedOutputTokens,
+			deadlineMs: fields.deadlineMs,
 			usedShare: Number(standing.usedShare.toFixed(2)),
 			servers: options.length,
 			retryAfterMs: decision.kind === 'refuse' ? round(decision.retryAfterMs) : undefined,
@@ -252,8 +260,8 @@
 				if (!state.hadFirstEvent) {
 					state.hadFirstEvent = true;
 					fleet.recordFirstEvent(server.id, sequence, clock.now());
-					this.noteFirstBytes();
 				}
+				this.noteBytes();
 				return this.passBytes(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length), resume);
 			},
 		};
@@ -292,11 +300,15 @@
 		return ready === undefined || this.answer.write(ready, resume);
 	}
 
-	private noteFirstBytes(): void {
+	private noteBytes(): void {
+		const now = this.context.clock.now();
 		if (this.firstBytesAt !== undefined) {
+			this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastBytesAt);
+			this.lastBytesAt = now;
 			return;
 		}
-		this.firstBytesAt = this.context.clock.now();
+		this.firstBytesAt = now;
+		this.lastBytesAt = now;
 		const observedMs = this.firstBytesAt - this.request.arrivedAt;
 		this.context.metrics.observeFirstEvent(this.request.routing.service, observedMs, this.predictedMs);
 	}
@@ -423,6 +435,7 @@
 			totalMs: round(totalMs),
 			firstBytesMs: round(this.firstBytesAt === undefined ? undefined : this.firstBytesAt - arrivedAt),
 			predictedMs: round(this.predictedMs),
+			longestPauseMs: round(this.longestPauseMs),
 			bytes: this.answer.bytes,
 		});
 	}
