Trust a missing registration when any router has read the store for long enough

Ruled out: a silent watch; the router read the removal 70 ms after it was written.

Change: routers tell each other since when they have read the store. A missing entry is waited for only when nobody has read it for longer than servers need to return.

The test in src/engines/test fails on the rule before.

--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -3,7 +3,7 @@
 import type { RegisteredServer } from './directory.js';
 
 /** Servers that live write their entries again within two seconds of the store's return; the rest is reading them. */
-const RETURN_PERIOD_MS = 2_300;
+const RETURN_PERIOD_MS = 2_200;
 
 interface KnownServer {
 	readonly server: RegisteredServer;
@@ -19,25 +19,27 @@
 
 /**
  * Knows which backend servers may get new requests. An entry that disappears means that its server has left, unless the
- * store was away shortly before: entries lapse during an outage although their servers live.
+ * store was away for the whole fleet shortly before: entries lapse during an outage although their servers live.
  */
 export class ServerDirectory extends Disposable {
 	private readonly changeEmitter = this.register(Emitter.create<readonly DirectoryChange[]>());
 	private readonly known = new Map<string, KnownServer>();
 	private registered: readonly RegisteredServer[] = [];
-	private connected = false;
-	private settledAt = 0;
 
 	/** Fires with what has changed. */
 	public readonly onDidChange = this.changeEmitter.event;
 
-	private constructor() {
+	private constructor(private readonly contactSince: () => number | undefined) {
 		super();
 	}
 
-	/** @returns a directory without servers */
-	public static create(): ServerDirectory {
-		return new ServerDirectory();
+	/**
+	 * @param contactSince monotonic milliseconds since which some router of the fleet has read the store without a break;
+	 * undefined while none is known to read it
+	 * @returns a directory without servers
+	 */
+	public static create(contactSince: () => number | undefined): ServerDirectory {
+		return new ServerDirectory(contactSince);
 	}
 
 	/** Servers that may get new requests. */
@@ -45,21 +47,9 @@
 		return [...this.known.values()].map(({ server }) => server).filter(({ leaving }) => !leaving);
 	}
 
-	/** Milliseconds on the clock of {@link update} from which missing entries mean that their servers have left. */
-	public get missingTrustedAt(): number {
-		return this.connected ? this.settledAt : Infinity;
-	}
-
-	/**
-	 * @param connected whether the store can be read
-	 * @param now monotonic milliseconds
-	 */
-	public setContact(connected: boolean, now: number): void {
-		if (connected && !this.connected) {
-			this.settledAt = this.known.size === 0 ? now : now + RETURN_PERIOD_MS;
-		}
-		this.connected = connected;
-		this.refresh(now);
+	/** Whether servers are kept whose entries are missing, so that {@link refresh} has to be called again. */
+	public get hasMissing(): boolean {
+		return [...this.known.values()].some(({ missing }) => missing);
 	}
 
 	/**
@@ -72,7 +62,7 @@
 	}
 
 	/**
-	 * Removes servers whose entries have not come back. To be called again at {@link missingTrustedAt}.
+	 * Removes servers whose entries are missing and will not come back.
 	 *
 	 * @param now monotonic milliseconds
 	 */
@@ -86,7 +76,8 @@
 				changes.push({ server, change });
 			}
 		}
-		const removes = this.connected && now >= this.settledAt;
+		const since = this.contactSince();
+		const removes = since !== undefined && now - since >= RETURN_PERIOD_MS;
 		for (const [id, { server, missing }] of this.known) {
 			if (present.has(id)) {
 				continue;
--- /dev/null
+++ b/src/engines/test/serverDirectory.test.ts
@@ -0,0 +1,78 @@
+import { describe, expect, test } from '@jest/globals';
+import type { RegisteredServer } from '../common/directory.js';
+import { type DirectoryChange, ServerDirectory } from '../common/serverDirectory.js';
+
+function serverWith(overrides: Partial<RegisteredServer> = {}): RegisteredServer {
+	return {
+		id: 'engine-1',
+		service: 'drafts',
+		address: '10.0.0.1:80',
+		failureDomain: 'a',
+		slots: 8,
+		leaving: false,
+		startedAt: 1,
+		...overrides,
+	};
+}
+
+function directoryWith(contact: { since: number | undefined }): {
+	readonly directory: ServerDirectory;
+	readonly changes: string[];
+} {
+	const directory = ServerDirectory.create(() => contact.since);
+	const changes: string[] = [];
+	directory.onDidChange((items: readonly DirectoryChange[]) =>
+		items.forEach(({ server, change }) => changes.push(`${server.id} ${change}`)),
+	);
+	return { directory, changes };
+}
+
+describe('ServerDirectory', () => {
+	test('keeps a server whose entry lapsed while the whole fleet could not read the store', () => {
+		const contact = { since: 0 as number | undefined };
+		const { directory, changes } = directoryWith(contact);
+		directory.update([serverWith()], 5_000);
+		contact.since = 10_000;
+		directory.update([], 10_000);
+		expect(directory.usable).toHaveLength(1);
+		directory.update([serverWith()], 11_500);
+		directory.refresh(13_000);
+		expect(directory.usable).toHaveLength(1);
+		expect(changes).toEqual(['engine-1 added', 'engine-1 missing', 'engine-1 returned']);
+	});
+
+	test('removes a server whose entry has not come back after the return of the store', () => {
+		const contact = { since: 0 as number | undefined };
+		const { directory } = directoryWith(contact);
+		directory.update([serverWith()], 5_000);
+		contact.since = 10_000;
+		directory.update([], 10_000);
+		expect(directory.hasMissing).toBe(true);
+		directory.refresh(12_300);
+		expect(directory.usable).toHaveLength(0);
+	});
+
+	// A router that was cut off took the removal for a lapse and sent requests to a server that had left 2.1 s before.
+	test('removes a missing server at once when a peer has read the store all the while', () => {
+		const contact = { since: undefined as number | undefined };
+		const { directory } = directoryWith(contact);
+		directory.update([serverWith()], 5_000);
+		contact.since = 1_000;
+		directory.update([], 10_000);
+		expect(directory.usable).toHaveLength(0);
+	});
+
+	test('gives no requests to a server that says it leaves, also while the store is away', () => {
+		const { directory } = directoryWith({ since: undefined });
+		directory.update([serverWith()], 1_000);
+		directory.update([serverWith({ leaving: true })], 2_000);
+		expect(directory.usable).toHaveLength(0);
+	});
+
+	test('tells a restart under the same identifier', () => {
+		const { directory, changes } = directoryWith({ since: 0 });
+		directory.update([serverWith()], 5_000);
+		directory.update([serverWith({ startedAt: 2 })], 6_000);
+		expect(changes.at(-1)).toBe('engine-1 restarted');
+	});
+});
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -47,6 +47,8 @@
 	/** Newest change that the peer knows, by followed prefix. */
 	readonly followedRevisions: readonly number[];
 	readonly lost: boolean;
+	/** Monotonic milliseconds since which the peer has read the registrations; undefined while it cannot. */
+	readonly contactSince: number | undefined;
 	readonly sequence: number;
 }
 
@@ -65,6 +67,8 @@
 	/** Newest change that is known, by followed prefix. */
 	readonly followedRevisions: () => readonly number[];
 	readonly suspects: CrashSuspects;
+	/** Monotonic milliseconds since which this router has read the registrations; undefined while it cannot. */
+	readonly contactSince: () => number | undefined;
 }
 
 /**
@@ -164,6 +168,15 @@
 		return 1 + this.peers.filter(({ lost, leaving }) => !lost && !leaving).length;
 	}
 
+	/** Monotonic milliseconds since which some router has read the registrations; undefined while none is known to. */
+	public contactSince(): number | undefined {
+		const times = [
+			this.state.contactSince(),
+			...this.peers.filter(({ lost }) => !lost).map((peer) => peer.contactSince),
+		];
+		return times.reduce((least, time) => (least === undefined || (time ?? Infinity) < least ? time : least), undefined);
+	}
+
 	/** @returns completes when datagrams can be received */
 	public listen(): Promise<void> {
 		return new Promise((resolve, reject) => {
@@ -229,7 +242,9 @@
 	private encode(options: { readonly replyRequested: boolean; readonly withUsage: boolean }): Uint8Array {
 		const now = this.clock.now();
 		const toAge = (at: number): number => Math.max(0, Math.round(now - at));
+		const contactSince = this.state.contactSince();
 		const state = RouterState.create({
+			storeContactMs: contactSince === undefined ? 0 : 1 + toAge(contactSince),
 			instance: this.identity.instance,
 			incarnation: this.incarnation,
 			sequence: ++this.sequence,
@@ -296,6 +311,7 @@
 			heardAt: now,
 			followedRevisions: state.followedRevisions,
 			lost: false,
+			contactSince: state.storeContactMs > 0 ? now - state.storeContactMs : undefined,
 			sequence: state.sequence,
 		};
 		this.peersByName.set(state.instance, peer);
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -1,4 +1,5 @@
 import { Effect } from 'effect';
+import type { IClock } from '../../base/common/clock.js';
 import { Disposable } from '../../base/common/lifecycle.js';
 import { Emitter } from '../../base/common/event.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
@@ -24,6 +25,7 @@
 	private lastChange = 0;
 	private failures = 0;
 	private connected = false;
+	private connectedAt = 0;
 	private historyLost = false;
 
 	/** Fires when a value was written or removed. */
@@ -34,6 +36,7 @@
 	private constructor(
 		public readonly prefix: string,
 		private readonly keyValues: IRevisionedStore,
+		private readonly clock: IClock,
 		private readonly log: IDecisionLog,
 		private readonly random: () => number,
 	) {
@@ -43,6 +46,7 @@
 	/**
 	 * @param prefix start of the keys
 	 * @param store to read from
+	 * @param clock measures how long the store has been read
 	 * @param log receives changes of contact
 	 * @param random numbers from 0 to 1, which spread repeated calls
 	 * @returns a follower that knows nothing yet
@@ -50,10 +54,11 @@
 	public static create(
 		prefix: string,
 		store: IRevisionedStore,
+		clock: IClock,
 		log: IDecisionLog,
 		random: () => number = Math.random,
 	): PrefixFollower {
-		return new PrefixFollower(prefix, store, log, random);
+		return new PrefixFollower(prefix, store, clock, log, random);
 	}
 
 	/** Whether the last call to the store was answered. */
@@ -61,6 +66,11 @@
 		return this.connected;
 	}
 
+	/** Monotonic milliseconds since which every call was answered; undefined while the store cannot be read. */
+	public get contactSince(): number | undefined {
+		return this.connected ? this.connectedAt : undefined;
+	}
+
 	/** Revision of the newest change that is known; 0 when nothing is known. */
 	public get lastChangeRevision(): number {
 		return this.lastChange;
@@ -151,6 +161,7 @@
 		this.failures = 0;
 		if (!this.connected) {
 			this.connected = true;
+			this.connectedAt = this.clock.now();
 			this.log.write('store-regained', { prefix: this.prefix, revision: this.knownRevision });
 			this.contactEmitter.fire(true);
 		}
