Ask refused callers to return while their answer can still be on time

A late answer uses as much of the account's share as one on time and is worth a third.

Ruled out: prediction of waits (median error 12 ms), pauses (8 of 609).

Change: Retry-After for accounts beyond their share is 0.4 of the aim.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -58,8 +58,11 @@
 /** Shortest time after which a refused caller is asked to return: an engine's queue changes little in less. */
 const SHORTEST_RETRY_MS = 80;
 
-/** An account beyond its share is asked to return when about this part of the share window has passed. */
-const OVER_SHARE_RETRY_MS = 1_000;
+/**
+ * Part of the aim after which a refused caller of an account beyond its share may return: its account's window has moved
+ * on, and the answer can still be on time. Later returns are late at any rate and take the place of ones that are not.
+ */
+const RETURN_OF_AIM = 0.4;
 
 /** Callers return at the latest after this part of the time that they have left. */
 const LATEST_RETURN_OF_DEADLINE = 0.33;
@@ -97,7 +100,9 @@
 		return { kind: 'place', option: accepted, limitMs };
 	}
 	const shortestWaitMs = Math.min(...inputs.options.map(({ waitMs }) => waitMs));
-	const retryAfterMs = overShare ? OVER_SHARE_RETRY_MS : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
+	const retryAfterMs = overShare
+		? inputs.aimMs * RETURN_OF_AIM
+		: Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
 	return {
 		kind: 'refuse',
 		reason: overShare ? 'over-share' : 'busy',
