--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -43,7 +43,7 @@
 const LATE_WAIT_OF_AIM = 0.25;
 
 /** Part of its fair share from which an account gets only what would be left idle. */
-const SPARE_ONLY_SHARE = 1;
+const SPARE_ONLY_SHARE = 1.15;
 
 /**
  * Load of an engine up to which it takes requests of accounts that have had their share. Each token of a stream takes as
@@ -100,9 +100,7 @@
 		return { kind: 'place', option: accepted, limitMs };
 	}
 	const shortestWaitMs = Math.min(...inputs.options.map(({ waitMs }) => waitMs));
-	const retryAfterMs = overShare
-		? inputs.aimMs * RETURN_OF_AIM
-		: Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
+	const retryAfterMs = overShare ? inputs.aimMs * RETURN_OF_AIM : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
 	return {
 		kind: 'refuse',
 		reason: overShare ? 'over-share' : 'busy',
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -4,13 +4,17 @@
 import { EngineQueue } from './engineQueue.js';
 import { type EngineHealth, ServerOutcomes } from './serverOutcomes.js';
 import { PromptCache, type PromptPart } from './promptCache.js';
-import { readingTimeMs } from './readingTime.js';
+import { readingTimeMs, streamPauseMs } from './readingTime.js';
 
 /** What a request asks of an engine. */
 export interface PromptWork {
 	readonly parts: readonly PromptPart[];
 	/** Tokens of the whole prompt. */
 	readonly promptTokens: number;
+	/** Generated tokens in one event of a stream. */
+	readonly tokensPerEvent: number;
+	/** Longest pause in milliseconds between events of streams that are on time. */
+	readonly pauseAimMs: number;
 }
 
 /** One engine that could take a request. */
@@ -75,13 +79,20 @@
 /** Slows the streams of an engine as its batch fills; the cost of a whole batch in the order of preference. */
 const FULL_BATCH_COST_MS = 120;
 
+/** A prompt that pauses streams for this part of their aim makes them late together with what else is read. */
+const HARMFUL_PAUSE_OF_AIM = 0.85;
+
+/** Cost of a harmful pause for each request in progress: most of its worth, in the order of preference. */
+const HARMFUL_PAUSE_COST_MS = 100;
+
 /** The state of a server that is not registered is kept this long, because its entry may come back. */
 const UNREGISTERED_KEPT_MS = 10_000;
 
 /**
  * Knows how much work is ahead of a new request at each backend server, and which prompt parts each holds.
  *
- * Load pattern: requests whose prompts differ by 100 to 1 share a few hundred long documents, through many routers.
+ * Load pattern: requests whose prompts differ by 100 to 1 share a few hundred long documents, through many routers. The
+ * longest prompts pause all streams of their engine, so they gather where few streams run.
  */
 export class EngineFleet {
 	private readonly states = new Map<string, ServerState>();
@@ -340,11 +351,15 @@
 		const waitMs = state.queue.waitMs(now);
 		const readMs = workMs * state.queue.pace;
 		const health = state.outcomes.health(now);
+		const pauses =
+			streamPauseMs(work.promptTokens, heldTokens, work.tokensPerEvent) * state.queue.pace >
+			HARMFUL_PAUSE_OF_AIM * work.pauseAimMs;
 		const cost =
 			waitMs +
 			readMs +
 			REREAD_WEIGHT * readingTimeMs(rereadTokens, 0) * Math.min(1, rereadTokens) +
 			(FULL_BATCH_COST_MS * inProgress) / server.slots +
+			(pauses ? HARMFUL_PAUSE_COST_MS * inProgress : 0) +
 			health.penaltyMs -
 			(server.id === home && mostHeld === 0 ? HOME_BONUS_MS : 0) -
 			(server.failureDomain === this.failureDomain ? SAME_DOMAIN_BONUS_MS : 0);
--- a/src/engines/common/readingTime.ts
+++ b/src/engines/common/readingTime.ts
@@ -17,3 +17,23 @@
 	const meanContext = heldTokens + tokens / 2;
 	return (tokens / NOMINAL_TOKENS_PER_MS) * (1 + meanContext / ATTENTION_PARITY_TOKENS) + STEP_MS;
 }
+
+/** Prompt tokens that an engine reads in one step, in which each stream gets one token. */
+const CHUNK_TOKENS = 4_096;
+
+/**
+ * Predicts how long the streams of an engine pause while it reads a prompt. Each step reads a chunk, and the last chunks
+ * take longest because all tokens before them are attended to.
+ *
+ * @param promptTokens tokens of the whole prompt
+ * @param heldTokens leading tokens that the engine holds
+ * @param tokensPerEvent steps between two events of a stream
+ * @returns milliseconds between two events on an engine of pace 1
+ */
+export function streamPauseMs(promptTokens: number, heldTokens: number, tokensPerEvent: number): number {
+	const chunks = Math.max(0, promptTokens - heldTokens) / CHUNK_TOKENS;
+	const readingSteps = Math.min(chunks, tokensPerEvent);
+	const context = promptTokens - (readingSteps * CHUNK_TOKENS) / 2;
+	const chunkMs = (CHUNK_TOKENS / NOMINAL_TOKENS_PER_MS) * (1 + Math.max(0, context) / ATTENTION_PARITY_TOKENS);
+	return readingSteps * chunkMs + tokensPerEvent * STEP_MS;
+}
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -181,7 +181,7 @@
 				body,
 				arrivedAt,
 				configurationVersion: table.configuration.version,
-				hasEngines: table.service(routing.service)?.engine !== undefined,
+				engine: table.service(routing.service)?.engine,
 				method: request.method ?? 'GET',
 				target: request.url ?? '/',
 				host: request.headers.host ?? '',
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -9,6 +9,7 @@
 import { EventStream } from '../../dispatch/node/eventStream.js';
 import { fingerprintOf } from '../../dispatch/node/fingerprint.js';
 import type { EngineFleet, EngineOption, PromptWork } from '../../engines/common/engineFleet.js';
+import type { EngineSize } from '../../routing/common/model.js';
 import type { RoutingResult } from '../../routing/common/routeTable.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
 import type { CrashWatch } from '../common/crashWatch.js';
@@ -36,7 +37,8 @@
 	readonly routing: RoutingResult;
 	/** Version of the configuration that gave the route. */
 	readonly configurationVersion: number;
-	readonly hasEngines: boolean;
+	/** Undefined for plain services. */
+	readonly engine: EngineSize | undefined;
 	readonly method: string;
 	/** Path and query as they arrived. */
 	readonly target: string;
@@ -70,7 +72,10 @@
 	private readonly work: PromptWork;
 	private readonly cost: number;
 	private readonly events: EventStream | undefined;
-	private verdict: Verdict = 'not-run';
+	/** Verdict of the attempts that have ended. */
+	private endedVerdict: Verdict = 'not-run';
+	/** The attempt in progress has sent bytes, so its server may run the request. */
+	private inProgress = false;
 	private attempts = 0;
 	private firstBytesAt: number | undefined;
 	private predictedMs: number | undefined;
@@ -85,7 +90,12 @@
 		private readonly answer: GatewayAnswer,
 	) {
 		const { fields, routing } = request;
-		this.work = { parts: fields.parts, promptTokens: fields.promptTokens };
+		this.work = {
+			parts: fields.parts,
+			promptTokens: fields.promptTokens,
+			tokensPerEvent: request.engine?.tokensPerEvent ?? 1,
+			pauseAimMs: routing.route.pauseAimMs ?? Infinity,
+		};
 		this.cost =
 			fields.promptTokens +
 			GENERATED_TOKEN_COST * (fields.expectedOutputTokens ?? fields.maximumOutputTokens * EXPECTED_PART_OF_OUTPUT);
@@ -134,6 +144,11 @@
 		});
 	}
 
+	/** What is known of the request now. */
+	private get verdict(): Verdict {
+		return combineVerdicts(this.endedVerdict, this.inProgress ? 'may-have-run' : 'not-run');
+	}
+
 	private runAttempts(): Effect.Effect<void> {
 		const self = this;
 		return Effect.gen(function* () {
@@ -148,12 +163,13 @@
 					return;
 				}
 				const result = yield* Effect.result(self.attempt(decision.option));
+				self.inProgress = false;
 				if (result._tag === 'Success') {
 					self.complete();
 					return;
 				}
 				const failure = result.failure;
-				self.verdict = combineVerdicts(self.verdict, failure.verdict);
+				self.endedVerdict = combineVerdicts(self.endedVerdict, failure.verdict);
 				self.logFailure(decision.option, failure);
 				if (!self.mayTryAgain(failure)) {
 					self.giveUp(failure);
@@ -183,7 +199,7 @@
 	private recordOffered(): void {
 		const { shares, clock, retries } = this.context;
 		const now = clock.now();
-		if (this.request.hasEngines) {
+		if (this.request.engine !== undefined) {
 			shares.recordOffered(this.accountKey(), this.cost, now);
 		}
 		retries.countRequest(this.request.routing.service, now);
@@ -191,7 +207,7 @@
 
 	private decide(): AdmissionDecision {
 		const { fleet, shares, clock } = this.context;
-		const { routing, fields, arrivedAt, elapsedBeforeMs, hasEngines } = this.request;
+		const { routing, fields, arrivedAt, elapsedBeforeMs, engine } = this.request;
 		const now = clock.now();
 		const elapsedMs = now - arrivedAt;
 		const options = fleet.options(routing.service, this.work, this.tried, now);
@@ -230,7 +246,7 @@
 			usedShare: Number(standing.usedShare.toFixed(2)),
 			servers: options.length,
 			retryAfterMs: decision.kind === 'refuse' ? round(decision.retryAfterMs) : undefined,
-			plain: hasEngines ? undefined : true,
+			plain: engine === undefined ? true : undefined,
 		});
 		return decision;
 	}
@@ -243,15 +259,15 @@
 		const { server } = option;
 		this.attempts++;
 		this.tried.add(server.id);
-		const sequence = fleet.place(option, request.hasEngines ? this.work : undefined, now);
-		if (request.hasEngines) {
+		const sequence = fleet.place(option, request.engine !== undefined ? this.work : undefined, now);
+		if (request.engine !== undefined) {
 			shares.recordAdmitted(this.accountKey(), this.cost, now);
 			this.predictedMs = now - request.arrivedAt + option.waitMs + option.readMs;
 		}
 		const deadlineLeftMs = fields.deadlineMs === undefined ? undefined : fields.deadlineMs - (now - request.arrivedAt);
 		const state = { hadFirstEvent: false, failed: false };
 		const sink: IAttemptSink = {
-			sent: () => undefined,
+			sent: () => (this.inProgress = true),
 			head: (head) => {
 				state.failed = head.status >= FIRST_ERROR_STATUS;
 				this.passHead(head);
@@ -373,7 +389,7 @@
 		if (rest !== undefined) {
 			this.answer.write(rest, () => undefined);
 		}
-		this.verdict = 'completed';
+		this.endedVerdict = 'completed';
 		this.answer.end();
 	}
 
--- /dev/null
+++ b/src/gateway/test/gateway.test.ts
@@ -0,0 +1,238 @@
+import * as http from 'node:http';
+import * as net from 'node:net';
+import { afterEach, describe, expect, test } from '@jest/globals';
+import { Effect } from 'effect';
+import {
+	answerWith,
+	type Behaviour,
+	configurationWith,
+	failWith,
+	type GatewayFixture,
+	HOST,
+	KEY,
+	routeWith,
+	send,
+	serverOf,
+	startGateway,
+	stayQuiet,
+} from './gatewayFixture.js';
+
+const fixtures: GatewayFixture[] = [];
+
+afterEach(() => fixtures.splice(0).forEach((fixture) => fixture.dispose()));
+
+async function start(...parameters: Parameters<typeof startGateway>): Promise<GatewayFixture> {
+	const fixture = await startGateway(...parameters);
+	fixtures.push(fixture);
+	return fixture;
+}
+
+const orders = configurationWith([routeWith()]);
+const lookups = configurationWith([routeWith({ repeat: 'repeatable', maximumAttempts: 2 })]);
+const twoDesks = [serverOf('desk', 'desk-1'), serverOf('desk', 'desk-2')];
+
+describe('verdicts', () => {
+	// The verdict of the attempt in progress was left out, so a request that ran was answered as one that had not.
+	test('a request whose time ends while a server has it is not said to have not run', async () => {
+		const { port } = await start([stayQuiet()], orders);
+		const answer = await send(port, { headers: { deadline: '80' } });
+		expect(answer.status).toBe(504);
+		expect(JSON.parse(answer.body)).toMatchObject({ verdict: 'may-have-run' });
+		expect(answer.headers['retry-after']).toBeUndefined();
+	});
+
+	test('a request that is ended by a shutdown while a server has it is not said to have not run', async () => {
+		const { port, gateway } = await start([stayQuiet()], orders);
+		const answer = send(port);
+		await new Promise((resolve) => setTimeout(resolve, 50));
+		expect(gateway.endRequests()).toBe(1);
+		expect((await answer).status).toBe(502);
+	});
+
+	test('a request that a server refused is said to have not run, with the time to come back', async () => {
+		const { port } = await start([failWith({ kind: 'refused', verdict: 'not-run' })], orders, [
+			serverOf('desk', 'desk-1'),
+		]);
+		const answer = await send(port);
+		expect(answer.status).toBe(503);
+		expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+	});
+
+	test('a request that must not be repeated is sent once when its connection breaks', async () => {
+		const { port, attempts } = await start([failWith({ kind: 'broken', verdict: 'may-have-run' })], orders, twoDesks);
+		expect((await send(port)).status).toBe(502);
+		expect(attempts).toHaveLength(1);
+	});
+
+	test('a request that may be repeated goes to another server when its connection breaks', async () => {
+		const { port, attempts } = await start(
+			[failWith({ kind: 'broken', verdict: 'may-have-run' }), answerWith(200, 'found')],
+			lookups,
+			twoDesks,
+		);
+		const answer = await send(port);
+		expect(answer).toMatchObject({ status: 200, body: 'found' });
+		expect(new Set(attempts.map(({ target }) => target.id)).size).toBe(2);
+	});
+
+	test('a request may run on no more servers than its route allows', async () => {
+		const servers = [...twoDesks, serverOf('desk', 'desk-3')];
+		const { port, attempts } = await start([failWith({ kind: 'broken', verdict: 'may-have-run' })], lookups, servers);
+		expect((await send(port)).status).toBe(502);
+		expect(attempts).toHaveLength(2);
+	});
+
+	test('retries stop when the allowance of the fleet is used up', async () => {
+		const { port, attempts } = await start([failWith({ kind: 'broken', verdict: 'may-have-run' })], lookups, twoDesks);
+		for (let index = 0; index < 60; index++) {
+			await send(port);
+		}
+		// 60 % of 0.2 retries a request and a slack of 50.
+		expect(attempts.length - 60).toBeLessThanOrEqual(0.6 * (0.2 * 60 + 50));
+		expect(attempts.length - 60).toBeGreaterThan(20);
+	});
+});
+
+describe('answers', () => {
+	test('are passed on with status, headers and body unchanged', async () => {
+		const { port } = await start([answerWith(418, 'short and stout')], orders);
+		const answer = await send(port);
+		expect(answer).toMatchObject({ status: 418, body: 'short and stout', whole: true });
+		expect(answer.headers.signature).toBe('signed');
+	});
+
+	test('that break off do not look whole', async () => {
+		const cut: Behaviour = (sink) =>
+			Effect.andThen(
+				Effect.sync(() => {
+					sink.sent();
+					sink.head({ status: 200, headers: {} });
+					sink.write(Buffer.from('half'), () => undefined);
+				}),
+				Effect.fail({ kind: 'broken' as const, verdict: 'may-have-run' as const, message: 'reset' }),
+			);
+		const { port } = await start([cut], orders);
+		expect((await send(port)).whole).toBe(false);
+	});
+
+	test('a stream that can be resumed goes on after its last whole event, under its first head', async () => {
+		const cut: Behaviour = (sink) =>
+			Effect.andThen(
+				Effect.sync(() => {
+					sink.sent();
+					sink.head({ status: 200, headers: { signature: 'first' } });
+					sink.write(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'), () => undefined);
+				}),
+				Effect.fail({ kind: 'broken' as const, verdict: 'may-have-run' as const, message: 'reset' }),
+			);
+		const rest: Behaviour = (sink) =>
+			Effect.sync(() => {
+				sink.sent();
+				sink.head({ status: 200, headers: { signature: 'second' } });
+				sink.write(Buffer.from('id: 2\ndata: b\n\n'), () => undefined);
+			});
+		const route = routeWith({
+			streams: true,
+			resumable: true,
+			repeat: 'repeatable',
+			maximumAttempts: 2,
+			targets: [{ service: 'scribes', weight: 1 }],
+		});
+		const servers = [serverOf('scribes', 'scribe-1'), serverOf('scribes', 'scribe-2')];
+		const { port, attempts } = await start([cut, rest], configurationWith([route]), servers);
+		const answer = await send(port, { headers: { 'prompt-tokens': '100' } });
+		expect(answer).toMatchObject({ body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', whole: true });
+		expect(answer.headers.signature).toBe('first');
+		expect(attempts[1]?.request.headers['resume-after']).toBe('1');
+	});
+
+	test('a caller that leaves ends its request at the server', async () => {
+		const { port, attempts } = await start([stayQuiet()], orders);
+		const request = http.request({
+			port,
+			path: '/orders/1',
+			method: 'POST',
+			headers: { host: HOST, authorization: KEY },
+		});
+		request.on('error', () => undefined);
+		request.end();
+		await new Promise((resolve) => setTimeout(resolve, 50));
+		request.destroy();
+		await new Promise((resolve) => setTimeout(resolve, 50));
+		expect(attempts).toMatchObject([{ interrupted: true }]);
+	});
+});
+
+describe('refusals', () => {
+	test('no configuration yet', async () => {
+		const fixture = await start([answerWith(200, '')], orders);
+		fixture.setConfiguration(undefined);
+		const answer = await send(fixture.port);
+		expect(answer.status).toBe(503);
+		expect(answer.headers['retry-after']).toBeDefined();
+	});
+
+	test.each([
+		['unknown path', { path: '/elsewhere/1' }, 404],
+		['unknown host', { headers: { host: 'other.example' } }, 404],
+		['unknown key', { headers: { authorization: 'stolen' } }, 401],
+		['large body', { body: 'x'.repeat(10_001) }, 413],
+		['large header', { headers: { filler: 'x'.repeat(5_000) } }, 431],
+	])('%s', async (_name, options, status) => {
+		const { port, attempts } = await start([answerWith(200, '')], orders);
+		expect((await send(port, options)).status).toBe(status);
+		expect(attempts).toHaveLength(0);
+	});
+
+	test('input that is not HTTP is answered with 400', async () => {
+		const { port } = await start([answerWith(200, '')], orders);
+		const socket = net.connect(port, '127.0.0.1');
+		socket.end('NOT HTTP AT ALL\r\n\r\n');
+		const answer = await new Promise<string>((resolve) => {
+			let text = '';
+			socket.on('data', (chunk: Buffer) => (text += chunk.toString()));
+			socket.on('close', () => resolve(text));
+		});
+		expect(answer).toMatch(/^HTTP\/1\.1 400 /);
+	});
+
+	test('a request smuggled behind two framings is refused', async () => {
+		const { port, attempts } = await start([answerWith(200, '')], orders);
+		const socket = net.connect(port, '127.0.0.1');
+		socket.write(
+			`POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\n` +
+				'Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /orders/2 HTTP/1.1\r\n\r\n',
+		);
+		const answer = await new Promise<string>((resolve) => {
+			let text = '';
+			socket.on('data', (chunk: Buffer) => (text += chunk.toString()));
+			socket.on('close', () => resolve(text));
+		});
+		expect(answer).toMatch(/^HTTP\/1\.1 400 /);
+		expect(attempts).toHaveLength(0);
+	});
+
+	test('without a server the caller learns when to come back', async () => {
+		const { port } = await start([answerWith(200, '')], orders, []);
+		const answer = await send(port, { headers: { deadline: '1000' } });
+		expect(answer.status).toBe(503);
+		expect(Number(answer.headers['retry-after'])).toBeLessThanOrEqual(0.34);
+	});
+});
+
+describe('shutdown', () => {
+	test('a request in progress is answered, and its connection is not used again', async () => {
+		const slow: Behaviour = (sink, request, target) =>
+			Effect.andThen(Effect.sleep(80), answerWith(200, 'done')(sink, request, target));
+		const { port, gateway } = await start([slow], orders);
+		const answer = send(port);
+		await new Promise((resolve) => setTimeout(resolve, 20));
+		gateway.startClosing();
+		gateway.stopAccepting();
+		expect(await answer).toMatchObject({ status: 200, body: 'done' });
+		expect((await answer).headers.connection).toBe('close');
+		const late = await send(port);
+		expect(late.status).toBe(503);
+		expect(late.headers.connection).toBe('close');
+	});
+});
--- /dev/null
+++ b/src/gateway/test/gatewayFixture.ts
@@ -0,0 +1,265 @@
+import * as http from 'node:http';
+import { Effect } from 'effect';
+import type {
+	BackendFailure,
+	BackendRequest,
+	BackendTarget,
+	IAttemptSink,
+	IBackendClient,
+} from '../../backends/common/backendClient.js';
+import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { systemClock } from '../../base/common/clock.js';
+import type { LogFields } from '../../base/node/structuredLog.js';
+import type { RegisteredServer } from '../../engines/common/directory.js';
+import { EngineFleet } from '../../engines/common/engineFleet.js';
+import type { Route, RoutingConfiguration } from '../../routing/common/model.js';
+import { RouteTable } from '../../routing/common/routeTable.js';
+import { FleetShares } from '../../shares/common/fleetShares.js';
+import { CrashWatch } from '../common/crashWatch.js';
+import type { IHeaderCodec } from '../common/ingress.js';
+import { RetryAllowance } from '../common/retryAllowance.js';
+import { GatewayMetrics } from '../node/gatewayMetrics.js';
+import { GatewayServer } from '../node/gatewayServer.js';
+
+/** What a backend server does with one attempt. */
+export type Behaviour = (
+	sink: IAttemptSink,
+	request: BackendRequest,
+	target: BackendTarget,
+) => Effect.Effect<void, BackendFailure>;
+
+/** An attempt that reached a backend server. */
+export interface SeenAttempt {
+	readonly target: BackendTarget;
+	readonly request: BackendRequest;
+	interrupted: boolean;
+}
+
+/** A gateway on a loopback port in front of backend servers that behave as told. */
+export interface GatewayFixture {
+	readonly port: number;
+	readonly gateway: GatewayServer;
+	readonly fleet: EngineFleet;
+	readonly attempts: readonly SeenAttempt[];
+	readonly lines: readonly { readonly event: string; readonly fields: LogFields }[];
+	readonly setConfiguration: (configuration: RoutingConfiguration | undefined) => void;
+	readonly dispose: () => void;
+}
+
+/** Answer to a caller of the fixture. */
+export interface FixtureAnswer {
+	readonly status: number;
+	readonly headers: http.IncomingHttpHeaders;
+	readonly body: string;
+	/** The body ended as its framing says. */
+	readonly whole: boolean;
+}
+
+export const HOST = 'almanac.example';
+export const KEY = 'key-of-harbour';
+
+/**
+ * @param overrides fields that differ
+ * @returns a route that must not be repeated
+ */
+export function routeWith(overrides: Partial<Route> = {}): Route {
+	return {
+		name: 'orders',
+		host: HOST,
+		prefix: '/orders/',
+		targets: [{ service: 'desk', weight: 1 }],
+		repeat: 'once',
+		streams: false,
+		resumable: false,
+		timeoutMs: 2_000,
+		aimMs: 200,
+		pauseAimMs: undefined,
+		priority: 1,
+		maximumAttempts: 1,
+		isPublic: false,
+		...overrides,
+	};
+}
+
+/**
+ * @param routes of the configuration
+ * @param overrides fields that differ
+ * @returns a configuration with one account
+ */
+export function configurationWith(
+	routes: readonly Route[],
+	overrides: Partial<RoutingConfiguration> = {},
+): RoutingConfiguration {
+	return {
+		version: 1,
+		routes,
+		services: [
+			{ name: 'desk', maximumConnections: 10, engine: undefined },
+			{ name: 'scribes', maximumConnections: 10, engine: { batchSlots: 8, memoryTokens: 100_000, tokensPerEvent: 5 } },
+		],
+		accounts: [{ name: 'harbour', keys: [KEY], priority: undefined }],
+		limits: {
+			maximumHeaderBytes: 4_096,
+			maximumBodyBytes: 10_000,
+			headerTimeoutMs: 3_000,
+			idleTimeoutMs: 5_000,
+			tokensPerSecond: undefined,
+		},
+		...overrides,
+	};
+}
+
+/** Header names of the product's tests; the platform has its own. */
+export const testCodec: IHeaderCodec = {
+	requestIdHeader: 'request-id',
+	decode: (headers) => ({
+		id: String(headers['request-id'] ?? ''),
+		key: typeof headers.authorization === 'string' ? headers.authorization : undefined,
+		deadlineMs: headers.deadline === undefined ? undefined : Number(headers.deadline),
+		parts: [],
+		promptTokens: Number(headers['prompt-tokens'] ?? 0),
+		maximumOutputTokens: 100,
+		expectedOutputTokens: undefined,
+		lastEventId: undefined,
+	}),
+	encode: (headers, egress) => ({
+		'request-id': String(headers['request-id'] ?? ''),
+		...(egress.resumeAfter === undefined ? {} : { 'resume-after': egress.resumeAfter }),
+		...(egress.deadlineLeftMs === undefined ? {} : { deadline: String(egress.deadlineLeftMs) }),
+	}),
+};
+
+/**
+ * @param service that the server offers
+ * @param id of the server
+ * @returns its registration
+ */
+export function serverOf(service: string, id: string): RegisteredServer {
+	return { id, service, address: '10.0.0.1:80', failureDomain: 'a', slots: 8, leaving: false, startedAt: 1 };
+}
+
+/**
+ * Starts a gateway.
+ *
+ * @param behaviours of the attempts, in their order; the last one holds for all further attempts
+ * @param configuration in force
+ * @param servers that may get requests
+ * @returns the running gateway
+ */
+export async function startGateway(
+	behaviours: readonly Behaviour[],
+	configuration: RoutingConfiguration,
+	servers: readonly RegisteredServer[] = [serverOf('desk', 'desk-1'), serverOf('scribes', 'scribe-1')],
+): Promise<GatewayFixture> {
+	const attempts: SeenAttempt[] = [];
+	const lines: { readonly event: string; readonly fields: LogFields }[] = [];
+	const client: IBackendClient = {
+		call: (target, request, sink) => {
+			const seen: SeenAttempt = { target, request, interrupted: false };
+			const behaviour = behaviours[Math.min(attempts.length, behaviours.length - 1)];
+			attempts.push(seen);
+			return (behaviour?.(sink, request, target) ?? Effect.void).pipe(
+				Effect.onInterrupt(() => Effect.sync(() => (seen.interrupted = true))),
+			);
+		},
+	};
+	const fleet = EngineFleet.create('router-1', 'a');
+	fleet.setServers(servers, systemClock.now());
+	let table: RouteTable | undefined = RouteTable.create(configuration);
+	const gateway = GatewayServer.create(
+		{
+			clock: systemClock,
+			fleet,
+			client,
+			shares: FleetShares.create(4_000, () => undefined),
+			codec: testCodec,
+			retries: RetryAllowance.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }, () => 1),
+			crashes: CrashWatch.create(CrashSuspects.create('router-1', systemClock), systemClock),
+			log: { write: (event, fields) => lines.push({ event, fields }) },
+			metrics: GatewayMetrics.create(),
+		},
+		() => table,
+	);
+	const port = await gateway.listen('127.0.0.1', 0);
+	return {
+		port,
+		gateway,
+		fleet,
+		attempts,
+		lines,
+		setConfiguration: (next) => (table = next && RouteTable.create(next)),
+		dispose: () => gateway.dispose(),
+	};
+}
+
+/**
+ * Sends one request to a gateway on a connection of its own.
+ *
+ * @param port of the gateway
+ * @param options path, method, headers and body
+ * @returns the answer, also when its body is cut off
+ */
+export function send(
+	port: number,
+	options: {
+		readonly path?: string;
+		readonly method?: string;
+		readonly headers?: Readonly<Record<string, string>>;
+		readonly body?: string;
+	} = {},
+): Promise<FixtureAnswer> {
+	return new Promise((resolve, reject) => {
+		const request = http.request(
+			{
+				port,
+				host: '127.0.0.1',
+				method: options.method ?? 'POST',
+				path: options.path ?? '/orders/1',
+				agent: false,
+				headers: { host: HOST, authorization: KEY, 'request-id': 'request-1', ...options.headers },
+			},
+			(response) => {
+				let body = '';
+				response.on('data', (chunk: Buffer) => (body += chunk.toString()));
+				response.on('error', () => undefined);
+				response.on('close', () =>
+					resolve({ status: response.statusCode ?? 0, headers: response.headers, body, whole: response.complete }),
+				);
+			},
+		);
+		request.on('error', reject);
+		request.end(options.body);
+	});
+}
+
+/** @returns a behaviour that answers with a whole body */
+export function answerWith(status: number, body: string): Behaviour {
+	return (sink) =>
+		Effect.sync(() => {
+			sink.sent();
+			sink.head({ status, headers: { 'content-length': String(body.length), signature: 'signed' } });
+			sink.write(Buffer.from(body), () => undefined);
+		});
+}
+
+/** @returns a behaviour that takes the request and never answers */
+export function stayQuiet(): Behaviour {
+	return (sink) =>
+		Effect.andThen(
+			Effect.sync(() => sink.sent()),
+			Effect.never,
+		);
+}
+
+/** @returns a behaviour that fails before or after the request was sent */
+export function failWith(failure: Omit<BackendFailure, 'message'>): Behaviour {
+	return (sink) =>
+		Effect.andThen(
+			Effect.sync(() => {
+				if (failure.kind !== 'unreachable') {
+					sink.sent();
+				}
+			}),
+			Effect.fail({ ...failure, message: `attempt ${failure.kind}` }),
+		);
+}
--- a/src/routing/common/model.ts
+++ b/src/routing/common/model.ts
@@ -46,6 +46,8 @@
 	readonly batchSlots: number;
 	/** Tokens that fit into the memory for running requests and cached prompt parts. */
 	readonly memoryTokens: number;
+	/** Generated tokens in one event of a stream. */
+	readonly tokensPerEvent: number;
 }
 
 /** A service that routes lead to. */
