--- /dev/null
+++ b/src/admission/test/admission.test.ts
@@ -0,0 +1,87 @@
+import { describe, expect, test } from '@jest/globals';
+import type { EngineOption } from '../../engines/common/engineFleet.js';
+import { type AdmissionInputs, decideAdmission } from '../common/admission.js';
+
+function optionWith(overrides: Partial<EngineOption> = {}): EngineOption {
+	return {
+		server: {
+			id: 'engine-1',
+			service: 'drafts',
+			address: '10.0.0.1:80',
+			failureDomain: 'a',
+			slots: 64,
+			leaving: false,
+			startedAt: 1,
+		},
+		waitMs: 0,
+		readMs: 50,
+		workMs: 50,
+		rereadTokens: 0,
+		inProgress: 5,
+		load: 0.3,
+		cost: 0,
+		health: { usable: true, failureRate: 0, penaltyMs: 0 },
+		...overrides,
+	};
+}
+
+function inputsWith(overrides: Partial<AdmissionInputs> = {}): AdmissionInputs {
+	return {
+		options: [optionWith()],
+		standing: { usedShare: 0.5, level: 100, admitted: 50 },
+		aimMs: 500,
+		aimLeftMs: 500,
+		deadlineLeftMs: 15_000,
+		...overrides,
+	};
+}
+
+const overShare = { usedShare: 2, level: 100, admitted: 200 };
+
+describe('decideAdmission', () => {
+	test('places a request whose first event will be on time', () => {
+		expect(decideAdmission(inputsWith({ options: [optionWith({ waitMs: 200 })] })).kind).toBe('place');
+	});
+
+	test('refuses at once what would be late, with a time within which it can still be on time', () => {
+		const decision = decideAdmission(inputsWith({ options: [optionWith({ waitMs: 450 })] }));
+		expect(decision).toMatchObject({ kind: 'refuse', reason: 'busy' });
+		expect(decision.kind === 'refuse' && decision.retryAfterMs).toBeLessThan(500);
+	});
+
+	test('takes the next engine when the preferred one is too busy', () => {
+		const other = optionWith({ waitMs: 20, cost: 300 });
+		const decision = decideAdmission(inputsWith({ options: [optionWith({ waitMs: 450 }), other] }));
+		expect(decision).toMatchObject({ kind: 'place', option: other });
+	});
+
+	// At one plain limit, prompts that take most of their aim to read were never served.
+	test('a prompt that takes most of its aim to read may still wait a little', () => {
+		const large = optionWith({ waitMs: 100, readMs: 480 });
+		expect(decideAdmission(inputsWith({ options: [large] })).kind).toBe('place');
+	});
+
+	test('an account beyond its share gets what an idle engine can give', () => {
+		expect(decideAdmission(inputsWith({ standing: overShare })).kind).toBe('place');
+		const busy = optionWith({ load: 0.8 });
+		expect(decideAdmission(inputsWith({ standing: overShare, options: [busy] }))).toMatchObject({
+			reason: 'over-share',
+		});
+	});
+
+	test('an account within its share is not refused for the load of others beyond theirs', () => {
+		expect(decideAdmission(inputsWith({ options: [optionWith({ load: 0.9, waitMs: 100 })] })).kind).toBe('place');
+	});
+
+	test('without a server the caller is asked to return within its time', () => {
+		const decision = decideAdmission(inputsWith({ options: [], deadlineLeftMs: 600 }));
+		expect(decision).toMatchObject({ kind: 'refuse', reason: 'no-server' });
+		expect(decision.kind === 'refuse' && decision.retryAfterMs).toBeLessThanOrEqual(200);
+	});
+
+	test('an engine that cannot be reached is not chosen while another can', () => {
+		const dead = optionWith({ health: { usable: false, failureRate: 1, penaltyMs: 0 } });
+		const sound = optionWith({ cost: 900, waitMs: 10 });
+		expect(decideAdmission(inputsWith({ options: [dead, sound] }))).toMatchObject({ option: sound });
+	});
+});
--- /dev/null
+++ b/src/engines/test/engineFleet.test.ts
@@ -0,0 +1,144 @@
+import { describe, expect, test } from '@jest/globals';
+import { shortKey } from '../../base/common/shortKey.js';
+import type { RegisteredServer } from '../common/directory.js';
+import { EngineFleet, type PromptWork } from '../common/engineFleet.js';
+import { readingTimeMs, streamPauseMs } from '../common/readingTime.js';
+
+const SERVICE = 'drafts';
+const NONE: ReadonlySet<string> = new Set();
+
+function engine(id: string, overrides: Partial<RegisteredServer> = {}): RegisteredServer {
+	return {
+		id,
+		service: SERVICE,
+		address: '10.0.0.1:80',
+		failureDomain: 'a',
+		slots: 64,
+		leaving: false,
+		startedAt: 1,
+		...overrides,
+	};
+}
+
+function fleetOf(...ids: readonly string[]): EngineFleet {
+	const fleet = EngineFleet.create('router-1', 'a');
+	fleet.setServers(
+		ids.map((id) => engine(id)),
+		0,
+	);
+	return fleet;
+}
+
+let prompts = 0;
+
+function promptWith(document: string, overrides: Partial<PromptWork> = {}): PromptWork {
+	return {
+		parts: [
+			{ key: shortKey('system'), tokens: 500 },
+			{ key: shortKey(document), tokens: 5_000 },
+			{ key: shortKey(`own part of prompt ${++prompts}`), tokens: 1_000 },
+		],
+		promptTokens: 6_500,
+		tokensPerEvent: 5,
+		pauseAimMs: 500,
+		...overrides,
+	};
+}
+
+function placeBest(fleet: EngineFleet, work: PromptWork, now: number): string {
+	const [option] = fleet.options(SERVICE, work, NONE, now);
+	if (option === undefined) {
+		throw new Error('no engine could take the prompt');
+	}
+	fleet.place(option, work, now);
+	return option.server.id;
+}
+
+describe('EngineFleet', () => {
+	test('requests about one document go to the engine that has read it', () => {
+		const fleet = fleetOf('one', 'two', 'three', 'four');
+		const first = placeBest(fleet, promptWith('tides'), 0);
+		for (let now = 500; now < 5_000; now += 500) {
+			expect(placeBest(fleet, promptWith('tides'), now)).toBe(first);
+		}
+	});
+
+	test('a document with much traffic is read by a second engine rather than waited for', () => {
+		const fleet = fleetOf('one', 'two', 'three', 'four');
+		const used = new Set<string>();
+		for (let index = 0; index < 60; index++) {
+			used.add(placeBest(fleet, promptWith('tides'), index * 10));
+		}
+		expect(used.size).toBeGreaterThan(1);
+	});
+
+	test('routers without news of each other choose the same engine for an unknown document', () => {
+		const choices = ['router-1', 'router-2', 'router-3'].map((name) => {
+			const fleet = EngineFleet.create(name, name);
+			fleet.setServers(
+				['one', 'two', 'three'].map((id) => engine(id)),
+				0,
+			);
+			return placeBest(fleet, promptWith('tides'), 0);
+		});
+		expect(new Set(choices).size).toBe(1);
+	});
+
+	test('a placement of a peer counts as work ahead and as a document that was read', () => {
+		const fleet = fleetOf('one', 'two');
+		const parts = promptWith('tides').parts.slice(0, -1);
+		fleet.applyPlacement(
+			'router-2',
+			{ server: shortKey('two'), sequence: 1, workMs: 120, parts: parts.map(({ key }) => key) },
+			0,
+		);
+		const [best, other] = fleet.options(SERVICE, promptWith('tides'), NONE, 200);
+		expect(best?.server.id).toBe('two');
+		expect(best?.workMs).toBeCloseTo(readingTimeMs(6_500, 5_500));
+		expect(other?.rereadTokens).toBe(5_500);
+		expect(fleet.options(SERVICE, promptWith('tides'), NONE, 20)[0]?.waitMs).toBeCloseTo(100);
+	});
+
+	test('an engine that started again holds nothing of before', () => {
+		const fleet = fleetOf('one');
+		placeBest(fleet, promptWith('tides'), 0);
+		fleet.setServers([engine('one', { startedAt: 2 })], 100);
+		const [option] = fleet.options(SERVICE, promptWith('tides'), NONE, 100);
+		expect(option?.waitMs).toBe(0);
+		expect(option?.workMs).toBeCloseTo(readingTimeMs(6_500, 0));
+	});
+
+	// One prompt of 50,000 tokens pauses each stream of its engine beyond the aim.
+	test('the longest prompts gather where few streams run', () => {
+		const fleet = fleetOf('busy', 'quiet');
+		fleet.applyInProgress('router-2', new Map([[shortKey('busy'), 12]]));
+		const long = promptWith('history', { promptTokens: 50_000, parts: [{ key: 1, tokens: 50_000 }] });
+		fleet.applyPlacement('router-2', { server: shortKey('quiet'), sequence: 1, workMs: 300, parts: [] }, 0);
+		expect(fleet.options(SERVICE, long, NONE, 0)[0]?.server.id).toBe('quiet');
+		expect(fleet.options(SERVICE, promptWith('tides'), NONE, 0)[0]?.server.id).toBe('busy');
+	});
+
+	test('an engine that fails half of its requests at once is not preferred for being idle', () => {
+		const fleet = fleetOf('grey', 'sound');
+		for (let now = 0; now < 1_000; now += 50) {
+			fleet.outcomesOf('grey')?.record(now % 100 === 0 ? 'failed' : 'answered', now);
+		}
+		fleet.applyPlacement('router-2', { server: shortKey('sound'), sequence: 1, workMs: 200, parts: [] }, 1_000);
+		expect(fleet.options(SERVICE, promptWith('tides'), NONE, 1_000)[0]?.server.id).toBe('sound');
+	});
+
+	test('an engine that cannot be reached is left out for a while and then tried again', () => {
+		const fleet = fleetOf('dead');
+		fleet.outcomesOf('dead')?.record('unreachable', 0);
+		expect(fleet.options(SERVICE, promptWith('tides'), NONE, 100)[0]?.health.usable).toBe(false);
+		expect(fleet.options(SERVICE, promptWith('tides'), NONE, 500)[0]?.health.usable).toBe(true);
+	});
+});
+
+describe('streamPauseMs', () => {
+	test('grows with the chunks that are read between two events', () => {
+		expect(streamPauseMs(1_000, 0, 5)).toBeLessThan(60);
+		expect(streamPauseMs(12_000, 0, 5)).toBeLessThan(350);
+		expect(streamPauseMs(50_000, 0, 5)).toBeGreaterThan(500);
+	});
+});
