Do not take a reset for the end of an answer without a length; run the platform routers against a stand-in

Ruled out: an engine that closes properly; its run ended by a crash. Change: at the end of such an answer the connection must still have its peer. A test with real sockets fails without it.

standins/usersPlatform stands for the platform: store with faults, engines that read prompts, plain servers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,11 +6,12 @@
 // slices that share a layer do not import from each other.
 const LAYERS = [
 	['base'],
-	['settings', 'store', 'peers'],
-	['configuration', 'membership', 'idempotency'],
-	['backends', 'scheduling'],
-	['dispatch'],
+	['settings', 'store', 'peers', 'routing', 'shares'],
+	['configuration', 'membership', 'idempotency', 'engines'],
+	['backends', 'scheduling', 'admission'],
+	['dispatch', 'fleet'],
 	['callers'],
+	['gateway'],
 	['admin'],
 	['daemon', 'cli'],
 ];
@@ -26,8 +27,8 @@
 				message: `src/${slice} must not import from src/${other}: imports go to lower layers only.`,
 			}));
 			patterns.push({
-				regex: '^(\\.\\./)+(standins|tools|deployments)/',
-				message: 'Product code must not import stand-ins, tools or deployments.',
+				regex: '^(\\.\\./)+(standins|tools|deployments|platform)/',
+				message: 'Product code must not import the platform adapter, stand-ins, tools or deployments.',
 			});
 			return {
 				files: [`src/${slice}/**/*.ts`],
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -199,7 +199,14 @@
 			this.fail(refusal, `refused with status ${head.status}`);
 			return;
 		}
-		const framed = this.protocol.endsWithConnection || isFramed(this.request.method, response);
+		const framed = isFramed(this.request.method, response);
+		let endedByReset = false;
+		if (!framed) {
+			// A reset that arrives with the last bytes is reported as the end of the connection, but leaves it without a peer.
+			response.socket.prependOnceListener('end', () => {
+				endedByReset = response.socket.remoteAddress === undefined;
+			});
+		}
 		this.sink.head(head);
 		response.on('data', (chunk: Buffer) => {
 			this.silentChecks = 0;
@@ -208,7 +215,7 @@
 			}
 		});
 		response.on('end', () => {
-			if (framed) {
+			if (framed || (this.protocol.endsWithConnection && !endedByReset)) {
 				this.settle(Effect.void);
 			} else {
 				this.fail('broken', 'sent an answer without a length, which cannot be seen to be whole');
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -114,6 +114,16 @@
 		expect((await call(clientWith(), url, '1')).result._tag).toBe('Failure');
 	});
 
+	// The last bytes and the reset arrive together, which Node.js reports as the end of the connection.
+	test('an answer without a length is not whole when the reset arrives with its last bytes', async () => {
+		const url = await startRawServer((socket) => {
+			socket.write('HTTP/1.1 200 OK\r\nid: 1\r\n\r\nhalf', () => socket.resetAndDestroy());
+		});
+		const client = clientWith();
+		const results = await Promise.all(Array.from({ length: 20 }, () => call(client, url, '1')));
+		expect(results.filter(({ result }) => result._tag === 'Success')).toEqual([]);
+	});
+
 	test('an answer shorter than its length is not whole', async () => {
 		const url = await startRawServer((socket) =>
 			socket.end('HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 10\r\n\r\nhalf'),
--- a/standins/common/backendListener.ts
+++ b/standins/common/backendListener.ts
@@ -82,7 +82,10 @@
 			return;
 		}
 		const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
-		this.resetConnections();
+		// A reset of a connection that its peer has just ended keeps Node.js 20 from exiting.
+		for (const socket of this.sockets) {
+			socket.destroy();
+		}
 		await closed;
 	}
 
--- /dev/null
+++ b/standins/usersPlatform/usersPlatform.ts
@@ -0,0 +1,177 @@
+import type { IDisposable } from '../../src/base/common/lifecycle.js';
+import { PlatformStore } from './platformStore.js';
+import { type EngineShape, PromptEngine } from './promptEngine.js';
+
+const HEARTBEAT_MS = 1_200;
+const MODEL_SERVICE = 'scribes';
+const PLAIN_SERVICE = 'desk';
+const DOMAINS = ['mid-a', 'mid-b'];
+
+export const HOST = 'almanac.example';
+export const ACCOUNTS = ['archive', 'harbour', 'printer'];
+
+/** @returns the key that authenticates an account */
+export function keyOf(account: string): string {
+	return `key-of-${account}`;
+}
+
+/** Kinds of requests and their routes. */
+export const ROUTES = {
+	draft: {
+		prefix: '/draft/',
+		type: 'streaming',
+		service: MODEL_SERVICE,
+		max_attempts: 1,
+		resumable: false,
+		slo_ms: 800,
+	},
+	note: { prefix: '/note/', type: 'streaming', service: MODEL_SERVICE, max_attempts: 2, resumable: true, slo_ms: 500 },
+	order: { prefix: '/order/', type: 'unsafe', service: PLAIN_SERVICE, max_attempts: 1, resumable: false, slo_ms: 200 },
+	lookup: { prefix: '/lookup/', type: 'safe', service: PLAIN_SERVICE, max_attempts: 2, resumable: false, slo_ms: 200 },
+} as const;
+
+/** Name of a kind of request. */
+export type RequestKind = keyof typeof ROUTES;
+
+/** Numbers of servers. */
+export interface PlatformSize {
+	readonly engines: number;
+	readonly plainServers: number;
+}
+
+/** Stand-in for the users' platform: the store, its operator, model engines and plain servers. */
+export class UsersPlatform implements IDisposable {
+	private readonly registrations = new Map<string, { readonly engine: PromptEngine; address: string; state: string }>();
+	private readonly heartbeat = setInterval(() => this.register(), HEARTBEAT_MS);
+	private version = 0;
+	private extraRoutes: readonly object[] = [];
+	private sequence = 0;
+
+	private constructor(
+		public readonly store: PlatformStore,
+		public readonly storeAddress: string,
+	) {}
+
+	/**
+	 * Starts the platform and applies a first configuration.
+	 *
+	 * @param size numbers of servers
+	 * @param random numbers from 0 to 1 that pick faults
+	 * @returns the running platform
+	 */
+	public static async start(size: PlatformSize, random: () => number): Promise<UsersPlatform> {
+		const store = PlatformStore.create();
+		const platform = new UsersPlatform(store, new URL(await store.listen(0)).host);
+		for (let index = 1; index <= size.engines + size.plainServers; index++) {
+			const shape: EngineShape =
+				index <= size.engines
+					? { id: `engine-${index}`, slots: 32, tokensPerMs: 60, stepMs: 20, tokensPerEvent: 5 }
+					: { id: `plain-${index}`, slots: 6, tokensPerMs: undefined, stepMs: 15, tokensPerEvent: 1 };
+			const engine = PromptEngine.create(shape, random);
+			platform.registrations.set(shape.id, { engine, address: new URL(await engine.listen()).host, state: 'ready' });
+		}
+		platform.register();
+		platform.configure();
+		return platform;
+	}
+
+	/** Servers of both kinds. */
+	public get engines(): readonly PromptEngine[] {
+		return [...this.registrations.values()].map(({ engine }) => engine);
+	}
+
+	/**
+	 * Applies the next version of the configuration.
+	 *
+	 * @param revokedAccounts accounts that have no key any more
+	 * @returns the version
+	 */
+	public configure(revokedAccounts: readonly string[] = []): number {
+		this.version += 1 + (this.version % 3);
+		this.store.put('op/config', {
+			version: this.version,
+			routes: [
+				...Object.entries(ROUTES).map(([name, route]) => ({
+					...route,
+					name,
+					host: HOST,
+					timeout_ms: 5_000,
+					priority: 1,
+					public: false,
+					tpot_slo_ms: 500,
+				})),
+				...this.extraRoutes,
+			],
+			services: [
+				{
+					name: MODEL_SERVICE,
+					health_path: '/healthz',
+					max_conns: 200,
+					backend: { slots: 32, kv_capacity: 500_000, stride: 5 },
+				},
+				{ name: PLAIN_SERVICE, health_path: '/healthz', max_conns: 96 },
+			],
+			limits: {
+				max_header_bytes: 16_384,
+				max_body_bytes: 1_048_576,
+				header_timeout_ms: 3_000,
+				idle_timeout_ms: 15_000,
+				tokens_per_s: 200_000,
+			},
+			tenants: ACCOUNTS.map((name) => ({ name, api_keys: revokedAccounts.includes(name) ? [] : [keyOf(name)] })),
+		});
+		return this.version;
+	}
+
+	/** @param prefixes of routes to the plain service that the next version of the configuration has besides its own */
+	public setExtraRoutes(prefixes: readonly string[]): void {
+		this.extraRoutes = prefixes.map((prefix) => ({
+			...ROUTES.lookup,
+			prefix,
+			name: prefix,
+			host: HOST,
+			timeout_ms: 5_000,
+		}));
+	}
+
+	/**
+	 * @param id of a server
+	 * @param state that its registration shows; undefined removes the registration
+	 */
+	public setState(id: string, state: 'ready' | 'draining' | undefined): void {
+		const entry = this.registrations.get(id);
+		if (entry !== undefined) {
+			entry.state = state ?? 'gone';
+			this.register();
+		}
+	}
+
+	/** @returns all runs of all servers */
+	public runs(): readonly PromptEngine['runs'][number][] {
+		return this.engines.flatMap(({ runs }) => runs);
+	}
+
+	public dispose(): void {
+		clearInterval(this.heartbeat);
+		void this.store.close();
+		this.engines.forEach((engine) => void engine.close());
+	}
+
+	private register(): void {
+		this.sequence++;
+		let index = 0;
+		for (const [id, { engine, address, state }] of this.registrations) {
+			const registration = {
+				service: engine.shape.tokensPerMs === undefined ? PLAIN_SERVICE : MODEL_SERVICE,
+				address,
+				zone: DOMAINS[index++ % DOMAINS.length],
+				version: 'v1',
+				slots: engine.shape.slots,
+				state,
+				seq: this.sequence,
+				born: 1_700_000_000_000,
+			};
+			this.store.put(`servers/${id}`, state === 'gone' ? undefined : registration);
+		}
+	}
+}
--- a/tools/fleet/processes.ts
+++ b/tools/fleet/processes.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 
@@ -67,13 +67,20 @@
 	 * Starts a program of this repository.
 	 *
 	 * @param name name in messages
-	 * @param script path of the compiled program below dist/, such as `src/daemon/node/main.js`
+	 * @param script path of the compiled program, absolute or below dist/, such as `src/daemon/node/main.js`
 	 * @param programArguments its command line
+	 * @param environment variables besides those of this process
 	 * @returns the running program
 	 */
-	public start(name: string, script: string, programArguments: readonly string[]): Program {
-		const child = spawn(process.execPath, [join(PROGRAMS, script), ...programArguments], {
+	public start(
+		name: string,
+		script: string,
+		programArguments: readonly string[],
+		environment: Readonly<Record<string, string>> = {},
+	): Program {
+		const child = spawn(process.execPath, [resolve(PROGRAMS, script), ...programArguments], {
 			stdio: ['ignore', 'pipe', 'pipe'],
+			env: { ...process.env, ...environment },
 		});
 		const lastLines: string[] = [];
 		let resolveFirst: (line: string) => void;
--- /dev/null
+++ b/tools/platformFleet/caller.ts
@@ -0,0 +1,133 @@
+import { randomBytes } from 'node:crypto';
+import * as http from 'node:http';
+import { signatureOf } from '../../standins/usersPlatform/promptEngine.js';
+import { HOST, keyOf, type RequestKind, ROUTES } from '../../standins/usersPlatform/usersPlatform.js';
+
+/** How a request ended for its caller. */
+export interface CallResult {
+	readonly id: string;
+	readonly kind: RequestKind;
+	/** 0 when the connection ended without an answer. */
+	readonly status: number;
+	readonly retryAfterSeconds: number | undefined;
+	/** The answer ended as its framing says. */
+	readonly whole: boolean;
+	/** What is wrong with an answer that looks like a success; undefined when nothing is. */
+	readonly fault: string | undefined;
+	readonly totalMs: number;
+	/** Time to the first bytes of the body. */
+	readonly firstBytesMs: number | undefined;
+}
+
+/** One request. */
+export interface CallOptions {
+	readonly kind: RequestKind;
+	readonly account: string;
+	/** IP address and port of a router. */
+	readonly host: string;
+	readonly port: number;
+	readonly deadlineMs?: number;
+	/** Tokens of the prompt's own part, and of the output. */
+	readonly promptTokens?: number;
+	readonly outputTokens?: number;
+	/** Document that the prompt shares with others. */
+	readonly document?: number;
+	/** Connections to use again; a connection of its own otherwise. */
+	readonly agent?: http.Agent;
+	readonly path?: string;
+}
+
+const DOCUMENT_TOKENS = 2_000;
+const OUTPUT_TOKENS = 40;
+const TOKENS_PER_EVENT = 5;
+const DEADLINE_MS = 5_000;
+
+/**
+ * Sends one request as the platform's callers do, and checks its answer.
+ *
+ * @param options what to send where
+ * @returns how it ended; never fails
+ */
+export function callRouter(options: CallOptions): Promise<CallResult> {
+	const id = randomBytes(8).toString('hex');
+	const path = options.path ?? `${ROUTES[options.kind].prefix}${options.document ?? 0}`;
+	const isStream = ROUTES[options.kind].type === 'streaming';
+	const outputTokens = options.outputTokens ?? OUTPUT_TOKENS;
+	const ownTokens = options.promptTokens ?? 300;
+	const startedAt = performance.now();
+	const headers: http.OutgoingHttpHeaders = {
+		host: HOST,
+		authorization: `Bearer ${keyOf(options.account)}`,
+		'x-request-id': id,
+		'x-deadline-ms': options.deadlineMs ?? DEADLINE_MS,
+	};
+	if (isStream) {
+		headers['x-model'] = 'm';
+		headers['x-token-usage'] = `${DOCUMENT_TOKENS + ownTokens},${outputTokens}`;
+		headers['x-prefix-hash'] = `d${options.document ?? 0}:${DOCUMENT_TOKENS},${id}:${ownTokens}`;
+	}
+	return new Promise((resolve) => {
+		let body = '';
+		let firstBytesMs: number | undefined;
+		const finish = (response: http.IncomingMessage | undefined): void => {
+			const status = response?.statusCode ?? 0;
+			const whole = response?.complete === true;
+			const signature = response?.headers['x-signature'];
+			const retryAfter = response?.headers['retry-after'];
+			resolve({
+				id,
+				kind: options.kind,
+				status,
+				whole,
+				firstBytesMs,
+				retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter),
+				fault:
+					status === 200 && whole
+						? faultOf(
+								id,
+								path,
+								signature,
+								isStream ? { body, events: Math.ceil(outputTokens / TOKENS_PER_EVENT) } : undefined,
+							)
+						: undefined,
+				totalMs: performance.now() - startedAt,
+			});
+		};
+		const method = options.kind === 'lookup' ? 'GET' : 'POST';
+		const request = http.request({
+			path,
+			method,
+			headers,
+			host: options.host,
+			port: options.port,
+			agent: options.agent ?? false,
+		});
+		request.on('error', () => finish(undefined));
+		request.on('response', (response) => {
+			response.on('data', (chunk: Buffer) => {
+				firstBytesMs ??= performance.now() - startedAt;
+				body += chunk.toString();
+			});
+			response.on('error', () => undefined);
+			response.on('close', () => finish(response));
+		});
+		request.end(method === 'POST' ? `body of ${id}` : undefined);
+	});
+}
+
+function faultOf(
+	id: string,
+	path: string,
+	signature: string | readonly string[] | undefined,
+	stream: { readonly body: string; readonly events: number } | undefined,
+): string | undefined {
+	if (signature !== signatureOf(id, path)) {
+		return 'the signature belongs to another request';
+	}
+	if (stream === undefined) {
+		return undefined;
+	}
+	const numbers = [...stream.body.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number));
+	const isComplete = numbers.length === stream.events && numbers.every((number, index) => number === index + 1);
+	return isComplete ? undefined : `events ${numbers.join(',')} of ${stream.events}`;
+}
--- /dev/null
+++ b/tools/platformFleet/platformFleet.ts
@@ -0,0 +1,145 @@
+import * as http from 'node:http';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { buildSync } from 'esbuild';
+import { type Program, ProcessGroup, until } from '../fleet/processes.js';
+
+const READY_LIMIT_MS = 15_000;
+const CALLERS_PORT = 18_783;
+const READINESS_PORT = 18_780;
+const PEERS_PORT = 18_785;
+const FIRST_PEER_PORT = 17_400;
+const LAST_PEER_PORT = 17_415;
+
+/** Sources of the program, also when this file was compiled to dist/. */
+const ROOT = fileURLToPath(new URL(import.meta.url.includes('/dist/') ? '../../../' : '../../', import.meta.url));
+
+/** A router of the platform as a process. */
+export interface PlatformRouterProcess {
+	readonly name: string;
+	readonly host: string;
+	readonly port: number;
+	readonly program: Program;
+}
+
+/** Routers of the platform as separate processes on loopback addresses of their own, with the same ports. */
+export class PlatformFleet {
+	private readonly routers = new Map<string, PlatformRouterProcess>();
+
+	private constructor(
+		private readonly group: ProcessGroup,
+		private readonly script: string,
+		private readonly storeAddressOf: (name: string) => string,
+		/** Third number of the loopback addresses, so that several fleets fit on one machine. */
+		private readonly network: number,
+	) {}
+
+	/**
+	 * Bundles the program as the deploy file does. Nothing is started yet.
+	 *
+	 * @param group owner of the processes
+	 * @param storeAddressOf address of the store for each router
+	 * @param network number from 1 to 250 that no other fleet on this machine uses
+	 * @returns a fleet without routers
+	 */
+	public static create(group: ProcessGroup, storeAddressOf: (name: string) => string, network: number): PlatformFleet {
+		const script = group.writeFile('masticloom.cjs', '');
+		buildSync({
+			entryPoints: [join(ROOT, 'platform/main.ts')],
+			outfile: script,
+			bundle: true,
+			platform: 'node',
+			target: 'node20',
+			format: 'cjs',
+		});
+		return new PlatformFleet(group, script, storeAddressOf, network);
+	}
+
+	/** Routers that were started and not forgotten. */
+	public get all(): readonly PlatformRouterProcess[] {
+		return [...this.routers.values()];
+	}
+
+	/**
+	 * Starts a router, or starts one again after its process has ended.
+	 *
+	 * @param index number of the router, from 1
+	 * @param settings fields of the settings file that differ
+	 * @returns the process, which may not be ready yet
+	 */
+	public start(index: number, settings: Readonly<Record<string, string>> = {}): PlatformRouterProcess {
+		const name = `router-${index}`;
+		const host = this.hostOf(index);
+		const values: Readonly<Record<string, string>> = {
+			node_name: name,
+			ip: host,
+			zone: index % 2 === 0 ? 'mid-a' : 'mid-b',
+			'listen.frontend': `${host}:${CALLERS_PORT}`,
+			'listen.readiness': `${host}:${READINESS_PORT}`,
+			'listen.control_plane': `${host}:${PEERS_PORT}`,
+			port_range: `${FIRST_PEER_PORT},${LAST_PEER_PORT}`,
+			seeds: `${this.hostOf(1)}:${PEERS_PORT},${this.hostOf(2)}:${PEERS_PORT}`,
+			'platform.address': this.storeAddressOf(name),
+			'bounds.retry_slack': '50',
+			...settings,
+		};
+		const text = Object.entries(values)
+			.map(([field, value]) => `${field}=${value}\n`)
+			.join('');
+		const path = this.group.writeFile(`${name}.conf`, text);
+		const program = this.group.start(name, this.script, [], { MASTICLOOM_SETTINGS: path });
+		const router = { name, host, program, port: CALLERS_PORT };
+		this.routers.set(name, router);
+		return router;
+	}
+
+	/**
+	 * @param router a started router
+	 * @returns whether it says that it is ready
+	 */
+	public async isReady({ host }: PlatformRouterProcess): Promise<boolean> {
+		return (await getText(host, '/readyz')).status === 200;
+	}
+
+	/** Waits until all routers are ready and know each other. */
+	public async waitUntilReady(): Promise<void> {
+		await Promise.all(
+			this.all.map((router) =>
+				until(READY_LIMIT_MS, `${router.name} is ready`, async () => {
+					if (!(await this.isReady(router))) {
+						return 'not ready';
+					}
+					const peers = await this.metric(router, 'masticloom_router_peers');
+					return peers === this.all.length - 1 ? true : `${peers} peers`;
+				}),
+			),
+		);
+	}
+
+	/**
+	 * @param router a running router
+	 * @param name of a metric without labels
+	 * @returns its value
+	 */
+	public async metric({ host }: PlatformRouterProcess, name: string): Promise<number> {
+		const { text } = await getText(host, '/metrics');
+		const value = new RegExp(`^${name} (.+)$`, 'm').exec(text)?.[1];
+		return Number(value);
+	}
+
+	private hostOf(index: number): string {
+		return `127.0.${this.network}.${index}`;
+	}
+}
+
+function getText(host: string, path: string): Promise<{ readonly status: number; readonly text: string }> {
+	return new Promise((resolve, reject) => {
+		const request = http.get({ host, path, port: READINESS_PORT, agent: false }, (response) => {
+			let text = '';
+			response.on('data', (chunk: Buffer) => (text += chunk.toString()));
+			response.on('error', reject);
+			response.on('end', () => resolve({ text, status: response.statusCode ?? 0 }));
+		});
+		request.on('error', reject);
+	});
+}
