Predict the wait for a slot; exchange with near routers often and with far ones seldom

Change: requests beyond the slots wait for the mean time of a stream over the slots, and placements of peers take a slot at once. In fleets of more than 16 routers events go to peers of the own failure domain within 3 ms each and to others after 400 ms; watches wait longer and gather changes.

--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -74,7 +74,7 @@
 const HOME_BONUS_MS = 8;
 
 /** Preference for an engine in the own failure domain, for the round trip and the price of its bytes. */
-const SAME_DOMAIN_BONUS_MS = 3;
+const SAME_DOMAIN_BONUS_MS = 12;
 
 /** Slows the streams of an engine as its batch fills; the cost of a whole batch in the order of preference. */
 const FULL_BATCH_COST_MS = 120;
@@ -85,6 +85,12 @@
 /** Cost of a harmful pause for each request in progress: most of its worth, in the order of preference. */
 const HARMFUL_PAUSE_COST_MS = 100;
 
+/** Weight of one stream in the mean time for which a stream holds its slot. */
+const SLOT_TIME_GAIN = 0.05;
+
+/** Time for which a stream holds its slot before any was observed. */
+const FIRST_SLOT_TIME_MS = 2_000;
+
 /** The state of a server that is not registered is kept this long, because its entry may come back. */
 const UNREGISTERED_KEPT_MS = 10_000;
 
@@ -92,7 +98,8 @@
  * Knows how much work is ahead of a new request at each backend server, and which prompt parts each holds.
  *
  * Load pattern: requests whose prompts differ by 100 to 1 share a few hundred long documents, through many routers. The
- * longest prompts pause all streams of their engine, so they gather where few streams run.
+ * longest prompts pause all streams of their engine, so they gather where few streams run. Engines with small batches
+ * have no slot free while their streams run.
  */
 export class EngineFleet {
 	private readonly states = new Map<string, ServerState>();
@@ -104,6 +111,7 @@
 	private byService = new Map<string, RegisteredServer[]>();
 	private nameByKey = new Map<number, string>();
 	private sequence = 0;
+	private slotTimeMs = FIRST_SLOT_TIME_MS;
 
 	public readonly onDidPlace: Event<PlacementNotice> = this.placeEmitter.event;
 	public readonly onDidReachFirstEvent: Event<FirstEventNotice> = this.firstEventEmitter.event;
@@ -240,12 +248,16 @@
 	 * @param sequence number of the placement
 	 * @param hadFirstEvent whether {@link recordFirstEvent} was called
 	 * @param now monotonic milliseconds
+	 * @param slotTimeMs time for which the request held a slot; undefined when it did not end by itself
 	 */
-	public recordEnd(server: string, sequence: number, hadFirstEvent: boolean, now: number): void {
+	public recordEnd(server: string, sequence: number, hadFirstEvent: boolean, now: number, slotTimeMs?: number): void {
 		const state = this.states.get(server);
 		if (state !== undefined) {
 			state.ownInProgress = Math.max(0, state.ownInProgress - 1);
 		}
+		if (slotTimeMs !== undefined) {
+			this.slotTimeMs += SLOT_TIME_GAIN * (slotTimeMs - this.slotTimeMs);
+		}
 		if (!hadFirstEvent) {
 			state?.queue.remove({ router: this.router, sequence }, now);
 			this.firstEventEmitter.fire({ server, sequence, abandoned: true, at: now });
@@ -286,7 +298,10 @@
 		if (server === undefined) {
 			return;
 		}
-		this.states.get(server)?.queue.place({ router, sequence: notice.sequence }, now, notice.workMs);
+		const state = this.states.get(server);
+		state?.queue.place({ router, sequence: notice.sequence }, now, notice.workMs);
+		// The next report of the peer counts the requests that have ended since.
+		state?.peersInProgress.set(router, (state.peersInProgress.get(router) ?? 0) + 1);
 		this.cache.record(server, notice.parts, now);
 	}
 
@@ -348,7 +363,7 @@
 		const inProgress = state.ownInProgress + sum(state.peersInProgress.values());
 		const workMs = work.promptTokens > 0 ? readingTimeMs(work.promptTokens, heldTokens) : 0;
 		const rereadTokens = Math.max(0, mostHeld - heldTokens);
-		const waitMs = state.queue.waitMs(now);
+		const waitMs = state.queue.waitMs(now) + this.slotWaitMs(server, work, inProgress);
 		const readMs = workMs * state.queue.pace;
 		const health = state.outcomes.health(now);
 		const pauses =
@@ -366,6 +381,12 @@
 		return { server, waitMs, readMs, workMs, rereadTokens, inProgress, load: state.queue.load(now), cost, health };
 	}
 
+	// Engines of a small batch have no slot free long before their prompts are read.
+	private slotWaitMs(server: RegisteredServer, work: PromptWork, inProgress: number): number {
+		const excess = inProgress + 1 - server.slots;
+		return work.promptTokens > 0 && excess > 0 ? (excess * this.slotTimeMs) / server.slots : 0;
+	}
+
 	private forgetUnregistered(now: number): void {
 		const registered = new Set(this.servers.map(({ id }) => id));
 		for (const id of this.states.keys()) {
--- a/src/engines/test/engineFleet.test.ts
+++ b/src/engines/test/engineFleet.test.ts
@@ -118,6 +118,25 @@
 		expect(fleet.options(SERVICE, promptWith('tides'), NONE, 0)[0]?.server.id).toBe('busy');
 	});
 
+	// Engines with 12 slots looked idle while all slots were taken, and requests waited 2 s for one.
+	test('an engine without a free slot is one to wait for', () => {
+		const fleet = fleetOf('full', 'free');
+		fleet.setServers([engine('full', { slots: 12 }), engine('free', { slots: 12 })], 0);
+		fleet.applyInProgress('router-2', new Map([[shortKey('full'), 14]]));
+		const options = fleet.options(SERVICE, promptWith('tides'), NONE, 0);
+		expect(options.find(({ server }) => server.id === 'full')?.waitMs).toBeGreaterThan(200);
+		expect(options.find(({ server }) => server.id === 'free')?.waitMs).toBe(0);
+	});
+
+	test('a placement of a peer takes a slot until the next report of the peer', () => {
+		const fleet = fleetOf('one');
+		const inProgress = (): number | undefined => fleet.options(SERVICE, promptWith('tides'), NONE, 0)[0]?.inProgress;
+		fleet.applyPlacement('router-2', { server: shortKey('one'), sequence: 1, workMs: 10, parts: [] }, 0);
+		expect(inProgress()).toBe(1);
+		fleet.applyInProgress('router-2', new Map());
+		expect(inProgress()).toBe(0);
+	});
+
 	test('an engine that fails half of its requests at once is not preferred for being idle', () => {
 		const fleet = fleetOf('grey', 'sound');
 		for (let now = 0; now < 1_000; now += 50) {
--- a/src/fleet/common/fleetTiming.ts
+++ b/src/fleet/common/fleetTiming.ts
@@ -1,8 +1,12 @@
 /** Events are sent to peers together after this time; at the sizes of today a peer has one event in 30 ms. */
 export const LEAST_FLUSH_DELAY_MS = 10;
 
-/** Added to the delay for each peer, so that the datagrams of a router stay below 1,000 a second at any size. */
-export const FLUSH_DELAY_PER_PEER_MS = 1.5;
+/** Delay for each peer that events are sent to, so that a router sends some 350 datagrams a second at most. */
+export const FLUSH_DELAY_PER_PEER_MS = 3;
+
+/** In a fleet of more routers, peers in other failure domains get events later: bytes between domains are dear. */
+export const SMALL_FLEET_ROUTERS = 16;
+export const FAR_FLUSH_DELAY_MS = 400;
 
 /** Usage of accounts changes over a window of seconds. */
 export const LEAST_USAGE_INTERVAL_MS = 200;
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -11,6 +11,7 @@
 import { readAddress } from '../../settings/node/values.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
 import {
+	FAR_FLUSH_DELAY_MS,
 	FLUSH_DELAY_PER_PEER_MS,
 	HEARTBEAT_INTERVAL_MS,
 	LEAST_FLUSH_DELAY_MS,
@@ -18,6 +19,7 @@
 	LOST_PEER_INTERVAL_MS,
 	LOST_PEER_KEPT_MS,
 	PEER_SILENCE_MS,
+	SMALL_FLEET_ROUTERS,
 	USAGE_INTERVAL_PER_PEER_MS,
 } from '../common/fleetTiming.js';
 import {
@@ -33,6 +35,17 @@
 /** A datagram above this size is split by the network, and lost when one piece is. */
 const LARGEST_EVENTS_PER_DATAGRAM = 30;
 
+/** What waits to be sent to some of the peers. */
+interface Outbox {
+	readonly placements: { readonly notice: Omit<Placement, 'ageMs'>; readonly at: number }[];
+	readonly firstEvents: { readonly notice: Omit<FirstEvent, 'ageMs'>; readonly at: number }[];
+	readonly crashes: CrashNotice[];
+	timer: NodeJS.Timeout | undefined;
+	lastSentAt: number;
+	lastUsageAt: number;
+	lastLostSendAt: number;
+}
+
 /** Another router, as its datagrams describe it. */
 export interface FleetPeer {
 	readonly instance: string;
@@ -80,14 +93,9 @@
 	private readonly peersByName = new Map<string, FleetPeer>();
 	private readonly changeEmitter = this.register(Emitter.create<FleetPeer>());
 	private readonly socket: Socket = createSocket('udp4');
-	private readonly placements: { readonly notice: Omit<Placement, 'ageMs'>; readonly at: number }[] = [];
-	private readonly firstEvents: { readonly notice: Omit<FirstEvent, 'ageMs'>; readonly at: number }[] = [];
-	private readonly crashes: CrashNotice[] = [];
-	private flushTimer: NodeJS.Timeout | undefined;
+	private readonly near = createOutbox();
+	private readonly far = createOutbox();
 	private sequence = 0;
-	private lastSentAt = 0;
-	private lastUsageAt = 0;
-	private lastLostSendAt = 0;
 	private leaving = false;
 	private sent = 0;
 
@@ -103,7 +111,8 @@
 		super();
 		this.register(
 			toDisposable(() => {
-				clearTimeout(this.flushTimer);
+				clearTimeout(this.near.timer);
+				clearTimeout(this.far.timer);
 				this.socket.close();
 			}),
 		);
@@ -112,25 +121,20 @@
 		this.register(
 			state.engines.onDidPlace(({ server, sequence, workMs, parts, at }) => {
 				const notice = { engine: shortKey(server), sequence, workMs: Math.round(workMs), parts: [...parts] };
-				this.placements.push({ notice, at });
-				this.scheduleFlush();
+				this.post((outbox) => outbox.placements.push({ notice, at }));
 			}),
 		);
 		this.register(
 			state.engines.onDidReachFirstEvent(({ server, sequence, abandoned, at }) => {
-				this.firstEvents.push({ notice: { engine: shortKey(server), sequence, abandoned }, at });
-				this.scheduleFlush();
+				const notice = { engine: shortKey(server), sequence, abandoned };
+				this.post((outbox) => outbox.firstEvents.push({ notice, at }));
 			}),
 		);
 		this.register(
 			state.suspects.onDidLearn(({ fingerprint, deaths, quarantineMs }) => {
-				this.crashes.push({
-					fingerprint: Buffer.from(fingerprint, 'hex'),
-					deaths,
-					quarantineMs: Math.round(quarantineMs),
-				});
-				this.log.write('crash-suspect', { fingerprint, deaths, quarantineMs: Math.round(quarantineMs) });
-				this.scheduleFlush();
+				const notice = { fingerprint: Buffer.from(fingerprint, 'hex'), deaths, quarantineMs: Math.round(quarantineMs) };
+				this.log.write('crash-suspect', { fingerprint, deaths, quarantineMs: notice.quarantineMs });
+				this.post((outbox) => outbox.crashes.push(notice));
 			}),
 		);
 		this.socket.on('message', (bytes, source) => this.receive(bytes, source));
@@ -206,40 +210,70 @@
 	/** Tells peers that this router leaves. */
 	public leave(): void {
 		this.leaving = true;
-		this.flush();
+		this.flush(this.near);
+		this.flush(this.far);
+	}
+
+	private post(add: (outbox: Outbox) => unknown): void {
+		add(this.near);
+		this.scheduleFlush(this.near);
+		if (this.hasFarPeers) {
+			add(this.far);
+			this.scheduleFlush(this.far);
+		}
+	}
+
+	private get hasFarPeers(): boolean {
+		return this.peersByName.size >= SMALL_FLEET_ROUTERS;
+	}
+
+	private isFar(peer: FleetPeer): boolean {
+		return this.hasFarPeers && peer.failureDomain !== this.identity.failureDomain;
+	}
+
+	private receiversOf(outbox: Outbox): readonly FleetPeer[] {
+		return this.peers.filter((peer) => this.isFar(peer) === (outbox === this.far));
+	}
+
+	private scheduleFlush(outbox: Outbox): void {
+		outbox.timer ??= setTimeout(() => this.flush(outbox), this.flushDelayMs(outbox));
 	}
 
-	private scheduleFlush(): void {
-		const delayMs = Math.max(LEAST_FLUSH_DELAY_MS, this.peersByName.size * FLUSH_DELAY_PER_PEER_MS);
-		this.flushTimer ??= setTimeout(() => this.flush(), delayMs);
+	private flushDelayMs(outbox: Outbox): number {
+		const leastMs = outbox === this.far ? FAR_FLUSH_DELAY_MS : LEAST_FLUSH_DELAY_MS;
+		return Math.max(leastMs, this.receiversOf(outbox).length * FLUSH_DELAY_PER_PEER_MS);
 	}
 
-	private flush(): void {
-		clearTimeout(this.flushTimer);
-		this.flushTimer = undefined;
+	private flush(outbox: Outbox): void {
+		clearTimeout(outbox.timer);
+		outbox.timer = undefined;
 		const now = this.clock.now();
-		const usageIntervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, this.peersByName.size * USAGE_INTERVAL_PER_PEER_MS);
-		const withUsage = now - this.lastUsageAt >= usageIntervalMs;
+		const receivers = this.receiversOf(outbox);
+		const usageIntervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, receivers.length * USAGE_INTERVAL_PER_PEER_MS);
+		const withUsage = now - outbox.lastUsageAt >= usageIntervalMs;
 		if (withUsage) {
-			this.lastUsageAt = now;
+			outbox.lastUsageAt = now;
 		}
-		this.lastSentAt = now;
-		const toLost = now - this.lastLostSendAt >= LOST_PEER_INTERVAL_MS;
+		outbox.lastSentAt = now;
+		const toLost = now - outbox.lastLostSendAt >= LOST_PEER_INTERVAL_MS;
 		if (toLost) {
-			this.lastLostSendAt = now;
+			outbox.lastLostSendAt = now;
 		}
-		const bytes = this.encode({ replyRequested: false, withUsage });
-		for (const peer of this.peersByName.values()) {
+		const bytes = this.encode({ replyRequested: false, withUsage }, outbox);
+		for (const peer of receivers) {
 			if (!peer.lost || toLost) {
 				this.send(bytes, peer.datagramAddress);
 			}
 		}
-		if (this.placements.length > 0 || this.firstEvents.length > 0) {
-			this.scheduleFlush();
+		if (outbox.placements.length > 0 || outbox.firstEvents.length > 0) {
+			this.scheduleFlush(outbox);
 		}
 	}
 
-	private encode(options: { readonly replyRequested: boolean; readonly withUsage: boolean }): Uint8Array {
+	private encode(
+		options: { readonly replyRequested: boolean; readonly withUsage: boolean },
+		outbox?: Outbox,
+	): Uint8Array {
 		const now = this.clock.now();
 		const toAge = (at: number): number => Math.max(0, Math.round(now - at));
 		const contactSince = this.state.contactSince();
@@ -255,14 +289,14 @@
 			replyRequested: options.replyRequested,
 			followedRevisions: [...this.state.followedRevisions()],
 		});
-		if (!options.replyRequested) {
-			state.placements = this.placements
+		if (outbox !== undefined) {
+			state.placements = outbox.placements
 				.splice(0, LARGEST_EVENTS_PER_DATAGRAM)
 				.map(({ notice, at }) => ({ ...notice, ageMs: toAge(at) }));
-			state.firstEvents = this.firstEvents
+			state.firstEvents = outbox.firstEvents
 				.splice(0, LARGEST_EVENTS_PER_DATAGRAM)
 				.map(({ notice, at }) => ({ ...notice, ageMs: toAge(at) }));
-			state.crashes = this.crashes.splice(0, LARGEST_EVENTS_PER_DATAGRAM);
+			state.crashes = outbox.crashes.splice(0, LARGEST_EVENTS_PER_DATAGRAM);
 		}
 		if (options.withUsage) {
 			state.hasUsage = true;
@@ -359,8 +393,11 @@
 				this.changeEmitter.fire(lostPeer);
 			}
 		}
-		if (now - this.lastSentAt >= HEARTBEAT_INTERVAL_MS / 2) {
-			this.flush();
+		for (const outbox of [this.near, this.far]) {
+			const heartbeatMs = outbox === this.far ? HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS / 2;
+			if (now - outbox.lastSentAt >= heartbeatMs) {
+				this.flush(outbox);
+			}
 		}
 	}
 
@@ -382,3 +419,15 @@
 		}
 	}
 }
+
+function createOutbox(): Outbox {
+	return {
+		placements: [],
+		firstEvents: [],
+		crashes: [],
+		timer: undefined,
+		lastSentAt: 0,
+		lastUsageAt: 0,
+		lastLostSendAt: 0,
+	};
+}
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -297,7 +297,8 @@
 			Effect.onExit((exit) =>
 				Effect.sync(() => {
 					const endedAt = clock.now();
-					fleet.recordEnd(server.id, sequence, state.hadFirstEvent, endedAt);
+					const slotTimeMs = exit._tag === 'Success' && this.firstBytesAt !== undefined ? endedAt - now : undefined;
+					fleet.recordEnd(server.id, sequence, state.hadFirstEvent, endedAt, request.engine && slotTimeMs);
 					this.recordOutcome(server.id, exit, state.failed, endedAt);
 				}),
 			),
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -7,7 +7,20 @@
 import type { ChangeSet, IRevisionedStore, Snapshot } from '../common/revisionedStore.js';
 
 /** Longest wait of one watch. A connection that has gone silent is found after it, and each watch is paid for. */
-const WATCH_WAIT_MS = 2_500;
+const LEAST_WATCH_WAIT_MS = 2_500;
+const LONGEST_WATCH_WAIT_MS = 12_000;
+
+/**
+ * In a larger fleet each watch waits longer by this for each router, and by a random part of it. Some watch of the fleet
+ * ends soon at any time, and routers learn from peers what their own watch has missed.
+ */
+const WATCH_WAIT_PER_ROUTER_MS = 150;
+
+/** Pause after changes, in which further ones gather, for each router of a larger fleet. */
+const GATHERING_PER_ROUTER_MS = 4;
+
+/** A larger fleet has more routers than this. */
+const SMALL_FLEET_ROUTERS = 16;
 
 /** Pause before the first repetition of a failed call; it doubles with each failure. */
 const FIRST_PAUSE_MS = 60;
@@ -38,6 +51,7 @@
 		private readonly keyValues: IRevisionedStore,
 		private readonly clock: IClock,
 		private readonly log: IDecisionLog,
+		private readonly routers: () => number,
 		private readonly random: () => number,
 	) {
 		super();
@@ -48,6 +62,7 @@
 	 * @param store to read from
 	 * @param clock measures how long the store has been read
 	 * @param log receives changes of contact
+	 * @param routers number of routers in the fleet
 	 * @param random numbers from 0 to 1, which spread repeated calls
 	 * @returns a follower that knows nothing yet
 	 */
@@ -56,9 +71,10 @@
 		store: IRevisionedStore,
 		clock: IClock,
 		log: IDecisionLog,
+		routers: () => number = () => 1,
 		random: () => number = Math.random,
 	): PrefixFollower {
-		return new PrefixFollower(prefix, store, clock, log, random);
+		return new PrefixFollower(prefix, store, clock, log, routers, random);
 	}
 
 	/** Whether the last call to the store was answered. */
@@ -116,6 +132,9 @@
 				const result = yield* Effect.result(self.step());
 				if (result._tag === 'Success') {
 					self.noteSuccess();
+					if (result.success === 'changed' && self.routers() > SMALL_FLEET_ROUTERS) {
+						yield* Effect.sleep(self.routers() * GATHERING_PER_ROUTER_MS);
+					}
 					continue;
 				}
 				const pauseMs = self.noteFailure(result.failure);
@@ -124,24 +143,35 @@
 		});
 	}
 
-	private step(): Effect.Effect<void, StoreError> {
+	private step(): Effect.Effect<'changed' | 'unchanged', StoreError> {
 		const revision = this.knownRevision;
 		if (revision === undefined || this.historyLost) {
 			return Effect.map(this.keyValues.readAll(this.prefix), (snapshot) => {
 				this.historyLost = false;
 				this.apply(snapshot);
+				return 'changed';
 			});
 		}
-		return Effect.map(this.keyValues.waitForChanges(this.prefix, revision, WATCH_WAIT_MS), (result) => {
+		return Effect.map(this.keyValues.waitForChanges(this.prefix, revision, this.watchWaitMs()), (result) => {
 			if (result === 'history-lost') {
 				this.historyLost = true;
 				this.log.write('store-history-lost', { prefix: this.prefix, revision });
-				return;
+				return 'unchanged';
 			}
 			this.applyChanges(result);
+			return result.changes.length > 0 ? 'changed' : 'unchanged';
 		});
 	}
 
+	private watchWaitMs(): number {
+		const routers = this.routers();
+		if (routers <= SMALL_FLEET_ROUTERS) {
+			return LEAST_WATCH_WAIT_MS;
+		}
+		const waitMs = Math.min(LONGEST_WATCH_WAIT_MS, routers * WATCH_WAIT_PER_ROUTER_MS);
+		return Math.round(waitMs * (1 - JITTER * this.random()));
+	}
+
 	private applyChanges({ changes, revision }: ChangeSet): void {
 		for (const change of changes) {
 			if (change.value === undefined) {
--- a/src/store/test/prefixFollower.test.ts
+++ b/src/store/test/prefixFollower.test.ts
@@ -40,12 +40,20 @@
 async function follow(
 	store: IRevisionedStore,
 	milliseconds = 60,
+	routers = 1,
 ): Promise<{
 	readonly follower: PrefixFollower;
 	readonly contacts: readonly boolean[];
 	readonly changes: readonly (readonly string[])[];
 }> {
-	const follower = PrefixFollower.create('servers/', store, systemClock, { write: () => undefined }, () => 1);
+	const follower = PrefixFollower.create(
+		'servers/',
+		store,
+		systemClock,
+		{ write: () => undefined },
+		() => routers,
+		() => 1,
+	);
 	const contacts: boolean[] = [];
 	const changes: (readonly string[])[] = [];
 	follower.onDidChangeContact((contact) => contacts.push(contact));
@@ -109,6 +117,15 @@
 		expect(calls).toBeLessThan(10);
 	});
 
+	// Each change cost one call of each of 73 routers.
+	test('gathers changes in a large fleet', async () => {
+		const change = (revision: number): Step<ChangeSet> =>
+			Effect.succeed({ changes: [entry('servers/a', revision)], revision });
+		const store = storeWith([Effect.succeed({ entries: [], revision: 1 })], [2, 3, 4, 5, 6, 7, 8].map(change));
+		await follow(store, 700, 73);
+		expect(store.watchedAfter.length).toBeLessThanOrEqual(3);
+	});
+
 	test('takes a newer snapshot of a peer and refuses an older one', async () => {
 		const { follower } = await follow(
 			storeWith([Effect.succeed({ entries: [entry('servers/a', 3)], revision: 5 })], []),
