Trace one request through saved logs of several routers

masticloom trace prints the decisions on one request and the changes of its servers in the order of time.

--- a/src/cli/node/commandLine.ts
+++ b/src/cli/node/commandLine.ts
@@ -11,6 +11,7 @@
 import { explain } from './explainCommand.js';
 import type { RouterSource } from './fleetStatus.js';
 import { status } from './statusCommand.js';
+import { trace } from './traceCommand.js';
 
 const DEFAULT_WAIT_LIMIT_MS = 30_000;
 const DEFAULT_STORE_LIMIT_MS = 30_000;
@@ -99,6 +100,12 @@
 			const publisher = values.store === undefined ? undefined : publisherOf(requiredUrl(values, 'store'), values);
 			return status(publisher, routerSource(values, true), output);
 		});
+	program
+		.command('trace <request> <file>', 'Show the decisions on one request from saved logs; more files may follow.')
+		.example('trace 9c41d07be2a35f68 edge-1.log edge-2.log')
+		.action((request: string, file: string, values: Values & { readonly _?: readonly string[] }) =>
+			trace(request, [file, ...(values._ ?? [])], output),
+		);
 	defineRouterCommands(program, output);
 	return program;
 }
