--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -74,7 +74,7 @@
 const HOME_BONUS_MS = 8;
 
 /** Preference for an engine in the own failure domain, for the round trip and the price of its bytes. */
-const SAME_DOMAIN_BONUS_MS = 12;
+const SAME_DOMAIN_BONUS_MS = 3;
 
 /** Slows the streams of an engine as its batch fills; the cost of a whole batch in the order of preference. */
 const FULL_BATCH_COST_MS = 120;
