Give routers of the exchange's tests addresses of their own

Change: loopback addresses of their own with fixed ports below the range of outgoing connections. No assertion changed.

--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -45,20 +45,16 @@
 	readonly owner: DisposableStore;
 }
 
+// Addresses of their own, with ports below those of outgoing connections, cannot be taken by tests that run beside.
+const NETWORK = '127.0.205';
+const DATAGRAM_PORT = 17_400;
+const PEER_PORT = 18_785;
+
 const routers: Router[] = [];
+let started = 0;
 
 afterEach(() => routers.splice(0).forEach(({ owner }) => owner.dispose()));
 
-function freePort(): Promise<number> {
-	return new Promise((resolve) => {
-		const socket = createSocket('udp4');
-		socket.bind(0, '127.0.0.1', () => {
-			const { port } = socket.address();
-			socket.close(() => resolve(port));
-		});
-	});
-}
-
 async function startRouter(instance: string): Promise<Router> {
 	const owner = DisposableStore.create();
 	const events: string[] = [];
@@ -77,8 +73,9 @@
 		waitForChanges: () => Effect.never,
 	};
 	const follower = owner.add(PrefixFollower.create('servers/', unreadable, systemClock, log));
-	const datagramAddress = { host: '127.0.0.1', port: await freePort() };
-	const peerAddress = { host: '127.0.0.1', port: await freePort() };
+	const host = `${NETWORK}.${++started}`;
+	const datagramAddress = { host, port: DATAGRAM_PORT };
+	const peerAddress = { host, port: PEER_PORT };
 	const exchange = owner.add(
 		FleetExchange.create(
 			{ instance, failureDomain: 'a', peerAddress, datagramAddress },
@@ -170,7 +167,8 @@
 	test('a datagram that cannot be read is noted and does no harm', async () => {
 		const [one, two] = await startPair();
 		const socket = createSocket('udp4');
-		socket.send(Buffer.from([0xff, 0xff, 0xff]), one.datagramAddress.port, '127.0.0.1', () => socket.close());
+		const { host, port } = one.datagramAddress;
+		socket.send(Buffer.from([0xff, 0xff, 0xff]), port, host, () => socket.close());
 		await until(() => one.events.includes('datagram-unreadable'));
 		expect(one.exchange.peers[0]?.instance).toBe('router-2');
 		expect(two.exchange.peers).toHaveLength(1);
