Wait for the request rather than for a time in the tests of the gateway

Ruled out: a request that was read and refused (the fixture's server saw none). No assertion changed.

--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -27,6 +27,13 @@
 	return fixture;
 }
 
+/** Waits until a server has a request, however slow the machine is. */
+async function untilAttempted({ attempts }: GatewayFixture): Promise<void> {
+	while (attempts.length === 0) {
+		await new Promise((resolve) => setTimeout(resolve, 5));
+	}
+}
+
 const orders = configurationWith([routeWith()]);
 const lookups = configurationWith([routeWith({ repeat: 'repeatable', maximumAttempts: 2 })]);
 const twoDesks = [serverOf('desk', 'desk-1'), serverOf('desk', 'desk-2')];
@@ -42,10 +49,10 @@
 	});
 
 	test('a request that is ended by a shutdown while a server has it is not said to have not run', async () => {
-		const { port, gateway } = await start([stayQuiet()], orders);
-		const answer = send(port);
-		await new Promise((resolve) => setTimeout(resolve, 50));
-		expect(gateway.endRequests()).toBe(1);
+		const fixture = await start([stayQuiet()], orders);
+		const answer = send(fixture.port);
+		await untilAttempted(fixture);
+		expect(fixture.gateway.endRequests()).toBe(1);
 		expect((await answer).status).toBe(502);
 	});
 
@@ -172,7 +179,8 @@
 	});
 
 	test('a caller that leaves ends its request at the server', async () => {
-		const { port, attempts } = await start([stayQuiet()], orders);
+		const fixture = await start([stayQuiet()], orders);
+		const { port, attempts } = fixture;
 		const request = http.request({
 			port,
 			path: '/orders/1',
@@ -181,9 +189,10 @@
 		});
 		request.on('error', () => undefined);
 		request.end();
-		await new Promise((resolve) => setTimeout(resolve, 50));
+		await untilAttempted(fixture);
 		request.destroy();
-		await new Promise((resolve) => setTimeout(resolve, 50));
+		// The rule allows half a second from the caller's leaving.
+		await new Promise((resolve) => setTimeout(resolve, 450));
 		expect(attempts).toMatchObject([{ interrupted: true }]);
 	});
 });
@@ -249,9 +258,15 @@
 	test('a request in progress is answered, and its connection is not used again', async () => {
 		const slow: Behaviour = (sink, request, target) =>
 			Effect.andThen(Effect.sleep(80), answerWith(200, 'done')(sink, request, target));
-		const { port, gateway } = await start([slow], orders);
+		let arrived = (): void => undefined;
+		const arrival = new Promise<void>((resolve) => (arrived = resolve));
+		const noticed: Behaviour = (...parameters) => {
+			arrived();
+			return slow(...parameters);
+		};
+		const { port, gateway } = await start([noticed], orders);
 		const answer = send(port);
-		await new Promise((resolve) => setTimeout(resolve, 20));
+		await arrival;
 		gateway.startClosing();
 		gateway.stopAccepting();
 		expect(await answer).toMatchObject({ status: 200, body: 'done' });
