Use one list of connection headers, one way to listen and one answer for unfinished requests

Found in reading the change: the headers that concern one connection stood in three places, the wait for a listening server in three, and the answer to a request without a backend server's in three. The backend client made two maps of headers for each answer, also for refusals. Tests share one behaviour for answers that break off. Behaviour and assertions stay as they are.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -26,8 +26,6 @@
 			readonly reason: RefusalReason;
 			readonly retryAfterMs: number;
 			readonly limitMs: number;
-			/** Wait at the best engine; undefined without one. */
-			readonly waitMs: number | undefined;
 	  };
 
 /** Time from the start of reading to the first event at the caller, beyond the time to read: steps and the network. */
@@ -90,7 +88,6 @@
 			reason: 'no-server',
 			retryAfterMs: clampReturn(NO_SERVER_RETRY_MS, inputs),
 			limitMs: 0,
-			waitMs: undefined,
 		};
 	}
 	const overShare = inputs.standing.usedShare >= SPARE_ONLY_SHARE;
@@ -106,7 +103,6 @@
 		reason: overShare ? 'over-share' : 'busy',
 		retryAfterMs: clampReturn(retryAfterMs, inputs),
 		limitMs,
-		waitMs: shortestWaitMs,
 	};
 }
 
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import { Effect } from 'effect';
+import { CONNECTION_HEADERS } from '../../base/common/headerFields.js';
 import type { IDisposable } from '../../base/common/lifecycle.js';
 import type {
 	BackendFailure,
@@ -24,17 +25,7 @@
 /** Header with which a backend server says that it did not start the request. */
 const NOT_STARTED_HEADER = 'masticloom-not-started';
 
-const HOP_BY_HOP_HEADERS = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-	NOT_STARTED_HEADER,
-]);
+const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, NOT_STARTED_HEADER]);
 
 /** The protocol of masticloom's own deployments. */
 const OWN_PROTOCOL: BackendProtocol = {
@@ -187,16 +178,17 @@
 	}
 
 	private receive(response: http.IncomingMessage): void {
-		const head: BackendHead = { status: response.statusCode ?? 0, headers: passedHeaders(response.headers) };
-		const refusal = this.protocol.refusalOf({ status: head.status, headers: definedHeaders(response.headers) });
-		if (!this.protocol.isAnswerTo(this.request, head)) {
+		const status = response.statusCode ?? 0;
+		const received: BackendHead = { status, headers: definedHeaders(response.headers, NO_NAMES) };
+		if (!this.protocol.isAnswerTo(this.request, received)) {
 			this.fail('broken', 'sent the answer to another request');
 			this.outgoing?.destroy();
 			return;
 		}
+		const refusal = this.protocol.refusalOf(received);
 		if (refusal !== undefined) {
 			response.resume();
-			this.fail(refusal, `refused with status ${head.status}`);
+			this.fail(refusal, `refused with status ${status}`);
 			return;
 		}
 		const framed = isFramed(this.request.method, response);
@@ -207,7 +199,7 @@
 				endedByReset = response.socket.remoteAddress === undefined;
 			});
 		}
-		this.sink.head(head);
+		this.sink.head({ status, headers: definedHeaders(response.headers, HOP_BY_HOP_HEADERS) });
 		response.on('data', (chunk: Buffer) => {
 			this.silentChecks = 0;
 			if (!this.settled && !this.sink.write(chunk, () => response.resume())) {
@@ -265,13 +257,9 @@
 	);
 }
 
-function passedHeaders(headers: http.IncomingHttpHeaders): Record<string, string | readonly string[]> {
-	return definedHeaders(headers, HOP_BY_HOP_HEADERS);
-}
-
 function definedHeaders(
 	headers: http.IncomingHttpHeaders,
-	dropped: ReadonlySet<string> = NO_NAMES,
+	dropped: ReadonlySet<string>,
 ): Record<string, string | readonly string[]> {
 	const kept: Record<string, string | readonly string[]> = {};
 	for (const name in headers) {
--- a/src/base/common/headerFields.ts
+++ b/src/base/common/headerFields.ts
@@ -1,2 +1,37 @@
 /** Header fields as they arrived, with names in lower case. */
 export type HeaderFields = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** Headers that concern one connection only (RFC 9110), in both directions. */
+export const CONNECTION_HEADERS = [
+	'connection',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+] as const;
+
+/** Headers of a request that a router does not pass on: those of one connection, and those it answers or sets itself. */
+export const REQUEST_HEADERS_NOT_FORWARDED = [
+	...CONNECTION_HEADERS,
+	'authorization',
+	'content-length',
+	'expect',
+	'host',
+	'proxy-authorization',
+] as const;
+
+const NO_NAMES: ReadonlySet<string> = new Set();
+
+/**
+ * @param headers of a request
+ * @returns names that its header `connection` ties to the connection
+ */
+export function connectionTokens({ connection }: HeaderFields): ReadonlySet<string> {
+	if (typeof connection !== 'string' || connection === 'keep-alive' || connection === 'close') {
+		return NO_NAMES;
+	}
+	return new Set(connection.split(',').map((token) => token.trim().toLowerCase()));
+}
--- a/src/callers/common/forwardedHeaders.ts
+++ b/src/callers/common/forwardedHeaders.ts
@@ -1,21 +1,6 @@
-import type { HeaderFields } from '../../base/common/headerFields.js';
+import { connectionTokens, type HeaderFields, REQUEST_HEADERS_NOT_FORWARDED } from '../../base/common/headerFields.js';
 
-/** Headers that concern one connection only, or that the router sets itself. */
-const DROPPED = new Set([
-	'authorization',
-	'connection',
-	'content-length',
-	'expect',
-	'host',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-]);
+const DROPPED: ReadonlySet<string> = new Set(REQUEST_HEADERS_NOT_FORWARDED);
 
 const OWN_PREFIX = 'masticloom-';
 
@@ -31,10 +16,10 @@
 	isModelEngine: boolean,
 ): Record<string, string | readonly string[]> {
 	const forwarded: Record<string, string | readonly string[]> = {};
-	const listed = typeof headers.connection === 'string' ? connectionTokens(headers.connection) : undefined;
+	const listed = connectionTokens(headers);
 	for (const name in headers) {
 		const value = headers[name];
-		if (value === undefined || DROPPED.has(name) || name.startsWith(OWN_PREFIX) || listed?.has(name) === true) {
+		if (value === undefined || DROPPED.has(name) || name.startsWith(OWN_PREFIX) || listed.has(name)) {
 			continue;
 		}
 		forwarded[name] = value;
@@ -45,10 +30,3 @@
 	forwarded['masticloom-request-id'] = requestId;
 	return forwarded;
 }
-
-function connectionTokens(value: string): ReadonlySet<string> | undefined {
-	if (value === 'keep-alive' || value === 'close') {
-		return undefined;
-	}
-	return new Set(value.split(',').map((token) => token.trim().toLowerCase()));
-}
--- a/src/callers/node/callerServer.ts
+++ b/src/callers/node/callerServer.ts
@@ -3,6 +3,7 @@
 import { Effect, type Exit } from 'effect';
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { listenOn } from '../../base/node/listen.js';
 import type { Verdict } from '../../base/common/verdict.js';
 import { logOf } from '../../base/node/log.js';
 import type { IConfigurationService } from '../../configuration/common/configurationService.js';
@@ -126,14 +127,7 @@
 	 * @returns the port that was bound
 	 */
 	public listen(host: string, port: number): Promise<number> {
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, () => {
-				this.server.off('error', reject);
-				const address = this.server.address();
-				resolve(typeof address === 'object' && address !== null ? address.port : port);
-			});
-		});
+		return listenOn(this.server, host, port);
 	}
 
 	private configure(configuration: Configuration): void {
--- a/src/engines/common/directory.ts
+++ b/src/engines/common/directory.ts
@@ -11,10 +11,3 @@
 	/** Unix milliseconds of the server's start; undefined when it does not say. It tells incarnations apart. */
 	readonly startedAt: number | undefined;
 }
-
-/** All registrations as of one revision of the store. */
-export interface Registrations {
-	/** Revision of the store; it only grows. */
-	readonly revision: number;
-	readonly servers: readonly RegisteredServer[];
-}
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -99,7 +99,7 @@
 	private leaving = false;
 	private sent = 0;
 
-	/** Fires when a peer was heard of for the first time, has news from the store, was lost or came back. */
+	/** Fires at each datagram of a peer, and when a peer is lost. */
 	public readonly onDidHear = this.changeEmitter.event;
 
 	private constructor(
--- a/src/fleet/node/snapshotExchange.ts
+++ b/src/fleet/node/snapshotExchange.ts
@@ -2,6 +2,7 @@
 import { Effect } from 'effect';
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { listenOn } from '../../base/node/listen.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import type { Snapshot } from '../../store/common/revisionedStore.js';
@@ -63,16 +64,10 @@
 
 	/**
 	 * @param address for peers
-	 * @returns completes when peers can ask
+	 * @returns the port that was bound, when peers can ask
 	 */
-	public listen({ host, port }: SocketAddress): Promise<void> {
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, () => {
-				this.server.off('error', reject);
-				resolve();
-			});
-		});
+	public listen({ host, port }: SocketAddress): Promise<number> {
+		return listenOn(this.server, host, port);
 	}
 
 	private compare(peer: FleetPeer): void {
--- a/src/gateway/common/ingress.ts
+++ b/src/gateway/common/ingress.ts
@@ -14,8 +14,6 @@
 	readonly maximumOutputTokens: number;
 	/** The caller's estimate of the output, in tokens. */
 	readonly expectedOutputTokens: number | undefined;
-	/** Last event of a stream that the caller resumes. */
-	readonly lastEventId: string | undefined;
 }
 
 /** Where and for whom a request goes out. */
--- a/src/gateway/node/gatewayAnswer.ts
+++ b/src/gateway/node/gatewayAnswer.ts
@@ -52,11 +52,6 @@
 		return this.written;
 	}
 
-	/** Whether the caller's connection is closed. */
-	public get isClosed(): boolean {
-		return this.response.destroyed;
-	}
-
 	public head({ status, headers }: BackendHead): void {
 		if (this.headSent || this.response.destroyed) {
 			return;
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { Effect } from 'effect';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { listenOn } from '../../base/node/listen.js';
 import { OpenRequests } from '../../callers/node/openRequests.js';
 import { readBody } from '../../callers/node/readBody.js';
 import type { IngressLimits } from '../../routing/common/model.js';
@@ -114,14 +115,7 @@
 	 * @returns the port that was bound
 	 */
 	public listen(host: string, port: number): Promise<number> {
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(port, host, () => {
-				this.server.off('error', reject);
-				const address = this.server.address();
-				resolve(typeof address === 'object' && address !== null ? address.port : port);
-			});
-		});
+		return listenOn(this.server, host, port);
 	}
 
 	private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -120,13 +120,7 @@
 			Effect.timeoutOption(limitMs - (this.context.clock.now() - this.request.arrivedAt)),
 			Effect.map((result) => {
 				if (result._tag === 'None') {
-					const notRun = this.verdict === 'not-run';
-					this.sendOwn({
-						status: notRun ? SERVICE_UNAVAILABLE : GATEWAY_TIMEOUT,
-						code: 'deadline',
-						verdict: this.verdict,
-						retryAfterMs: notRun ? REFUSED_RETRY_MS : undefined,
-					});
+					this.sendUnfinished('deadline', GATEWAY_TIMEOUT);
 				}
 			}),
 			Effect.onExit((exit) => Effect.sync(() => this.finish(exit))),
@@ -135,13 +129,7 @@
 
 	/** Ends the request early because the router shuts down. */
 	public endEarly(): void {
-		const notRun = this.verdict === 'not-run';
-		this.sendOwn({
-			status: notRun ? SERVICE_UNAVAILABLE : BAD_GATEWAY,
-			code: 'shutting-down',
-			verdict: this.verdict,
-			retryAfterMs: notRun ? REFUSED_RETRY_MS : undefined,
-		});
+		this.sendUnfinished('shutting-down', BAD_GATEWAY);
 	}
 
 	/** What is known of the request now. */
@@ -172,7 +160,7 @@
 				self.endedVerdict = combineVerdicts(self.endedVerdict, failure.verdict);
 				self.logFailure(decision.option, failure);
 				if (!self.mayTryAgain(failure)) {
-					self.giveUp(failure);
+					self.sendUnfinished(`server-${failure.kind}`, BAD_GATEWAY);
 					return;
 				}
 				self.events?.dropHeld();
@@ -417,11 +405,17 @@
 		});
 	}
 
-	private giveUp(failure: BackendFailure): void {
+	/**
+	 * Answers a request without an answer of a backend server.
+	 *
+	 * @param code short name of the reason
+	 * @param statusAfterSending status when a server may have run the request
+	 */
+	private sendUnfinished(code: string, statusAfterSending: number): void {
 		const notRun = this.verdict === 'not-run';
 		this.sendOwn({
-			status: notRun ? SERVICE_UNAVAILABLE : BAD_GATEWAY,
-			code: `server-${failure.kind}`,
+			status: notRun ? SERVICE_UNAVAILABLE : statusAfterSending,
+			code,
 			verdict: this.verdict,
 			retryAfterMs: notRun ? REFUSED_RETRY_MS : undefined,
 		});
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -4,6 +4,7 @@
 import { Effect } from 'effect';
 import {
 	answerWith,
+	breakAfter,
 	type Behaviour,
 	configurationWith,
 	failWith,
@@ -109,29 +110,13 @@
 	});
 
 	test('that break off do not look whole', async () => {
-		const cut: Behaviour = (sink) =>
-			Effect.andThen(
-				Effect.sync(() => {
-					sink.sent();
-					sink.head({ status: 200, headers: {} });
-					sink.write(Buffer.from('half'), () => undefined);
-				}),
-				Effect.fail({ kind: 'broken' as const, verdict: 'may-have-run' as const, message: 'reset' }),
-			);
+		const cut = breakAfter('half');
 		const { port } = await start([cut], orders);
 		expect((await send(port)).whole).toBe(false);
 	});
 
 	test('a stream that can be resumed goes on after its last whole event, under its first head', async () => {
-		const cut: Behaviour = (sink) =>
-			Effect.andThen(
-				Effect.sync(() => {
-					sink.sent();
-					sink.head({ status: 200, headers: { signature: 'first' } });
-					sink.write(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'), () => undefined);
-				}),
-				Effect.fail({ kind: 'broken' as const, verdict: 'may-have-run' as const, message: 'reset' }),
-			);
+		const cut = breakAfter('id: 1\ndata: a\n\nid: 2\nda', { signature: 'first' });
 		const rest: Behaviour = (sink) =>
 			Effect.sync(() => {
 				sink.sent();
@@ -155,15 +140,7 @@
 
 	// The body of the failure was passed on as the end of the stream.
 	test('a stream whose resumption fails is cut off rather than ended', async () => {
-		const cut: Behaviour = (sink) =>
-			Effect.andThen(
-				Effect.sync(() => {
-					sink.sent();
-					sink.head({ status: 200, headers: {} });
-					sink.write(Buffer.from('id: 1\ndata: a\n\n'), () => undefined);
-				}),
-				Effect.fail({ kind: 'broken' as const, verdict: 'may-have-run' as const, message: 'reset' }),
-			);
+		const cut = breakAfter('id: 1\ndata: a\n\n');
 		const route = routeWith({
 			streams: true,
 			resumable: true,
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -120,7 +120,6 @@
 		promptTokens: Number(headers['prompt-tokens'] ?? 0),
 		maximumOutputTokens: 100,
 		expectedOutputTokens: undefined,
-		lastEventId: undefined,
 	}),
 	encode: (headers, egress) => ({
 		'request-id': String(headers['request-id'] ?? ''),
@@ -242,6 +241,23 @@
 		});
 }
 
+/**
+ * @param text sent before the connection breaks
+ * @param headers of the answer
+ * @returns a behaviour that breaks off its answer
+ */
+export function breakAfter(text: string, headers: Readonly<Record<string, string>> = {}): Behaviour {
+	return (sink) =>
+		Effect.andThen(
+			Effect.sync(() => {
+				sink.sent();
+				sink.head({ status: 200, headers });
+				sink.write(Buffer.from(text), () => undefined);
+			}),
+			Effect.fail({ kind: 'broken' as const, verdict: 'may-have-run' as const, message: 'reset' }),
+		);
+}
+
 /** @returns a behaviour that takes the request and never answers */
 export function stayQuiet(): Behaviour {
 	return (sink) =>
