Notice that a caller has left before its request is sent on

Ruled out: rejecting by deadline.

Change: a request that was read runs after the sockets were read once more, and is dropped when its connection has ended by then. The test sends a request and leaves while the router's thread is blocked; it failed before.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { Effect } from 'effect';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { afterNextPoll } from '../../base/node/eventLoop.js';
 import { listenOn } from '../../base/node/listen.js';
 import { OpenRequests } from '../../callers/node/openRequests.js';
 import { readBody } from '../../callers/node/readBody.js';
@@ -149,7 +150,8 @@
 				this.refuse(answer, fields, 413, 'body-too-large');
 				request.resume();
 			} else if (body !== 'incomplete') {
-				this.run(request, response, answer, { fields, routing, table, body, arrivedAt });
+				// Under overload a request is often read after its caller has left.
+				afterNextPoll(() => this.run(request, response, answer, { fields, routing, table, body, arrivedAt }));
 			}
 		});
 	}
@@ -167,6 +169,12 @@
 		},
 	): void {
 		const { fields, routing, table, body, arrivedAt } = accepted;
+		if (request.socket.readableEnded || request.socket.destroyed) {
+			this.context.log.write('request-end', { id: fields.id, reason: 'caller-left', verdict: 'not-run', attempts: 0 });
+			this.context.metrics.countRequest(routing.service, 0, 'caller-left', this.context.clock.now() - arrivedAt);
+			response.destroy();
+			return;
+		}
 		const run = RequestRun.create(
 			this.context,
 			{
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
+import { Worker } from 'node:worker_threads';
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import {
@@ -35,6 +36,21 @@
 	}
 }
 
+/** Sends a request and closes the connection, in a thread of its own. */
+const CALLER_THAT_LEAVES = `
+	const { workerData } = require('node:worker_threads');
+	const { steps, port, host, key } = workerData;
+	const socket = require('node:net').connect(port, '127.0.0.1');
+	socket.on('error', () => undefined);
+	socket.end('POST /orders/1 HTTP/1.1\\r\\nhost: ' + host + '\\r\\nauthorization: ' + key + '\\r\\ncontent-length: 0\\r\\n\\r\\n', () => {
+		setTimeout(() => {
+			socket.destroy();
+			Atomics.store(steps, 0, 1);
+			Atomics.notify(steps, 0);
+		}, 50);
+	});
+`;
+
 const orders = configurationWith([routeWith()]);
 const lookups = configurationWith([routeWith({ repeat: 'repeatable', maximumAttempts: 2 })]);
 const twoDesks = [serverOf('desk', 'desk-1'), serverOf('desk', 'desk-2')];
@@ -253,3 +269,21 @@
 		expect(late.headers.connection).toBe('close');
 	});
 });
+
+describe('an overloaded router', () => {
+	// The end of the connection was read one turn of the event loop after the request, which had been sent on by then.
+	test('does not send on a request whose caller had left before it was read', async () => {
+		const fixture = await start([stayQuiet()], orders);
+		const steps = new Int32Array(new SharedArrayBuffer(4));
+		const caller = new Worker(CALLER_THAT_LEAVES, {
+			eval: true,
+			workerData: { steps, port: fixture.port, host: HOST, key: KEY },
+		});
+		// The router does nothing while the request and the end of its connection arrive.
+		Atomics.wait(steps, 0, 0, 10_000);
+		await new Promise((resolve) => caller.once('exit', resolve));
+		await new Promise((resolve) => setTimeout(resolve, 100));
+		expect(Atomics.load(steps, 0)).toBe(1);
+		expect(fixture.attempts).toHaveLength(0);
+	});
+});
