--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -1,10 +1,12 @@
-import type { EngineOption } from '../../engines/common/engineFleet.js';
+import type { EngineOption } from '../../engines/common/engineChoice.js';
 import type { Standing } from '../../shares/common/fleetShares.js';
 
 /** What decides whether a request is sent to an engine now. */
 export interface AdmissionInputs {
 	/** Engines that could take the request, the best one first. */
 	readonly options: readonly EngineOption[];
+	/** Engines that are not asked again for a place. */
+	readonly declinedBy: ReadonlySet<string>;
 	/** How the request's account stands against its fair share. */
 	readonly standing: Standing;
 	/** Time within which the first event is on time, counted from the caller's first attempt, in milliseconds. */
@@ -20,7 +22,13 @@
 
 /** Where a request goes, or when it may come back. */
 export type AdmissionDecision =
-	| { readonly kind: 'place'; readonly option: EngineOption; readonly limitMs: number }
+	| {
+			readonly kind: 'place';
+			readonly option: EngineOption;
+			readonly limitMs: number;
+			/** Highest load of the engine at which the request may still be placed, from 0 to 1. */
+			readonly maximumLoad: number;
+	  }
 	| {
 			readonly kind: 'refuse';
 			readonly reason: RefusalReason;
@@ -92,9 +100,12 @@
 	}
 	const overShare = inputs.standing.usedShare >= SPARE_ONLY_SHARE;
 	const limitMs = overShare ? SPARE_WAIT_MS : waitLimitMs(inputs, best.readMs);
-	const accepted = usable.find(({ waitMs, load }) => waitMs <= limitMs && (!overShare || load <= SPARE_LOAD));
+	const maximumLoad = overShare ? SPARE_LOAD : 1;
+	const accepted = usable.find(
+		({ server, waitMs, load }) => waitMs <= limitMs && load <= maximumLoad && !inputs.declinedBy.has(server.id),
+	);
 	if (accepted !== undefined) {
-		return { kind: 'place', option: accepted, limitMs };
+		return { kind: 'place', option: accepted, limitMs, maximumLoad };
 	}
 	const shortestWaitMs = Math.min(...inputs.options.map(({ waitMs }) => waitMs));
 	const retryAfterMs = overShare ? inputs.aimMs * RETURN_OF_AIM : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
--- a/src/admission/test/admission.test.ts
+++ b/src/admission/test/admission.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import type { EngineOption } from '../../engines/common/engineFleet.js';
+import type { EngineOption } from '../../engines/common/engineChoice.js';
 import { type AdmissionInputs, decideAdmission } from '../common/admission.js';
 
 function optionWith(overrides: Partial<EngineOption> = {}): EngineOption {
@@ -20,7 +20,7 @@
 		inProgress: 5,
 		load: 0.3,
 		cost: 0,
-		health: { usable: true, failureRate: 0, penaltyMs: 0 },
+		health: { usable: true, failureRate: 0 },
 		...overrides,
 	};
 }
@@ -28,6 +28,7 @@
 function inputsWith(overrides: Partial<AdmissionInputs> = {}): AdmissionInputs {
 	return {
 		options: [optionWith()],
+		declinedBy: new Set(),
 		standing: { usedShare: 0.5, level: 100, admitted: 50 },
 		aimMs: 500,
 		aimLeftMs: 500,
@@ -80,7 +81,7 @@
 	});
 
 	test('an engine that cannot be reached is not chosen while another can', () => {
-		const dead = optionWith({ health: { usable: false, failureRate: 1, penaltyMs: 0 } });
+		const dead = optionWith({ health: { usable: false, failureRate: 1 } });
 		const sound = optionWith({ cost: 900, waitMs: 10 });
 		expect(decideAdmission(inputsWith({ options: [dead, sound] }))).toMatchObject({ option: sound });
 	});
--- a/src/base/common/shortKey.ts
+++ b/src/base/common/shortKey.ts
@@ -4,6 +4,8 @@
 const FNV_PRIME_SHIFT = 8; // The 64-bit FNV prime is 2^40 + 0x1b3; 2^40 shifts the low word into the high word by 8 bits.
 const LOW_WORD = 0x1_0000_0000;
 const HIGH_BITS_KEPT = 0xffff;
+/** Spreads the first of two words, so that their sum depends on their order; odd, below 2^20 to stay exact. */
+const LOW_WORD_ODD = 0x9e375;
 
 /**
  * Hashes an identifier to 48 bits (64-bit FNV-1a, truncated), so that messages between routers carry 7 bytes in place
@@ -47,6 +49,17 @@
 	return best;
 }
 
+/**
+ * Weighs a pair of short keys for rendezvous hashing; the highest weight wins.
+ *
+ * @param one short key of what is placed
+ * @param other short key of a member
+ * @returns a whole number that depends on both
+ */
+export function rendezvousWeight(one: number, other: number): number {
+	return mix(mix(one) * LOW_WORD_ODD + mix(other));
+}
+
 // FNV-1a alone leaves names that differ in one trailing digit with similar high bits, which skews the placement.
 function mix(value: number): number {
 	let word = ((value % LOW_WORD) ^ Math.floor(value / LOW_WORD)) >>> 0;
--- /dev/null
+++ b/src/engines/common/engineChoice.ts
@@ -0,0 +1,111 @@
+import type { RegisteredServer } from './directory.js';
+import type { EngineView } from './engineState.js';
+import type { PromptPart } from './promptCache.js';
+import { readingTimeMs, streamPauseMs } from './readingTime.js';
+import type { EngineHealth } from './serverOutcomes.js';
+
+/** What a request asks of an engine. */
+export interface PromptWork {
+	readonly parts: readonly PromptPart[];
+	/** Tokens of the whole prompt; 0 for a request to a plain service. */
+	readonly promptTokens: number;
+	/** Generated tokens in one event of a stream. */
+	readonly tokensPerEvent: number;
+	/** Longest pause in milliseconds between events of streams that are on time. */
+	readonly pauseAimMs: number;
+}
+
+/** One engine that could take a request. */
+export interface EngineOption {
+	readonly server: RegisteredServer;
+	/** Predicted milliseconds until the engine begins to read the prompt. */
+	readonly waitMs: number;
+	/** Predicted milliseconds to read what the engine does not hold. */
+	readonly readMs: number;
+	/** Nominal milliseconds to read what the engine does not hold, on an engine of pace 1. */
+	readonly workMs: number;
+	/** Tokens of shared parts that some engine holds and this one would read again. */
+	readonly rereadTokens: number;
+	/** Requests in progress at the engine, of all routers, as last heard. */
+	readonly inProgress: number;
+	/** Part of the last second in which the engine read prompts, from 0 to 1. */
+	readonly load: number;
+	/** Order of preference; lower is better. */
+	readonly cost: number;
+	/** Trust in the engine after its recent failures. */
+	readonly health: EngineHealth;
+}
+
+/** An engine and what decides its place in the order of preference. */
+export interface EngineCandidate {
+	readonly server: RegisteredServer;
+	readonly view: EngineView;
+	/** Leading tokens of the prompt that the engine is taken to hold. */
+	readonly heldTokens: number;
+	/** Most leading tokens that some engine of the service is taken to hold. */
+	readonly mostHeldTokens: number;
+	/** Place of the engine in the order that all routers agree on for this prompt; 0 is its home. */
+	readonly rank: number;
+	/** Whether the engine is in the failure domain of this router. */
+	readonly isNear: boolean;
+	/** Mean milliseconds for which a request holds a slot of this service. */
+	readonly slotTimeMs: number;
+}
+
+/** Weight of reading a shared part again, on top of the time it takes: the platform charges for it. */
+const REREAD_WEIGHT = 3;
+
+/** Preference for the engine that all routers choose for a prompt that no engine is known to hold. */
+const HOME_BONUS_MS = 8;
+
+/** Preference for an engine in the own failure domain, for the round trip and the price of its bytes. */
+const SAME_DOMAIN_BONUS_MS = 3;
+
+/** Slows the streams of an engine as its batch fills; the cost of a whole batch in the order of preference. */
+const FULL_BATCH_COST_MS = 120;
+
+/** A prompt that pauses streams for this part of their aim makes them late together with what else is read. */
+const HARMFUL_PAUSE_OF_AIM = 0.85;
+
+/** Cost of a harmful pause for each request in progress: most of its worth, in the order of preference. */
+const HARMFUL_PAUSE_COST_MS = 100;
+
+/** A request that fails has cost its caller about this much waiting. */
+const FAILURE_COST_MS = 1_500;
+
+/**
+ * Says what a request would meet at an engine, and how much the engine is preferred.
+ *
+ * Load pattern: the longest prompts pause all streams of their engine, so they gather where few streams run. Engines
+ * with small batches have no slot free while their streams run.
+ *
+ * @param work what the request asks
+ * @param candidate engine and what is known of it
+ * @returns the engine as an option
+ */
+export function optionOf(work: PromptWork, candidate: EngineCandidate): EngineOption {
+	const { server, view, heldTokens, mostHeldTokens } = candidate;
+	const { pace, inProgress, health, load } = view;
+	const workMs = work.promptTokens > 0 ? readingTimeMs(work.promptTokens, heldTokens) : 0;
+	const rereadTokens = Math.max(0, mostHeldTokens - heldTokens);
+	const waitMs = view.waitMs + slotWaitMs(candidate);
+	const readMs = workMs * pace;
+	const pauses =
+		streamPauseMs(work.promptTokens, heldTokens, work.tokensPerEvent) * pace > HARMFUL_PAUSE_OF_AIM * work.pauseAimMs;
+	const cost =
+		waitMs +
+		readMs +
+		(rereadTokens > 0 ? REREAD_WEIGHT * readingTimeMs(rereadTokens, 0) : 0) +
+		(FULL_BATCH_COST_MS * inProgress) / server.slots +
+		(pauses ? HARMFUL_PAUSE_COST_MS * inProgress : 0) +
+		health.failureRate * FAILURE_COST_MS -
+		(candidate.rank === 0 && mostHeldTokens === 0 ? HOME_BONUS_MS : 0) -
+		(candidate.isNear ? SAME_DOMAIN_BONUS_MS : 0);
+	return { server, waitMs, readMs, workMs, rereadTokens, inProgress, load, cost, health };
+}
+
+// Engines of a small batch have no slot free long before their prompts are read.
+function slotWaitMs({ server, view, slotTimeMs }: EngineCandidate): number {
+	const excess = view.inProgress + 1 - server.slots;
+	return excess > 0 ? (excess * slotTimeMs) / server.slots : 0;
+}
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -1,42 +1,10 @@
 import { Emitter, type Event } from '../../base/common/event.js';
-import { rendezvous, shortKey } from '../../base/common/shortKey.js';
+import { rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
 import type { RegisteredServer } from './directory.js';
-import { EngineQueue } from './engineQueue.js';
-import { type EngineHealth, ServerOutcomes } from './serverOutcomes.js';
+import { type EngineOption, optionOf, type PromptWork } from './engineChoice.js';
+import { type EngineReport, EngineState } from './engineState.js';
 import { PromptCache, type PromptPart } from './promptCache.js';
-import { readingTimeMs, streamPauseMs } from './readingTime.js';
-
-/** What a request asks of an engine. */
-export interface PromptWork {
-	readonly parts: readonly PromptPart[];
-	/** Tokens of the whole prompt. */
-	readonly promptTokens: number;
-	/** Generated tokens in one event of a stream. */
-	readonly tokensPerEvent: number;
-	/** Longest pause in milliseconds between events of streams that are on time. */
-	readonly pauseAimMs: number;
-}
-
-/** One engine that could take a request. */
-export interface EngineOption {
-	readonly server: RegisteredServer;
-	/** Predicted milliseconds until the engine begins to read the prompt. */
-	readonly waitMs: number;
-	/** Predicted milliseconds to read what the engine does not hold. */
-	readonly readMs: number;
-	/** Nominal milliseconds to read what the engine does not hold, on an engine of pace 1. */
-	readonly workMs: number;
-	/** Tokens of shared parts that some engine holds and this one would read again. */
-	readonly rereadTokens: number;
-	/** Requests in progress at the engine, of all routers, as last heard. */
-	readonly inProgress: number;
-	/** Part of the last second in which the engine read prompts, from 0 to 1. */
-	readonly load: number;
-	/** Order of preference; lower is better. */
-	readonly cost: number;
-	/** Trust in the engine after its recent failures. */
-	readonly health: EngineHealth;
-}
+import type { ServerOutcome, ServerOutcomes } from './serverOutcomes.js';
 
 /** A placement by this router, for its peers. */
 export interface PlacementNotice {
@@ -56,78 +24,117 @@
 	readonly at: number;
 }
 
-/** What is known of one backend server. */
-interface ServerState {
-	readonly queue: EngineQueue;
-	readonly outcomes: ServerOutcomes;
-	/** Requests of this router in progress. */
-	ownInProgress: number;
-	/** Requests in progress by router. */
-	readonly peersInProgress: Map<string, number>;
-	startedAt: number | undefined;
+/** The end of a request of this router, for the router that keeps the server's queue. */
+export interface EndNotice {
+	readonly server: string;
+	readonly outcome: ServerOutcome | undefined;
 }
 
-/** Weight of reading a shared part again, on top of the time it takes: the platform charges for it. */
-const REREAD_WEIGHT = 3;
-
-/** Preference for the engine that all routers choose for a prompt that no engine is known to hold. */
-const HOME_BONUS_MS = 8;
+/** How a request of this router ended. */
+export interface RequestEnd {
+	/** Whether {@link EngineFleet.recordFirstEvent} was called, or the request has no prompt. */
+	readonly hadFirstEvent: boolean;
+	/** Milliseconds for which the request held a slot; undefined when it did not end by itself. */
+	readonly slotTimeMs: number | undefined;
+	/** What the end says of the server; undefined when it says nothing. */
+	readonly outcome: ServerOutcome | undefined;
+}
 
-/** Preference for an engine in the own failure domain, for the round trip and the price of its bytes. */
-const SAME_DOMAIN_BONUS_MS = 3;
+/** Asks the router that keeps a server's queue for a place in it. */
+export interface ReservationRequest {
+	/** Short key of the server's identifier. */
+	readonly server: number;
+	/** Number that the asking router gives the placement. */
+	readonly sequence: number;
+	readonly work: PromptWork;
+	/** Longest wait in milliseconds that is accepted. */
+	readonly limitMs: number;
+	/** Highest load that is accepted, from 0 to 1. */
+	readonly maximumLoad: number;
+}
 
-/** Slows the streams of an engine as its batch fills; the cost of a whole batch in the order of preference. */
-const FULL_BATCH_COST_MS = 120;
+/** What the keeper of a queue answers. */
+export interface ReservationAnswer {
+	readonly accepted: boolean;
+	/** Predicted milliseconds until the server begins the request. */
+	readonly waitMs: number;
+	/** Nominal milliseconds to read what the server does not hold. */
+	readonly workMs: number;
+	/** State of the server, with the placement when it was accepted. */
+	readonly report: EngineReport;
+}
 
-/** A prompt that pauses streams for this part of their aim makes them late together with what else is read. */
-const HARMFUL_PAUSE_OF_AIM = 0.85;
+/** A place in the queue of a server that another router keeps. */
+export interface Reservation {
+	readonly sequence: number;
+	/** False when the keeper did not answer in time. */
+	readonly confirmed: boolean;
+	/** Predicted milliseconds until the server begins the request. */
+	readonly waitMs: number;
+	/** Nominal milliseconds to read the prompt. */
+	readonly workMs: number;
+}
 
-/** Cost of a harmful pause for each request in progress: most of its worth, in the order of preference. */
-const HARMFUL_PAUSE_COST_MS = 100;
+interface KnownServer {
+	readonly server: RegisteredServer;
+	readonly key: number;
+}
 
-/** Weight of one stream in the mean time for which a stream holds its slot. */
+/** Weight of one request in the mean time for which a request holds its slot. */
 const SLOT_TIME_GAIN = 0.05;
 
-/** Time for which a stream holds its slot before any was observed. */
-const FIRST_SLOT_TIME_MS = 2_000;
+/** Time for which a stream of generated tokens holds its slot before any was observed. */
+const FIRST_STREAM_SLOT_TIME_MS = 2_000;
+
+/** Time for which a plain request holds its slot before any was observed. */
+const FIRST_PLAIN_SLOT_TIME_MS = 50;
 
 /** The state of a server that is not registered is kept this long, because its entry may come back. */
 const UNREGISTERED_KEPT_MS = 10_000;
 
 /**
- * Knows how much work is ahead of a new request at each backend server, and which prompt parts each holds.
+ * Knows how much work is ahead of a new request at each backend server, and which prompt parts each holds. In a small
+ * fleet every router hears of all placements. In a larger one each router does so for the few servers whose queue it
+ * keeps, and knows of the others what their keepers report.
  *
- * Load pattern: requests whose prompts differ by 100 to 1 share a few hundred long documents, through many routers. The
- * longest prompts pause all streams of their engine, so they gather where few streams run. Engines with small batches
- * have no slot free while their streams run.
+ * Load pattern: requests whose prompts differ by 100 to 1 share a few hundred long documents, through many routers.
  */
 export class EngineFleet {
-	private readonly states = new Map<string, ServerState>();
+	private readonly states = new Map<string, EngineState>();
 	private readonly forgetAt = new Map<string, number>();
+	private readonly slotTimes = new Map<string, number>();
 	private readonly cache = PromptCache.create();
 	private readonly placeEmitter = Emitter.create<PlacementNotice>();
 	private readonly firstEventEmitter = Emitter.create<FirstEventNotice>();
-	private servers: readonly RegisteredServer[] = [];
-	private byService = new Map<string, RegisteredServer[]>();
+	private readonly endEmitter = Emitter.create<EndNotice>();
+	private byId = new Map<string, KnownServer>();
+	private byService = new Map<string, KnownServer[]>();
 	private nameByKey = new Map<number, string>();
 	private sequence = 0;
-	private slotTimeMs = FIRST_SLOT_TIME_MS;
 
+	/** Fires for placements that no other router knows of. */
 	public readonly onDidPlace: Event<PlacementNotice> = this.placeEmitter.event;
 	public readonly onDidReachFirstEvent: Event<FirstEventNotice> = this.firstEventEmitter.event;
+	public readonly onDidEnd: Event<EndNotice> = this.endEmitter.event;
 
 	private constructor(
 		private readonly router: string,
 		private readonly failureDomain: string,
+		private readonly keeps: (server: string) => boolean,
 	) {}
 
 	/**
 	 * @param router name of this router
 	 * @param failureDomain where it runs
+	 * @param keeps whether this router keeps the queue of a server, and so hears of all its placements
 	 * @returns a fleet without servers
 	 */
-	public static create(router: string, failureDomain: string): EngineFleet {
-		return new EngineFleet(router, failureDomain);
+	public static create(
+		router: string,
+		failureDomain: string,
+		keeps: (server: string) => boolean = () => true,
+	): EngineFleet {
+		return new EngineFleet(router, failureDomain, keeps);
 	}
 
 	/**
@@ -137,14 +144,16 @@
 	 * @param now monotonic milliseconds
 	 */
 	public setServers(servers: readonly RegisteredServer[], now: number): void {
-		this.servers = servers;
+		const known = servers.map((server) => ({ server, key: shortKey(server.id) }));
+		this.byId = new Map(known.map((item) => [item.server.id, item]));
 		this.byService = new Map();
-		for (const server of servers) {
+		for (const item of known) {
+			const { server } = item;
 			const others = this.byService.get(server.service);
 			if (others === undefined) {
-				this.byService.set(server.service, [server]);
+				this.byService.set(server.service, [item]);
 			} else {
-				others.push(server);
+				others.push(item);
 			}
 			const state = this.states.get(server.id);
 			if (state !== undefined && state.startedAt !== server.startedAt) {
@@ -152,7 +161,7 @@
 				this.cache.forgetEngine(server.id);
 			}
 			if (!this.states.has(server.id)) {
-				this.states.set(server.id, createState(server));
+				this.states.set(server.id, EngineState.create(server));
 			}
 			this.forgetAt.delete(server.id);
 		}
@@ -160,14 +169,6 @@
 		this.nameByKey = new Map([...this.states.keys()].map((id) => [shortKey(id), id]));
 	}
 
-	/**
-	 * @param service name of the service
-	 * @returns servers that may get its requests
-	 */
-	public serversOf(service: string): readonly RegisteredServer[] {
-		return this.byService.get(service) ?? [];
-	}
-
 	/**
 	 * Lists the engines that could take a prompt, the best one first.
 	 *
@@ -183,52 +184,62 @@
 		excluded: ReadonlySet<string>,
 		now: number,
 	): readonly EngineOption[] {
-		const servers = this.serversOf(service).filter(({ id }) => !excluded.has(id));
+		const known = (this.byService.get(service) ?? []).filter(({ server }) => !excluded.has(server.id));
 		const shared = work.parts.slice(0, -1);
-		const deepest = shared.at(-1)?.key;
-		const home =
-			deepest === undefined
-				? undefined
-				: rendezvous(
-						String(deepest),
-						servers.map(({ id }) => id),
-					);
-		const held = servers.map(({ id }) => this.cache.heldTokens(id, work.parts, now));
-		const mostHeld = Math.max(0, ...held);
-		return servers
-			.map((server, index) => this.optionOf(server, work, held[index] ?? 0, mostHeld, home, now))
+		const ranks = rankByHash(known, shared.at(-1) ?? work.parts.at(-1));
+		const held = known.map(({ server }, index) => this.heldTokens(server.id, work.parts, shared, ranks[index], now));
+		const mostHeldTokens = Math.max(0, ...held);
+		return known
+			.map(({ server }, index) =>
+				this.optionAt(server, work, { heldTokens: held[index] ?? 0, mostHeldTokens, rank: ranks[index] ?? 0 }, now),
+			)
 			.sort((one, other) => one.cost - other.cost);
 	}
 
+	/** @returns number for a new placement of this router */
+	public nextSequence(): number {
+		return ++this.sequence;
+	}
+
 	/**
 	 * Notes that this router sends a request to a server.
 	 *
 	 * @param option the server, as {@link options} gave it
-	 * @param work what the prompt asks; undefined for a plain request
+	 * @param work what the request asks
 	 * @param now monotonic milliseconds
+	 * @param reservation place in the queue of a server that another router keeps
 	 * @returns number of the placement
 	 */
-	public place(option: EngineOption, work: PromptWork | undefined, now: number): number {
-		const sequence = ++this.sequence;
-		const state = this.states.get(option.server.id);
-		if (state !== undefined) {
-			state.ownInProgress++;
+	public place(option: EngineOption, work: PromptWork, now: number, reservation?: Reservation): number {
+		const { id } = option.server;
+		const sequence = reservation?.sequence ?? this.nextSequence();
+		const workMs = reservation?.workMs ?? option.workMs;
+		const state = this.states.get(id);
+		state?.addOwn(workMs, reservation?.confirmed === true, now);
+		const parts = work.parts.map(({ key }) => key);
+		const shared = parts.slice(0, -1);
+		if (work.promptTokens > 0) {
+			state?.queue.place({ router: this.router, sequence }, now, workMs);
+			this.cache.record(id, parts, now);
 		}
-		if (work !== undefined && work.promptTokens > 0) {
-			const parts = work.parts.map(({ key }) => key);
-			state?.queue.place({ router: this.router, sequence }, now, option.workMs);
-			this.cache.record(option.server.id, parts, now);
-			this.placeEmitter.fire({
-				server: option.server.id,
-				sequence,
-				workMs: option.workMs,
-				parts: parts.slice(0, -1),
-				at: now,
-			});
+		if (reservation?.confirmed !== true && (work.promptTokens > 0 || !this.keeps(id))) {
+			this.placeEmitter.fire({ server: id, sequence, workMs, parts: shared, at: now });
 		}
 		return sequence;
 	}
 
+	/**
+	 * Gives back a place that was reserved and is not needed.
+	 *
+	 * @param server identifier of the server
+	 * @param sequence number of the placement
+	 * @param now monotonic milliseconds
+	 */
+	public abandonReservation(server: string, sequence: number, now: number): void {
+		this.firstEventEmitter.fire({ server, sequence, abandoned: true, at: now });
+		this.endEmitter.fire({ server, outcome: undefined });
+	}
+
 	/**
 	 * Notes the first event of a request of this router.
 	 *
@@ -237,7 +248,7 @@
 	 * @param now monotonic milliseconds
 	 */
 	public recordFirstEvent(server: string, sequence: number, now: number): void {
-		this.states.get(server)?.queue.recordFirstEvent({ router: this.router, sequence }, now);
+		this.states.get(server)?.queue.recordFirstEvent({ router: this.router, sequence }, now, this.keeps(server));
 		this.firstEventEmitter.fire({ server, sequence, abandoned: false, at: now });
 	}
 
@@ -246,22 +257,26 @@
 	 *
 	 * @param server identifier of the server
 	 * @param sequence number of the placement
-	 * @param hadFirstEvent whether {@link recordFirstEvent} was called
+	 * @param end how it ended
 	 * @param now monotonic milliseconds
-	 * @param slotTimeMs time for which the request held a slot; undefined when it did not end by itself
 	 */
-	public recordEnd(server: string, sequence: number, hadFirstEvent: boolean, now: number, slotTimeMs?: number): void {
+	public recordEnd(server: string, sequence: number, end: RequestEnd, now: number): void {
 		const state = this.states.get(server);
-		if (state !== undefined) {
-			state.ownInProgress = Math.max(0, state.ownInProgress - 1);
-		}
-		if (slotTimeMs !== undefined) {
-			this.slotTimeMs += SLOT_TIME_GAIN * (slotTimeMs - this.slotTimeMs);
+		state?.removeOwn();
+		const known = this.byId.get(server);
+		if (end.slotTimeMs !== undefined && known !== undefined) {
+			const { service } = known.server;
+			const meanMs = this.slotTimes.get(service) ?? end.slotTimeMs;
+			this.slotTimes.set(service, meanMs + SLOT_TIME_GAIN * (end.slotTimeMs - meanMs));
 		}
-		if (!hadFirstEvent) {
+		if (!end.hadFirstEvent) {
 			state?.queue.remove({ router: this.router, sequence }, now);
 			this.firstEventEmitter.fire({ server, sequence, abandoned: true, at: now });
 		}
+		if (end.outcome !== undefined) {
+			state?.outcomes.record(end.outcome, now);
+		}
+		this.endEmitter.fire({ server, outcome: end.outcome });
 	}
 
 	/**
@@ -277,6 +292,64 @@
 		return new Map([...this.states].map(([id, state]) => [id, state.ownInProgress]));
 	}
 
+	/**
+	 * @param server identifier of a server
+	 * @returns own prompts that it has not read, for a router that begins to keep its queue
+	 */
+	public unreadPlacements(server: string): readonly Omit<PlacementNotice, 'server' | 'parts'>[] {
+		const placements = this.states.get(server)?.queue.placementsOf(this.router) ?? [];
+		return placements.map(({ sequence, workMs, placedAt }) => ({ sequence, workMs, at: placedAt }));
+	}
+
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns state of the servers whose queue this router keeps, by identifier
+	 */
+	public keptReports(now: number): ReadonlyMap<string, EngineReport> {
+		const kept = [...this.byId.keys()].filter((id) => this.keeps(id));
+		return new Map(kept.flatMap((id) => [[id, this.states.get(id)?.reportOf(now)] as const]).filter(hasReport));
+	}
+
+	/**
+	 * Takes over what the keeper of a queue tells.
+	 *
+	 * @param server short key of the server
+	 * @param report its state
+	 * @param now monotonic milliseconds
+	 */
+	public applyReport(server: number, report: EngineReport, now: number): void {
+		this.stateOf(server)?.applyReport(report, now);
+	}
+
+	/**
+	 * Answers a peer that asks for a place in a queue that this router keeps. The place is taken when it is accepted.
+	 *
+	 * Load pattern: 70 routers place prompts on the same engines within milliseconds of each other, where reports of an
+	 * engine's state would be out of date when they arrive.
+	 *
+	 * @param router name of the peer
+	 * @param request what it asks
+	 * @param now monotonic milliseconds
+	 * @returns the answer; undefined for a server that this router does not know
+	 */
+	public reserve(router: string, request: ReservationRequest, now: number): ReservationAnswer | undefined {
+		const { work, sequence, limitMs, maximumLoad } = request;
+		const id = this.nameByKey.get(request.server);
+		const known = id === undefined ? undefined : this.byId.get(id);
+		const state = id === undefined ? undefined : this.states.get(id);
+		if (id === undefined || known === undefined || state === undefined) {
+			return undefined;
+		}
+		const heldTokens = this.cache.heldTokens(id, work.parts, now);
+		const option = this.optionAt(known.server, work, { heldTokens, mostHeldTokens: heldTokens, rank: 0 }, now);
+		const accepted = option.health.usable && option.waitMs <= limitMs && option.load <= maximumLoad;
+		if (accepted) {
+			const parts = work.parts.map(({ key }) => key);
+			this.applyPlacement(router, { server: request.server, sequence, workMs: option.workMs, parts }, now);
+		}
+		return { accepted, waitMs: option.waitMs, workMs: option.workMs, report: state.reportOf(now) };
+	}
+
 	/**
 	 * Takes over a placement of a peer.
 	 *
@@ -294,15 +367,17 @@
 		},
 		now: number,
 	): void {
-		const server = this.nameByKey.get(notice.server);
-		if (server === undefined) {
+		const id = this.nameByKey.get(notice.server);
+		const state = this.stateOf(notice.server);
+		if (id === undefined || state === undefined) {
 			return;
 		}
-		const state = this.states.get(server);
-		state?.queue.place({ router, sequence: notice.sequence }, now, notice.workMs);
+		if (notice.workMs > 0) {
+			state.queue.place({ router, sequence: notice.sequence }, now, notice.workMs);
+		}
 		// The next report of the peer counts the requests that have ended since.
-		state?.peersInProgress.set(router, (state.peersInProgress.get(router) ?? 0) + 1);
-		this.cache.record(server, notice.parts, now);
+		state.addPeer(router);
+		this.cache.record(id, notice.parts, now);
 	}
 
 	/**
@@ -317,7 +392,7 @@
 		notice: { readonly server: number; readonly sequence: number; readonly abandoned: boolean },
 		now: number,
 	): void {
-		const queue = this.states.get(this.nameByKey.get(notice.server) ?? '')?.queue;
+		const queue = this.stateOf(notice.server)?.queue;
 		const id = { router, sequence: notice.sequence };
 		if (notice.abandoned) {
 			queue?.remove(id, now);
@@ -326,15 +401,33 @@
 		}
 	}
 
+	/**
+	 * Takes over how a request of a peer ended.
+	 *
+	 * @param server short key of the server
+	 * @param outcome what the end says of the server
+	 * @param now monotonic milliseconds
+	 */
+	public applyOutcome(server: number, outcome: ServerOutcome, now: number): void {
+		this.stateOf(server)?.outcomes.record(outcome, now);
+	}
+
 	/**
 	 * Takes over how many requests a peer has in progress.
 	 *
 	 * @param router name of the peer
 	 * @param streams requests by short key of the server
+	 * @param isComplete whether the peer has no requests at servers that are not named
 	 */
-	public applyInProgress(router: string, streams: ReadonlyMap<number, number>): void {
-		for (const [id, state] of this.states) {
-			state.peersInProgress.set(router, streams.get(shortKey(id)) ?? 0);
+	public applyInProgress(router: string, streams: ReadonlyMap<number, number>, isComplete = true): void {
+		if (isComplete) {
+			for (const [id, state] of this.states) {
+				state.setPeer(router, streams.get(shortKey(id)) ?? 0);
+			}
+			return;
+		}
+		for (const [server, requests] of streams) {
+			this.stateOf(server)?.setPeer(router, requests);
 		}
 	}
 
@@ -346,51 +439,47 @@
 	 */
 	public removeRouter(router: string, now: number): void {
 		for (const state of this.states.values()) {
-			state.queue.removeRouter(router, now);
-			state.peersInProgress.delete(router);
+			state.removePeer(router, now);
 		}
 	}
 
-	private optionOf(
+	private stateOf(server: number): EngineState | undefined {
+		return this.states.get(this.nameByKey.get(server) ?? '');
+	}
+
+	// Where others place prompts unheard, all routers presume that the home of a document has read it.
+	private heldTokens(
+		server: string,
+		parts: readonly PromptPart[],
+		shared: readonly PromptPart[],
+		rank: number | undefined,
+		now: number,
+	): number {
+		const held = this.cache.heldTokens(server, parts, now);
+		const presumed = rank === 0 && !this.keeps(server) ? shared.reduce((sum, { tokens }) => sum + tokens, 0) : 0;
+		return Math.max(held, presumed);
+	}
+
+	private optionAt(
 		server: RegisteredServer,
 		work: PromptWork,
-		heldTokens: number,
-		mostHeld: number,
-		home: string | undefined,
+		holding: { readonly heldTokens: number; readonly mostHeldTokens: number; readonly rank: number },
 		now: number,
 	): EngineOption {
-		const state = this.states.get(server.id) ?? createState(server);
-		const inProgress = state.ownInProgress + sum(state.peersInProgress.values());
-		const workMs = work.promptTokens > 0 ? readingTimeMs(work.promptTokens, heldTokens) : 0;
-		const rereadTokens = Math.max(0, mostHeld - heldTokens);
-		const waitMs = state.queue.waitMs(now) + this.slotWaitMs(server, work, inProgress);
-		const readMs = workMs * state.queue.pace;
-		const health = state.outcomes.health(now);
-		const pauses =
-			streamPauseMs(work.promptTokens, heldTokens, work.tokensPerEvent) * state.queue.pace >
-			HARMFUL_PAUSE_OF_AIM * work.pauseAimMs;
-		const cost =
-			waitMs +
-			readMs +
-			REREAD_WEIGHT * readingTimeMs(rereadTokens, 0) * Math.min(1, rereadTokens) +
-			(FULL_BATCH_COST_MS * inProgress) / server.slots +
-			(pauses ? HARMFUL_PAUSE_COST_MS * inProgress : 0) +
-			health.penaltyMs -
-			(server.id === home && mostHeld === 0 ? HOME_BONUS_MS : 0) -
-			(server.failureDomain === this.failureDomain ? SAME_DOMAIN_BONUS_MS : 0);
-		return { server, waitMs, readMs, workMs, rereadTokens, inProgress, load: state.queue.load(now), cost, health };
-	}
-
-	// Engines of a small batch have no slot free long before their prompts are read.
-	private slotWaitMs(server: RegisteredServer, work: PromptWork, inProgress: number): number {
-		const excess = inProgress + 1 - server.slots;
-		return work.promptTokens > 0 && excess > 0 ? (excess * this.slotTimeMs) / server.slots : 0;
+		const state = this.states.get(server.id) ?? EngineState.create(server);
+		const firstSlotTimeMs = work.promptTokens > 0 ? FIRST_STREAM_SLOT_TIME_MS : FIRST_PLAIN_SLOT_TIME_MS;
+		return optionOf(work, {
+			server,
+			view: state.view(this.keeps(server.id), now),
+			...holding,
+			isNear: server.failureDomain === this.failureDomain,
+			slotTimeMs: this.slotTimes.get(server.service) ?? firstSlotTimeMs,
+		});
 	}
 
 	private forgetUnregistered(now: number): void {
-		const registered = new Set(this.servers.map(({ id }) => id));
 		for (const id of this.states.keys()) {
-			if (registered.has(id)) {
+			if (this.byId.has(id)) {
 				continue;
 			}
 			const at = this.forgetAt.get(id);
@@ -405,20 +494,18 @@
 	}
 }
 
-function createState(server: RegisteredServer): ServerState {
-	return {
-		queue: EngineQueue.create(),
-		outcomes: ServerOutcomes.create(),
-		ownInProgress: 0,
-		peersInProgress: new Map(),
-		startedAt: server.startedAt,
-	};
+// All routers agree on the order for a document without talking to each other.
+function rankByHash(known: readonly KnownServer[], part: PromptPart | undefined): readonly number[] {
+	if (part === undefined) {
+		return known.map(() => 1);
+	}
+	const weights = known.map(({ key }) => rendezvousWeight(part.key, key));
+	const descending = weights.map((_, index) => index).sort((one, other) => (weights[other] ?? 0) - (weights[one] ?? 0));
+	const ranks = new Array<number>(known.length);
+	descending.forEach((index, rank) => (ranks[index] = rank));
+	return ranks;
 }
 
-function sum(values: Iterable<number>): number {
-	let total = 0;
-	for (const value of values) {
-		total += value;
-	}
-	return total;
+function hasReport(entry: readonly [string, EngineReport | undefined]): entry is [string, EngineReport] {
+	return entry[1] !== undefined;
 }
--- a/src/engines/common/engineQueue.ts
+++ b/src/engines/common/engineQueue.ts
@@ -6,7 +6,8 @@
 	readonly sequence: number;
 }
 
-interface Placement extends PlacementId {
+/** A prompt that an engine has not begun, or is reading. */
+export interface QueuedPlacement extends PlacementId {
 	readonly placedAt: number;
 	readonly workMs: number;
 }
@@ -35,7 +36,7 @@
  * Load pattern: bursts of long prompts from several routers at once, on which a count of requests says little.
  */
 export class EngineQueue {
-	private placements: Placement[] = [];
+	private placements: QueuedPlacement[] = [];
 	private busyUntil = 0;
 	private lastProgressAt = 0;
 	private currentPace = 1;
@@ -59,6 +60,14 @@
 		return this.placements.length;
 	}
 
+	/**
+	 * @param router name of a router
+	 * @returns its prompts whose first event has not been seen, in their order
+	 */
+	public placementsOf(router: string): readonly QueuedPlacement[] {
+		return this.placements.filter((item) => item.router === router);
+	}
+
 	/**
 	 * @param now monotonic milliseconds
 	 * @returns milliseconds until a prompt placed now is begun
@@ -82,13 +91,16 @@
 	}
 
 	/**
-	 * Adds a prompt.
+	 * Adds a prompt; one that is known already is left as it is.
 	 *
 	 * @param id of the placement
 	 * @param now monotonic milliseconds
 	 * @param workMs nominal time to read the prompt
 	 */
 	public place(id: PlacementId, now: number, workMs: number): void {
+		if (this.placements.some((item) => isSame(item, id))) {
+			return;
+		}
 		this.load(now);
 		this.placements.push({ ...id, placedAt: now, workMs });
 		this.busyUntil = Math.max(this.busyUntil, now) + workMs * this.currentPace;
@@ -99,15 +111,18 @@
 	 *
 	 * @param id of the placement
 	 * @param now monotonic milliseconds
+	 * @param isComplete whether the placements of all routers are known, so that the engine's pace shows
 	 */
-	public recordFirstEvent(id: PlacementId, now: number): void {
+	public recordFirstEvent(id: PlacementId, now: number, isComplete = true): void {
 		const index = this.placements.findIndex((item) => isSame(item, id));
 		const placement = this.placements[index];
 		if (placement === undefined) {
 			return;
 		}
 		this.load(now);
-		this.learnPace(placement, index, now);
+		if (isComplete) {
+			this.learnPace(placement, index, now);
+		}
 		this.lastProgressAt = now;
 		this.placements.splice(0, index + 1);
 		this.busyUntil = now + this.remainingWorkMs() * this.currentPace;
@@ -139,7 +154,7 @@
 	}
 
 	// The time since the engine's last sign of progress was spent on the prompts that this event ends, if it had them all.
-	private learnPace(placement: Placement, index: number, now: number): void {
+	private learnPace(placement: QueuedPlacement, index: number, now: number): void {
 		const work = this.placements.slice(0, index + 1).reduce((sum, { workMs }) => sum + workMs, 0);
 		const first = this.placements[0] ?? placement;
 		const since = Math.max(this.lastProgressAt, first.placedAt);
--- /dev/null
+++ b/src/engines/common/engineState.ts
@@ -0,0 +1,172 @@
+import type { RegisteredServer } from './directory.js';
+import { EngineQueue } from './engineQueue.js';
+import { type EngineHealth, ServerOutcomes } from './serverOutcomes.js';
+
+/** What the router that keeps the queue of a server tells of it. */
+export interface EngineReport {
+	/** Milliseconds until a prompt placed now is begun. */
+	readonly waitMs: number;
+	/** Time the engine takes for work, relative to the nominal time. */
+	readonly pace: number;
+	/** Part of the last second in which the engine read prompts, from 0 to 1. */
+	readonly load: number;
+	/** Requests in progress, of all routers. */
+	readonly inProgress: number;
+	/** Part of recent requests that failed, from 0 to 1. */
+	readonly failureRate: number;
+	/** Milliseconds for which the server is left out. */
+	readonly suspendedMs: number;
+}
+
+/** What a router takes a server's state to be. */
+export interface EngineView {
+	readonly waitMs: number;
+	readonly pace: number;
+	readonly load: number;
+	readonly inProgress: number;
+	readonly health: EngineHealth;
+}
+
+/** A report that was not renewed for this long says nothing: its keeper or the way to it has failed. */
+const REPORT_VALID_MS = 2_500;
+
+interface ReceivedReport extends EngineReport {
+	readonly receivedAt: number;
+}
+
+/** What this router knows of one backend server. */
+export class EngineState {
+	public readonly queue = EngineQueue.create();
+	public readonly outcomes = ServerOutcomes.create();
+	private own = 0;
+	private readonly peers = new Map<string, number>();
+	private report: ReceivedReport | undefined;
+
+	private constructor(public readonly startedAt: number | undefined) {}
+
+	/**
+	 * @param server as it is registered
+	 * @returns the state of a server that was not used yet
+	 */
+	public static create(server: RegisteredServer): EngineState {
+		return new EngineState(server.startedAt);
+	}
+
+	/** Requests of this router in progress. */
+	public get ownInProgress(): number {
+		return this.own;
+	}
+
+	/**
+	 * @param keeps whether this router keeps the queue, and so hears of all placements
+	 * @param now monotonic milliseconds
+	 * @returns what is known of the server
+	 */
+	public view(keeps: boolean, now: number): EngineView {
+		const health = this.outcomes.health(now);
+		const report = keeps ? undefined : this.validReport(now);
+		if (report === undefined) {
+			return {
+				waitMs: this.queue.waitMs(now),
+				pace: this.queue.pace,
+				load: this.queue.load(now),
+				inProgress: this.own + (keeps ? sum(this.peers.values()) : 0),
+				health,
+			};
+		}
+		const ageMs = now - report.receivedAt;
+		return {
+			waitMs: Math.max(0, report.waitMs - ageMs, this.queue.waitMs(now)),
+			pace: report.pace,
+			load: report.load,
+			inProgress: Math.max(this.own, report.inProgress),
+			health: {
+				usable: health.usable && ageMs >= report.suspendedMs,
+				failureRate: Math.max(health.failureRate, report.failureRate),
+			},
+		};
+	}
+
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns what the keeper of the queue tells other routers
+	 */
+	public reportOf(now: number): EngineReport {
+		const { waitMs, pace, load, inProgress, health } = this.view(true, now);
+		return {
+			waitMs,
+			pace,
+			load,
+			inProgress,
+			failureRate: health.failureRate,
+			suspendedMs: this.outcomes.suspendedMs(now),
+		};
+	}
+
+	/**
+	 * @param report of the router that keeps the queue
+	 * @param now monotonic milliseconds
+	 */
+	public applyReport(report: EngineReport, now: number): void {
+		this.report = { ...report, receivedAt: now };
+	}
+
+	/**
+	 * Counts a request of this router.
+	 *
+	 * @param workMs nominal time to read its prompt
+	 * @param isReported whether the last report of the keeper includes it
+	 * @param now monotonic milliseconds
+	 */
+	public addOwn(workMs: number, isReported: boolean, now: number): void {
+		this.own++;
+		const report = this.validReport(now);
+		if (report !== undefined && !isReported) {
+			const waitMs = Math.max(0, report.waitMs - (now - report.receivedAt)) + workMs * report.pace;
+			this.report = { ...report, waitMs, inProgress: report.inProgress + 1, receivedAt: now };
+		}
+	}
+
+	/** Counts the end of a request of this router. */
+	public removeOwn(): void {
+		this.own = Math.max(0, this.own - 1);
+		if (this.report !== undefined) {
+			this.report = { ...this.report, inProgress: Math.max(0, this.report.inProgress - 1) };
+		}
+	}
+
+	/** @param router that has begun a request */
+	public addPeer(router: string): void {
+		this.peers.set(router, (this.peers.get(router) ?? 0) + 1);
+	}
+
+	/**
+	 * @param router name of a peer
+	 * @param requests that it has in progress
+	 */
+	public setPeer(router: string, requests: number): void {
+		this.peers.set(router, requests);
+	}
+
+	/**
+	 * @param router name of a peer that has ended
+	 * @param now monotonic milliseconds
+	 */
+	public removePeer(router: string, now: number): void {
+		this.queue.removeRouter(router, now);
+		this.peers.delete(router);
+	}
+
+	private validReport(now: number): ReceivedReport | undefined {
+		const { report } = this;
+		return report !== undefined && now - report.receivedAt <= REPORT_VALID_MS ? report : undefined;
+	}
+}
+
+function sum(values: Iterable<number>): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+	return total;
+}
--- /dev/null
+++ b/src/engines/common/queueReservations.ts
@@ -0,0 +1,31 @@
+import { Effect } from 'effect';
+import type { EngineOption, PromptWork } from './engineChoice.js';
+import type { Reservation } from './engineFleet.js';
+
+/** Answer to a request for a place in the queue of a server. */
+export type ReservationResult =
+	| { readonly kind: 'kept-here' }
+	| { readonly kind: 'reserved'; readonly reservation: Reservation }
+	| { readonly kind: 'declined' };
+
+/** On which terms a place is wanted. */
+export interface ReservationTerms {
+	/** Longest wait in milliseconds. */
+	readonly limitMs: number;
+	/** Highest load of the server, from 0 to 1. */
+	readonly maximumLoad: number;
+}
+
+/** Takes places in queues that other routers keep. */
+export interface IQueueReservations {
+	/**
+	 * @param option the server
+	 * @param work what the request asks of it
+	 * @param terms on which the place is wanted
+	 * @returns the place; when it is declined, what the keeper told of the server is known to later choices
+	 */
+	reserve(option: EngineOption, work: PromptWork, terms: ReservationTerms): Effect.Effect<ReservationResult>;
+}
+
+/** For routers that keep all queues themselves. */
+export const allQueuesKeptHere: IQueueReservations = { reserve: () => Effect.succeed({ kind: 'kept-here' }) };
--- a/src/engines/common/serverOutcomes.ts
+++ b/src/engines/common/serverOutcomes.ts
@@ -7,8 +7,6 @@
 	readonly usable: boolean;
 	/** Part of recent requests that failed, from 0 to 1. */
 	readonly failureRate: number;
-	/** What the failures cost in the order of preference, as milliseconds of waiting. */
-	readonly penaltyMs: number;
 }
 
 /** Weight of one request in the failure rate. */
@@ -17,9 +15,6 @@
 /** Old failures lose their weight with this time constant, so that a recovered server is tried again. */
 const FORGET_MS = 4_000;
 
-/** A request that fails has cost its caller about this much waiting. */
-const FAILURE_COST_MS = 1_500;
-
 /** Time for which an unreachable server is left out; it doubles while it stays unreachable. */
 const FIRST_SUSPENSION_MS = 400;
 const LONGEST_SUSPENSION_MS = 3_000;
@@ -78,11 +73,15 @@
 	 */
 	public health(now: number): EngineHealth {
 		this.decay(now);
-		return {
-			usable: now >= this.suspendedUntil,
-			failureRate: this.failureRate,
-			penaltyMs: this.failureRate * FAILURE_COST_MS,
-		};
+		return { usable: now >= this.suspendedUntil, failureRate: this.failureRate };
+	}
+
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns milliseconds for which the server is still left out
+	 */
+	public suspendedMs(now: number): number {
+		return Math.max(0, this.suspendedUntil - now);
 	}
 
 	private decay(now: number): void {
--- a/src/engines/test/engineFleet.test.ts
+++ b/src/engines/test/engineFleet.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, test } from '@jest/globals';
 import { shortKey } from '../../base/common/shortKey.js';
 import type { RegisteredServer } from '../common/directory.js';
-import { EngineFleet, type PromptWork } from '../common/engineFleet.js';
+import type { PromptWork } from '../common/engineChoice.js';
+import { EngineFleet } from '../common/engineFleet.js';
 import { readingTimeMs, streamPauseMs } from '../common/readingTime.js';
 
 const SERVICE = 'drafts';
--- /dev/null
+++ b/src/engines/test/queueReservation.test.ts
@@ -0,0 +1,201 @@
+import { describe, expect, test } from '@jest/globals';
+import { shortKey } from '../../base/common/shortKey.js';
+import type { RegisteredServer } from '../common/directory.js';
+import type { EngineOption, PromptWork } from '../common/engineChoice.js';
+import { EngineFleet, type Reservation } from '../common/engineFleet.js';
+
+const ENGINES = 6;
+const ROUTERS = 40;
+const SERVICE = 'drafts';
+const REPORT_INTERVAL_MS = 500;
+
+/** Arrivals in a millisecond that keep the engines busy for about 70 % of the time. */
+const ARRIVALS_PER_MS = 0.065;
+const WORK_TOKENS = 3_600;
+const LIMIT_MS = 300;
+
+function engine(id: string): RegisteredServer {
+	return {
+		id,
+		service: SERVICE,
+		address: '10.0.0.1:80',
+		failureDomain: 'a',
+		slots: 64,
+		leaving: false,
+		startedAt: 1,
+	};
+}
+
+const engineIds = Array.from({ length: ENGINES }, (_, index) => `engine-${index}`);
+const keeperOf = (server: string): number => engineIds.indexOf(server);
+
+function fleetOf(router: number): EngineFleet {
+	const fleet = EngineFleet.create(`router-${router}`, 'a', (server) => keeperOf(server) === router);
+	fleet.setServers(engineIds.map(engine), 0);
+	return fleet;
+}
+
+/** Numbers from 0 to 1 that are the same in each run. */
+function randomNumbers(seed: number): () => number {
+	let state = seed;
+	return () => {
+		state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+		return state / 0x1_0000_0000;
+	};
+}
+
+interface EndOfPrompt {
+	readonly at: number;
+	readonly router: number;
+	readonly server: string;
+	readonly sequence: number;
+}
+
+/**
+ * Replays prompts that arrive at random routers, at engines that read them one after the other.
+ *
+ * @param asksKeepers whether routers ask the keeper of a queue, or go by its last report only
+ * @returns how long the prompts waited at their engines, in ascending order, in milliseconds
+ */
+function waitsOf(asksKeepers: boolean): readonly number[] {
+	const random = randomNumbers(7);
+	const fleets = Array.from({ length: ROUTERS }, (_, router) => fleetOf(router));
+	const busyUntil = new Map<string, number>();
+	let ends: EndOfPrompt[] = [];
+	const waits: number[] = [];
+	let prompts = 0;
+
+	const report = (now: number): void => {
+		for (const keeper of fleets) {
+			for (const [server, state] of keeper.keptReports(now)) {
+				fleets.forEach((fleet) => fleet.applyReport(shortKey(server), state, now));
+			}
+		}
+	};
+	const finish = (now: number): void => {
+		for (const { at, router, server, sequence } of ends.filter((end) => end.at <= now)) {
+			fleets[router]?.recordFirstEvent(server, sequence, at);
+			fleets[router]?.recordEnd(
+				server,
+				sequence,
+				{ hadFirstEvent: true, slotTimeMs: undefined, outcome: 'answered' },
+				at,
+			);
+			const notice = { server: shortKey(server), sequence, abandoned: false };
+			fleets[keeperOf(server)]?.applyFirstEvent(`router-${router}`, notice, at);
+			fleets[keeperOf(server)]?.applyInProgress(`router-${router}`, new Map([[shortKey(server), 0]]), false);
+		}
+		ends = ends.filter((end) => end.at > now);
+	};
+	const reserve = (
+		fleet: EngineFleet,
+		router: number,
+		option: EngineOption,
+		work: PromptWork,
+		now: number,
+	): Reservation | undefined => {
+		const sequence = fleet.nextSequence();
+		const limitMs = Math.min(LIMIT_MS, option.waitMs + 40);
+		const request = { server: shortKey(option.server.id), sequence, work, limitMs, maximumLoad: 1 };
+		const answer = fleets[keeperOf(option.server.id)]?.reserve(`router-${router}`, request, now);
+		if (answer === undefined) {
+			throw new Error('the keeper does not know its engine');
+		}
+		fleet.applyReport(request.server, answer.report, now);
+		return answer.accepted ? { sequence, confirmed: true, waitMs: answer.waitMs, workMs: answer.workMs } : undefined;
+	};
+	const arrive = (router: number, now: number): void => {
+		const fleet = fleets[router];
+		const work: PromptWork = {
+			parts: [{ key: shortKey(`prompt ${++prompts}`), tokens: WORK_TOKENS }],
+			promptTokens: WORK_TOKENS,
+			tokensPerEvent: 5,
+			pauseAimMs: Infinity,
+		};
+		for (let choice = 0; choice < 4 && fleet !== undefined; choice++) {
+			const [option] = fleet.options(SERVICE, work, new Set(), now);
+			if (option === undefined) {
+				return;
+			}
+			const isOwn = keeperOf(option.server.id) === router;
+			const reservation = asksKeepers && !isOwn ? reserve(fleet, router, option, work, now) : undefined;
+			if (asksKeepers && !isOwn && reservation === undefined) {
+				continue;
+			}
+			const sequence = fleet.place(option, work, now, reservation);
+			const begin = Math.max(now, busyUntil.get(option.server.id) ?? 0);
+			const end = begin + option.workMs;
+			busyUntil.set(option.server.id, end);
+			waits.push(begin - now);
+			ends.push({ at: end, router, server: option.server.id, sequence });
+			return;
+		}
+	};
+
+	for (let now = 0; now < 8_000; now++) {
+		finish(now);
+		if (now % REPORT_INTERVAL_MS === 0) {
+			report(now);
+		}
+		if (random() < ARRIVALS_PER_MS) {
+			arrive(Math.floor(random() * ROUTERS), now);
+		}
+	}
+	return waits.sort((one, other) => one - other);
+}
+
+function quantile(values: readonly number[], part: number): number {
+	return values[Math.floor(values.length * part)] ?? NaN;
+}
+
+describe('places in the queue of an engine', () => {
+	// With reports alone, 70 routers sent the prompts of half a second to the engine that had looked idle.
+	test('are given out by one router while 40 place prompts', () => {
+		const byReport = waitsOf(false);
+		const byKeeper = waitsOf(true);
+		expect(quantile(byReport, 0.9)).toBeGreaterThan(200);
+		expect(quantile(byKeeper, 0.9)).toBeLessThan(120);
+		expect(quantile(byKeeper, 0.99)).toBeLessThan(LIMIT_MS);
+	});
+
+	test('are declined beyond the limit, which the asking router then knows', () => {
+		const keeper = fleetOf(0);
+		const asking = fleetOf(9);
+		const work: PromptWork = {
+			parts: [{ key: 1, tokens: 30_000 }],
+			promptTokens: 30_000,
+			tokensPerEvent: 5,
+			pauseAimMs: Infinity,
+		};
+		const request = { server: shortKey('engine-0'), work, limitMs: 100, maximumLoad: 1 };
+		const first = keeper.reserve('router-9', { ...request, sequence: 1 }, 0);
+		const second = keeper.reserve('router-9', { ...request, sequence: 2 }, 0);
+		expect([first?.accepted, second?.accepted]).toEqual([true, false]);
+		if (second !== undefined) {
+			asking.applyReport(shortKey('engine-0'), second.report, 0);
+		}
+		const seen = asking.options(SERVICE, work, new Set(), 0).find(({ server }) => server.id === 'engine-0');
+		expect(seen?.waitMs).toBeGreaterThan(400);
+	});
+
+	test('that are asked for twice count once', () => {
+		const keeper = fleetOf(0);
+		const parts = [{ key: 1, tokens: 30_000 }];
+		const work: PromptWork = { parts, promptTokens: 30_000, tokensPerEvent: 5, pauseAimMs: Infinity };
+		const server = shortKey('engine-0');
+		keeper.reserve('router-9', { server, sequence: 1, work, limitMs: 100, maximumLoad: 1 }, 0);
+		const before = keeper.keptReports(0).get('engine-0')?.waitMs;
+		keeper.applyPlacement('router-9', { server, sequence: 1, workMs: 600, parts: [] }, 0);
+		expect(keeper.keptReports(0).get('engine-0')?.waitMs).toBe(before);
+	});
+
+	// The other routers went on sending to a server that one of them had found unreachable.
+	test('are not given out at a server that a peer could not reach', () => {
+		const keeper = fleetOf(0);
+		const work: PromptWork = { parts: [], promptTokens: 100, tokensPerEvent: 5, pauseAimMs: Infinity };
+		keeper.applyOutcome(shortKey('engine-0'), 'unreachable', 0);
+		const request = { server: shortKey('engine-0'), sequence: 1, work, limitMs: 100, maximumLoad: 1 };
+		expect(keeper.reserve('router-9', request, 100)?.accepted).toBe(false);
+		expect(keeper.reserve('router-9', request, 500)?.accepted).toBe(true);
+	});
+});
--- /dev/null
+++ b/src/fleet/common/fleetOutbox.ts
@@ -0,0 +1,183 @@
+import { shortKey } from '../../base/common/shortKey.js';
+import type {
+	EndNotice,
+	FirstEventNotice,
+	PlacementNotice,
+	ReservationRequest,
+} from '../../engines/common/engineFleet.js';
+import type { EngineReport } from '../../engines/common/engineState.js';
+import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
+import * as wire from './generated/masticloom/fleet/v1/fleet.js';
+
+/** Lists beyond this are split over datagrams, since one that the network splits is lost when one piece is. */
+const LARGEST_LIST = 30;
+
+const HUNDREDTHS = 100;
+
+const OUTCOMES: ReadonlyMap<ServerOutcome, wire.Outcome> = new Map([
+	['answered', wire.Outcome.OUTCOME_ANSWERED],
+	['failed', wire.Outcome.OUTCOME_FAILED],
+	['refused', wire.Outcome.OUTCOME_REFUSED],
+	['unreachable', wire.Outcome.OUTCOME_UNREACHABLE],
+	['silent', wire.Outcome.OUTCOME_SILENT],
+]);
+
+/** What waits to be sent to one router or to all. */
+export class FleetOutbox {
+	/** Monotonic milliseconds. */
+	public lastSentAt = 0;
+	public lastUsageAt = 0;
+	private readonly placements: PlacementNotice[] = [];
+	private readonly firstEvents: FirstEventNotice[] = [];
+	private readonly crashes: wire.CrashNotice[] = [];
+	private readonly reservations: wire.ReservationRequest[] = [];
+	private readonly answers: wire.ReservationAnswer[] = [];
+	private readonly outcomes: wire.EngineOutcome[] = [];
+	private readonly servers = new Set<string>();
+	private timer: NodeJS.Timeout | undefined;
+
+	private constructor(private readonly flush: (outbox: FleetOutbox) => void) {}
+
+	/**
+	 * @param flush sends what waits
+	 * @returns an empty outbox
+	 */
+	public static create(flush: (outbox: FleetOutbox) => void): FleetOutbox {
+		return new FleetOutbox(flush);
+	}
+
+	/** Whether events wait that did not fit into the last datagram. */
+	public get hasEvents(): boolean {
+		return this.placements.length > 0 || this.firstEvents.length > 0 || this.outcomes.length > 0;
+	}
+
+	public addPlacement(notice: PlacementNotice): void {
+		this.placements.push(notice);
+		this.servers.add(notice.server);
+	}
+
+	public addFirstEvent(notice: FirstEventNotice): void {
+		this.firstEvents.push(notice);
+	}
+
+	public addEnd({ server, outcome }: EndNotice): void {
+		this.servers.add(server);
+		if (outcome !== undefined) {
+			this.outcomes.push({
+				engine: shortKey(server),
+				outcome: OUTCOMES.get(outcome) ?? wire.Outcome.OUTCOME_UNSPECIFIED,
+			});
+		}
+	}
+
+	/** @param notice a request that ends servers */
+	public addCrash(notice: wire.CrashNotice): void {
+		this.crashes.push(notice);
+	}
+
+	/** @param request asks for a place in a queue */
+	public addReservation(request: ReservationRequest): void {
+		const { work } = request;
+		this.reservations.push({
+			engine: request.server,
+			sequence: request.sequence,
+			promptTokens: work.promptTokens,
+			parts: work.parts.map(({ key }) => key),
+			partTokens: work.parts.map(({ tokens }) => tokens),
+			tokensPerEvent: work.tokensPerEvent,
+			pauseAimMs: Number.isFinite(work.pauseAimMs) ? Math.round(work.pauseAimMs) : 0,
+			limitMs: Math.max(0, Math.round(request.limitMs)),
+			maximumLoad: Math.round(request.maximumLoad * HUNDREDTHS),
+		});
+	}
+
+	/** @param answer to a request for a place */
+	public addAnswer(answer: wire.ReservationAnswer): void {
+		this.answers.push(answer);
+	}
+
+	/** @param delayMs milliseconds after which what waits is sent, unless that is due earlier */
+	public schedule(delayMs: number): void {
+		this.timer ??= setTimeout(() => this.flush(this), delayMs);
+	}
+
+	/** Forgets that sending is due. */
+	public cancel(): void {
+		clearTimeout(this.timer);
+		this.timer = undefined;
+	}
+
+	/**
+	 * Moves what waits into a datagram.
+	 *
+	 * @param state the datagram
+	 * @param ownInProgress requests in progress at a server
+	 * @param now monotonic milliseconds
+	 */
+	public moveTo(state: wire.RouterState, ownInProgress: (server: string) => number, now: number): void {
+		const ageMs = (at: number): number => Math.max(0, Math.round(now - at));
+		state.placements = this.placements.splice(0, LARGEST_LIST).map(({ server, sequence, workMs, parts, at }) => ({
+			engine: shortKey(server),
+			sequence,
+			workMs: Math.round(workMs),
+			parts: [...parts],
+			ageMs: ageMs(at),
+		}));
+		state.firstEvents = this.firstEvents.splice(0, LARGEST_LIST).map(({ server, sequence, abandoned, at }) => ({
+			engine: shortKey(server),
+			sequence,
+			abandoned,
+			ageMs: ageMs(at),
+		}));
+		state.crashes = this.crashes.splice(0, LARGEST_LIST);
+		state.reservations = this.reservations.splice(0, LARGEST_LIST);
+		state.answers = this.answers.splice(0, LARGEST_LIST);
+		state.outcomes = this.outcomes.splice(0, LARGEST_LIST);
+		state.streams = [...this.servers].map((server) => ({ engine: shortKey(server), requests: ownInProgress(server) }));
+		this.servers.clear();
+	}
+}
+
+/**
+ * @param request as it arrived
+ * @returns what a peer asks
+ */
+export function decodeReservation(request: wire.ReservationRequest): ReservationRequest {
+	return {
+		server: request.engine,
+		sequence: request.sequence,
+		work: {
+			parts: request.parts.map((key, index) => ({ key, tokens: request.partTokens[index] ?? 0 })),
+			promptTokens: request.promptTokens,
+			tokensPerEvent: request.tokensPerEvent,
+			pauseAimMs: request.pauseAimMs > 0 ? request.pauseAimMs : Infinity,
+		},
+		limitMs: request.limitMs,
+		maximumLoad: request.maximumLoad / HUNDREDTHS,
+	};
+}
+
+/**
+ * @param server short key
+ * @param report its state
+ * @returns the report as it is sent
+ */
+export function encodeReport(server: number, report: EngineReport): wire.EngineReport {
+	return {
+		engine: server,
+		waitMs: Math.round(report.waitMs),
+		pace: report.pace,
+		load: report.load,
+		inProgress: report.inProgress,
+		failureRate: report.failureRate,
+		suspendedMs: Math.round(report.suspendedMs),
+	};
+}
+
+/**
+ * @param outcome as it arrived
+ * @returns how a request ended; undefined when a newer version of the product tells something unknown
+ */
+export function decodeOutcome(outcome: wire.Outcome): ServerOutcome | undefined {
+	return [...OUTCOMES].find(([, value]) => value === outcome)?.[0];
+}
--- a/src/fleet/common/fleetTiming.ts
+++ b/src/fleet/common/fleetTiming.ts
@@ -4,13 +4,21 @@
 /** Delay for each peer that events are sent to, so that a router sends some 350 datagrams a second at most. */
 export const FLUSH_DELAY_PER_PEER_MS = 3;
 
-/** In a fleet of more routers, peers in other failure domains get events later: bytes between domains are dear. */
+/** In a larger fleet a message to all routers for each request costs more than the request itself. */
 export const SMALL_FLEET_ROUTERS = 16;
-export const FAR_FLUSH_DELAY_MS = 400;
+
+/** First events and ends are told to the keeper of a queue together after this time: a tenth of a short prompt's wait. */
+export const KEEPER_NOTICE_DELAY_MS = 15;
+
+/**
+ * A keeper answers within two trips of a millisecond and one turn of its event loop. Processes that have used up their
+ * share of a core are late by up to 70 ms, which is longer than deciding by an older report costs.
+ */
+export const RESERVATION_TIMEOUT_MS = 40;
 
 /** Usage of accounts changes over a window of seconds. */
 export const LEAST_USAGE_INTERVAL_MS = 200;
-export const USAGE_INTERVAL_PER_PEER_MS = 8;
+export const USAGE_INTERVAL_PER_PEER_MS = 14;
 
 /** Without anything else to say, a router shows this often that it lives. */
 export const HEARTBEAT_INTERVAL_MS = 500;
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -6,46 +6,28 @@
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { EngineFleet } from '../../engines/common/engineFleet.js';
+import type { EngineFleet, ReservationRequest } from '../../engines/common/engineFleet.js';
 import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
 import { readAddress } from '../../settings/node/values.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
+import { decodeOutcome, decodeReservation, encodeReport, FleetOutbox } from '../common/fleetOutbox.js';
 import {
-	FAR_FLUSH_DELAY_MS,
 	FLUSH_DELAY_PER_PEER_MS,
 	HEARTBEAT_INTERVAL_MS,
+	KEEPER_NOTICE_DELAY_MS,
 	LEAST_FLUSH_DELAY_MS,
 	LEAST_USAGE_INTERVAL_MS,
 	LOST_PEER_INTERVAL_MS,
 	LOST_PEER_KEPT_MS,
 	PEER_SILENCE_MS,
-	SMALL_FLEET_ROUTERS,
 	USAGE_INTERVAL_PER_PEER_MS,
 } from '../common/fleetTiming.js';
-import {
-	type CrashNotice,
-	type FirstEvent,
-	type Placement,
-	RouterState,
-} from '../common/generated/masticloom/fleet/v1/fleet.js';
+import { type ReservationAnswer, RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
+import type { FleetDuties } from '../common/fleetDuties.js';
 
 /** Largest number that a random incarnation can have. */
 const INCARNATION_LIMIT = 2 ** 47;
 
-/** A datagram above this size is split by the network, and lost when one piece is. */
-const LARGEST_EVENTS_PER_DATAGRAM = 30;
-
-/** What waits to be sent to some of the peers. */
-interface Outbox {
-	readonly placements: { readonly notice: Omit<Placement, 'ageMs'>; readonly at: number }[];
-	readonly firstEvents: { readonly notice: Omit<FirstEvent, 'ageMs'>; readonly at: number }[];
-	readonly crashes: CrashNotice[];
-	timer: NodeJS.Timeout | undefined;
-	lastSentAt: number;
-	lastUsageAt: number;
-	lastLostSendAt: number;
-}
-
 /** Another router, as its datagrams describe it. */
 export interface FleetPeer {
 	readonly instance: string;
@@ -80,6 +62,8 @@
 	/** Newest change that is known, by followed prefix. */
 	readonly followedRevisions: () => readonly number[];
 	readonly suspects: CrashSuspects;
+	/** Which router keeps the queue of a server. */
+	readonly duties: FleetDuties;
 	/** Monotonic milliseconds since which this router has read the registrations; undefined while it cannot. */
 	readonly contactSince: () => number | undefined;
 }
@@ -93,14 +77,18 @@
 	private readonly peersByName = new Map<string, FleetPeer>();
 	private readonly changeEmitter = this.register(Emitter.create<FleetPeer>());
 	private readonly socket: Socket = createSocket('udp4');
-	private readonly near = createOutbox();
-	private readonly far = createOutbox();
+	private readonly answerEmitter = this.register(Emitter.create<ReservationAnswer>());
+	private readonly broadcast = FleetOutbox.create(() => this.flushToAll());
+	private readonly outboxes = new Map<string, FleetOutbox>();
+	private lastLostSendAt = 0;
 	private sequence = 0;
 	private leaving = false;
 	private sent = 0;
 
 	/** Fires at each datagram of a peer, and when a peer is lost. */
 	public readonly onDidHear = this.changeEmitter.event;
+	/** Fires when a keeper answers a request for a place. */
+	public readonly onDidAnswerReservation = this.answerEmitter.event;
 
 	private constructor(
 		private readonly identity: FleetIdentity,
@@ -111,30 +99,32 @@
 		super();
 		this.register(
 			toDisposable(() => {
-				clearTimeout(this.near.timer);
-				clearTimeout(this.far.timer);
+				this.broadcast.cancel();
+				this.outboxes.forEach((outbox) => outbox.cancel());
 				this.socket.close();
 			}),
 		);
 		const timer = setInterval(() => this.tick(), HEARTBEAT_INTERVAL_MS / 2);
 		this.register(toDisposable(() => clearInterval(timer)));
+		const { engines, suspects } = state;
+		this.register(engines.onDidPlace((notice) => this.tell(notice.server, (outbox) => outbox.addPlacement(notice))));
 		this.register(
-			state.engines.onDidPlace(({ server, sequence, workMs, parts, at }) => {
-				const notice = { engine: shortKey(server), sequence, workMs: Math.round(workMs), parts: [...parts] };
-				this.post((outbox) => outbox.placements.push({ notice, at }));
-			}),
+			engines.onDidReachFirstEvent((notice) => this.tell(notice.server, (outbox) => outbox.addFirstEvent(notice))),
 		);
 		this.register(
-			state.engines.onDidReachFirstEvent(({ server, sequence, abandoned, at }) => {
-				const notice = { engine: shortKey(server), sequence, abandoned };
-				this.post((outbox) => outbox.firstEvents.push({ notice, at }));
+			engines.onDidEnd((notice) => {
+				// In a small fleet all servers' requests are told at intervals.
+				if (state.duties.isLargeFleet) {
+					this.tell(notice.server, (outbox) => outbox.addEnd(notice));
+				}
 			}),
 		);
 		this.register(
-			state.suspects.onDidLearn(({ fingerprint, deaths, quarantineMs }) => {
+			suspects.onDidLearn(({ fingerprint, deaths, quarantineMs }) => {
 				const notice = { fingerprint: Buffer.from(fingerprint, 'hex'), deaths, quarantineMs: Math.round(quarantineMs) };
 				this.log.write('crash-suspect', { fingerprint, deaths, quarantineMs: notice.quarantineMs });
-				this.post((outbox) => outbox.crashes.push(notice));
+				this.broadcast.addCrash(notice);
+				this.broadcast.schedule(LEAST_FLUSH_DELAY_MS);
 			}),
 		);
 		this.socket.on('message', (bytes, source) => this.receive(bytes, source));
@@ -207,78 +197,91 @@
 		this.send(this.encode({ replyRequested: true, withUsage: true }), address);
 	}
 
+	/**
+	 * Asks the keeper of a queue for a place.
+	 *
+	 * @param keeper name of the router
+	 * @param request what is asked
+	 */
+	public requestReservation(keeper: string, request: ReservationRequest): void {
+		const outbox = this.outboxOf(keeper);
+		outbox.addReservation(request);
+		this.flushTo(keeper, outbox);
+	}
+
 	/** Tells peers that this router leaves. */
 	public leave(): void {
 		this.leaving = true;
-		this.flush(this.near);
-		this.flush(this.far);
+		this.flushToAll();
 	}
 
-	private post(add: (outbox: Outbox) => unknown): void {
-		add(this.near);
-		this.scheduleFlush(this.near);
-		if (this.hasFarPeers) {
-			add(this.far);
-			this.scheduleFlush(this.far);
+	private tell(server: string, add: (outbox: FleetOutbox) => void): void {
+		const keeper = this.state.duties.keeperOf(server);
+		if (keeper === undefined) {
+			add(this.broadcast);
+			this.broadcast.schedule(Math.max(LEAST_FLUSH_DELAY_MS, this.peersByName.size * FLUSH_DELAY_PER_PEER_MS));
+		} else if (keeper !== this.identity.instance) {
+			const outbox = this.outboxOf(keeper);
+			add(outbox);
+			outbox.schedule(KEEPER_NOTICE_DELAY_MS);
 		}
 	}
 
-	private get hasFarPeers(): boolean {
-		return this.peersByName.size >= SMALL_FLEET_ROUTERS;
-	}
-
-	private isFar(peer: FleetPeer): boolean {
-		return this.hasFarPeers && peer.failureDomain !== this.identity.failureDomain;
-	}
-
-	private receiversOf(outbox: Outbox): readonly FleetPeer[] {
-		return this.peers.filter((peer) => this.isFar(peer) === (outbox === this.far));
-	}
-
-	private scheduleFlush(outbox: Outbox): void {
-		outbox.timer ??= setTimeout(() => this.flush(outbox), this.flushDelayMs(outbox));
+	private outboxOf(peer: string): FleetOutbox {
+		let outbox = this.outboxes.get(peer);
+		if (outbox === undefined) {
+			outbox = FleetOutbox.create((full) => this.flushTo(peer, full));
+			this.outboxes.set(peer, outbox);
+		}
+		return outbox;
 	}
 
-	private flushDelayMs(outbox: Outbox): number {
-		const leastMs = outbox === this.far ? FAR_FLUSH_DELAY_MS : LEAST_FLUSH_DELAY_MS;
-		return Math.max(leastMs, this.receiversOf(outbox).length * FLUSH_DELAY_PER_PEER_MS);
+	private flushTo(name: string, outbox: FleetOutbox): void {
+		outbox.cancel();
+		const bytes = this.encode({ replyRequested: false, withUsage: false }, outbox);
+		const peer = this.peersByName.get(name);
+		if (peer !== undefined) {
+			this.send(bytes, peer.datagramAddress);
+		}
+		if (outbox.hasEvents) {
+			outbox.schedule(KEEPER_NOTICE_DELAY_MS);
+		}
 	}
 
-	private flush(outbox: Outbox): void {
-		clearTimeout(outbox.timer);
-		outbox.timer = undefined;
+	private flushToAll(): void {
+		const { broadcast } = this;
+		broadcast.cancel();
 		const now = this.clock.now();
-		const receivers = this.receiversOf(outbox);
-		const usageIntervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, receivers.length * USAGE_INTERVAL_PER_PEER_MS);
-		const withUsage = now - outbox.lastUsageAt >= usageIntervalMs;
+		const usageIntervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, this.peersByName.size * USAGE_INTERVAL_PER_PEER_MS);
+		const withUsage = now - broadcast.lastUsageAt >= usageIntervalMs;
 		if (withUsage) {
-			outbox.lastUsageAt = now;
+			broadcast.lastUsageAt = now;
 		}
-		outbox.lastSentAt = now;
-		const toLost = now - outbox.lastLostSendAt >= LOST_PEER_INTERVAL_MS;
+		broadcast.lastSentAt = now;
+		const toLost = now - this.lastLostSendAt >= LOST_PEER_INTERVAL_MS;
 		if (toLost) {
-			outbox.lastLostSendAt = now;
+			this.lastLostSendAt = now;
 		}
-		const bytes = this.encode({ replyRequested: false, withUsage }, outbox);
-		for (const peer of receivers) {
+		const bytes = this.encode({ replyRequested: false, withUsage }, broadcast);
+		for (const peer of this.peersByName.values()) {
 			if (!peer.lost || toLost) {
 				this.send(bytes, peer.datagramAddress);
 			}
 		}
-		if (outbox.placements.length > 0 || outbox.firstEvents.length > 0) {
-			this.scheduleFlush(outbox);
+		if (broadcast.hasEvents) {
+			broadcast.schedule(LEAST_FLUSH_DELAY_MS);
 		}
 	}
 
 	private encode(
 		options: { readonly replyRequested: boolean; readonly withUsage: boolean },
-		outbox?: Outbox,
+		outbox?: FleetOutbox,
 	): Uint8Array {
 		const now = this.clock.now();
-		const toAge = (at: number): number => Math.max(0, Math.round(now - at));
+		const { engines, shares, duties } = this.state;
 		const contactSince = this.state.contactSince();
 		const state = RouterState.create({
-			storeContactMs: contactSince === undefined ? 0 : 1 + toAge(contactSince),
+			storeContactMs: contactSince === undefined ? 0 : 1 + Math.max(0, Math.round(now - contactSince)),
 			instance: this.identity.instance,
 			incarnation: this.incarnation,
 			sequence: ++this.sequence,
@@ -289,21 +292,20 @@
 			replyRequested: options.replyRequested,
 			followedRevisions: [...this.state.followedRevisions()],
 		});
-		if (outbox !== undefined) {
-			state.placements = outbox.placements
-				.splice(0, LARGEST_EVENTS_PER_DATAGRAM)
-				.map(({ notice, at }) => ({ ...notice, ageMs: toAge(at) }));
-			state.firstEvents = outbox.firstEvents
-				.splice(0, LARGEST_EVENTS_PER_DATAGRAM)
-				.map(({ notice, at }) => ({ ...notice, ageMs: toAge(at) }));
-			state.crashes = outbox.crashes.splice(0, LARGEST_EVENTS_PER_DATAGRAM);
+		const inProgress = engines.ownInProgress();
+		outbox?.moveTo(state, (server) => inProgress.get(server) ?? 0, now);
+		if (outbox === this.broadcast && duties.isLargeFleet) {
+			state.reports = [...engines.keptReports(now)].map(([id, report]) => encodeReport(shortKey(id), report));
 		}
 		if (options.withUsage) {
 			state.hasUsage = true;
-			state.usage = [...this.state.shares.ownUsage(now)];
-			state.streams = [...this.state.engines.ownInProgress()]
-				.filter(([, requests]) => requests > 0)
-				.map(([server, requests]) => ({ engine: shortKey(server), requests }));
+			state.usage = [...shares.ownUsage(now)];
+			if (!duties.isLargeFleet) {
+				state.hasAllStreams = true;
+				state.streams = [...inProgress]
+					.filter(([, requests]) => requests > 0)
+					.map(([server, requests]) => ({ engine: shortKey(server), requests }));
+			}
 		}
 		return RouterState.encode(state).finish();
 	}
@@ -350,6 +352,9 @@
 		};
 		this.peersByName.set(state.instance, peer);
 		this.logChange(before, peer);
+		if (before === undefined || before.lost || before.leaving !== peer.leaving) {
+			this.updateKeepers();
+		}
 		this.apply(state, now);
 		this.changeEmitter.fire(peer);
 		if (state.replyRequested) {
@@ -369,18 +374,86 @@
 			const name = Buffer.from(fingerprint).toString('hex');
 			suspects.applyNotice(state.instance, { fingerprint: name, deaths, quarantineMs, claimMs: 0 });
 		}
+		for (const { engine, ...report } of state.reports) {
+			engines.applyReport(engine, report, now);
+		}
+		for (const { engine, outcome } of state.outcomes) {
+			const decoded = decodeOutcome(outcome);
+			if (decoded !== undefined) {
+				engines.applyOutcome(engine, decoded, now);
+			}
+		}
 		if (state.hasUsage) {
 			shares.applyPeer(state.instance, state.usage, now);
-			engines.applyInProgress(state.instance, new Map(state.streams.map(({ engine, requests }) => [engine, requests])));
+		}
+		if (state.hasAllStreams || state.streams.length > 0) {
+			const streams = new Map(state.streams.map(({ engine, requests }) => [engine, requests]));
+			engines.applyInProgress(state.instance, streams, state.hasAllStreams);
+		}
+		this.answerReservations(state, now);
+		state.answers.forEach((answer) => this.answerEmitter.fire(answer));
+	}
+
+	private answerReservations({ instance, reservations }: RouterState, now: number): void {
+		if (reservations.length === 0) {
+			return;
+		}
+		const outbox = this.outboxOf(instance);
+		for (const encoded of reservations) {
+			const request = decodeReservation(encoded);
+			const answer = this.state.engines.reserve(instance, request, now);
+			if (answer === undefined) {
+				continue; // The peer decides by itself when it gets no answer.
+			}
+			const { sequence } = request;
+			const { accepted, waitMs, workMs, report } = answer;
+			if (!accepted) {
+				this.log.write('reservation-declined', {
+					peer: instance,
+					sequence,
+					waitMs: Math.round(waitMs),
+					limitMs: Math.round(request.limitMs),
+					load: Number(report.load.toFixed(2)),
+					suspendedMs: Math.round(report.suspendedMs),
+				});
+			}
+			outbox.addAnswer({
+				sequence,
+				accepted,
+				waitMs: Math.round(waitMs),
+				workMs: Math.round(workMs),
+				report: encodeReport(request.server, report),
+			});
+		}
+		this.flushTo(instance, outbox);
+	}
+
+	// A router that begins to keep a queue hears what is in it from those who placed it.
+	private updateKeepers(): void {
+		const { duties, engines } = this.state;
+		const serving = this.peers.filter(({ lost, leaving }) => !lost && !leaving);
+		const moved = duties.setRouters(
+			serving.map(({ instance }) => instance),
+			this.peersByName.size + 1,
+		);
+		for (const server of moved) {
+			for (const placement of engines.unreadPlacements(server)) {
+				this.tell(server, (outbox) => outbox.addPlacement({ ...placement, server, parts: [] }));
+			}
+			this.tell(server, (outbox) => outbox.addEnd({ server, outcome: undefined }));
 		}
 	}
 
 	private tick(): void {
 		const now = this.clock.now();
+		let changed = false;
 		for (const peer of this.peersByName.values()) {
 			const silentMs = now - peer.heardAt;
 			if (silentMs > LOST_PEER_KEPT_MS) {
 				this.peersByName.delete(peer.instance);
+				this.outboxes.get(peer.instance)?.cancel();
+				this.outboxes.delete(peer.instance);
+				changed = true;
 			} else if (silentMs > PEER_SILENCE_MS && !peer.lost) {
 				const lostPeer: FleetPeer = { ...peer, lost: true };
 				this.peersByName.set(peer.instance, lostPeer);
@@ -391,13 +464,15 @@
 					silentMs: Math.round(silentMs),
 				});
 				this.changeEmitter.fire(lostPeer);
+				changed = true;
 			}
 		}
-		for (const outbox of [this.near, this.far]) {
-			const heartbeatMs = outbox === this.far ? HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS / 2;
-			if (now - outbox.lastSentAt >= heartbeatMs) {
-				this.flush(outbox);
-			}
+		if (changed) {
+			this.updateKeepers();
+		}
+		const heartbeatMs = this.state.duties.isLargeFleet ? HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS / 2;
+		if (now - this.broadcast.lastSentAt >= heartbeatMs) {
+			this.flushToAll();
 		}
 	}
 
@@ -419,15 +494,3 @@
 		}
 	}
 }
-
-function createOutbox(): Outbox {
-	return {
-		placements: [],
-		firstEvents: [],
-		crashes: [],
-		timer: undefined,
-		lastSentAt: 0,
-		lastUsageAt: 0,
-		lastLostSendAt: 0,
-	};
-}
--- /dev/null
+++ b/src/fleet/node/queueReservations.ts
@@ -0,0 +1,135 @@
+import { Effect } from 'effect';
+import type { IClock } from '../../base/common/clock.js';
+import { Disposable } from '../../base/common/lifecycle.js';
+import { shortKey } from '../../base/common/shortKey.js';
+import type { IDecisionLog } from '../../base/node/structuredLog.js';
+import type { EngineOption, PromptWork } from '../../engines/common/engineChoice.js';
+import type { EngineFleet } from '../../engines/common/engineFleet.js';
+import type {
+	IQueueReservations,
+	ReservationResult,
+	ReservationTerms,
+} from '../../engines/common/queueReservations.js';
+import { RESERVATION_TIMEOUT_MS } from '../common/fleetTiming.js';
+import type { ReservationAnswer } from '../common/generated/masticloom/fleet/v1/fleet.js';
+import type { FleetDuties } from '../common/fleetDuties.js';
+import type { FleetExchange } from './fleetExchange.js';
+
+interface PendingReservation {
+	readonly server: string;
+	readonly settle: (answer: ReservationAnswer) => void;
+}
+
+/** Answers to requests whose caller has left are waited for as long as this many others are asked for. */
+const MAXIMUM_ABANDONED = 200;
+
+/**
+ * Asks the routers that keep the queues of servers for places in them. When a keeper does not answer in time, the
+ * request is placed by what was last heard of the server.
+ */
+export class QueueReservations extends Disposable implements IQueueReservations {
+	private readonly pending = new Map<number, PendingReservation>();
+	private readonly abandoned = new Map<number, string>();
+
+	private constructor(
+		private readonly duties: FleetDuties,
+		private readonly engines: EngineFleet,
+		private readonly exchange: FleetExchange,
+		private readonly clock: IClock,
+		private readonly log: IDecisionLog,
+	) {
+		super();
+		this.register(exchange.onDidAnswerReservation((answer) => this.receive(answer)));
+	}
+
+	/**
+	 * @param duties which router keeps the queue of a server
+	 * @param engines learns what keepers tell
+	 * @param exchange carries requests and answers
+	 * @param clock stamps what keepers tell
+	 * @param log receives requests that were not answered
+	 * @returns reservations, none of which is asked for
+	 */
+	public static create(
+		duties: FleetDuties,
+		engines: EngineFleet,
+		exchange: FleetExchange,
+		clock: IClock,
+		log: IDecisionLog,
+	): QueueReservations {
+		return new QueueReservations(duties, engines, exchange, clock, log);
+	}
+
+	public reserve(option: EngineOption, work: PromptWork, terms: ReservationTerms): Effect.Effect<ReservationResult> {
+		const server = option.server.id;
+		const keeper = this.duties.keeperOf(server);
+		if (keeper === undefined || this.duties.keeps(server)) {
+			return Effect.succeed({ kind: 'kept-here' });
+		}
+		const sequence = this.engines.nextSequence();
+		const askedAt = this.clock.now();
+		const unconfirmed: ReservationResult = {
+			kind: 'reserved',
+			reservation: { sequence, confirmed: false, waitMs: option.waitMs, workMs: option.workMs },
+		};
+		return Effect.callback<ReservationResult>((resume) => {
+			const timer = setTimeout(() => {
+				this.pending.delete(sequence);
+				const waitedMs = Math.round(this.clock.now() - askedAt);
+				this.log.write('reservation-unanswered', { keeper, server, sequence, waitedMs });
+				resume(Effect.succeed(unconfirmed));
+			}, RESERVATION_TIMEOUT_MS);
+			this.pending.set(sequence, {
+				server,
+				settle: (answer) => {
+					clearTimeout(timer);
+					const { accepted, waitMs, workMs } = answer;
+					resume(
+						Effect.succeed(
+							accepted
+								? { kind: 'reserved', reservation: { sequence, confirmed: true, waitMs, workMs } }
+								: { kind: 'declined' },
+						),
+					);
+				},
+			});
+			this.exchange.requestReservation(keeper, { server: shortKey(server), sequence, work, ...terms });
+			return Effect.sync(() => {
+				clearTimeout(timer);
+				this.abandon(sequence, server);
+			});
+		});
+	}
+
+	private receive(answer: ReservationAnswer): void {
+		const { sequence, accepted, report } = answer;
+		const now = this.clock.now();
+		if (report !== undefined) {
+			this.engines.applyReport(report.engine, report, now);
+		}
+		const pending = this.pending.get(sequence);
+		if (pending !== undefined) {
+			this.pending.delete(sequence);
+			pending.settle(answer);
+			return;
+		}
+		const server = this.abandoned.get(sequence);
+		if (server !== undefined && accepted) {
+			this.engines.abandonReservation(server, sequence, now);
+		}
+		this.abandoned.delete(sequence);
+	}
+
+	private abandon(sequence: number, server: string): void {
+		if (!this.pending.delete(sequence)) {
+			return;
+		}
+		this.abandoned.set(sequence, server);
+		for (const oldest of this.abandoned.keys()) {
+			if (this.abandoned.size <= MAXIMUM_ABANDONED) {
+				break;
+			}
+			this.abandoned.delete(oldest);
+		}
+	}
+}
--- /dev/null
+++ b/src/fleet/test/fleetDuties.test.ts
@@ -0,0 +1,46 @@
+import { describe, expect, test } from '@jest/globals';
+import { FleetDuties } from '../common/fleetDuties.js';
+
+const ROUTERS = Array.from({ length: 40 }, (_, index) => `router-${index}`);
+const SERVERS = Array.from({ length: 80 }, (_, index) => `engine-${index}`);
+
+function dutiesOf(own: string, routers: readonly string[]): FleetDuties {
+	const duties = FleetDuties.create(own);
+	const others = routers.filter((name) => name !== own);
+	duties.setRouters(others, others.length + 1);
+	return duties;
+}
+
+describe('FleetDuties', () => {
+	test('all routers name the same keeper of each queue', () => {
+		const keepersBy = ROUTERS.map((own) => SERVERS.map((server) => dutiesOf(own, ROUTERS).keeperOf(server)));
+		for (const keepers of keepersBy) {
+			expect(keepers).toEqual(keepersBy[0]);
+		}
+		expect(new Set(keepersBy[0]).size).toBeGreaterThan(20);
+	});
+
+	// When the queues of all engines moved at each lost router, nobody knew what was in them.
+	test('only the queues of a router that is lost move', () => {
+		const [own = '', ...others] = ROUTERS;
+		const duties = dutiesOf(own, ROUTERS);
+		const before = SERVERS.map((server) => duties.keeperOf(server));
+		const moved = duties.setRouters(others.slice(1), ROUTERS.length);
+		const lost = others[0];
+		expect(moved).toEqual(SERVERS.filter((_, index) => before[index] === lost));
+		expect(SERVERS.map((server) => duties.keeperOf(server))).not.toContain(lost);
+	});
+
+	test('every router of a small fleet keeps all queues', () => {
+		const duties = dutiesOf('router-1', ROUTERS.slice(0, 8));
+		expect(duties.isLargeFleet).toBe(false);
+		expect(SERVERS.every((server) => duties.keeps(server))).toBe(true);
+	});
+
+	// A fleet that has lost most of its routers for a moment must not change how it works.
+	test('a large fleet stays one while most of its routers are lost', () => {
+		const duties = dutiesOf('router-0', ROUTERS);
+		duties.setRouters(ROUTERS.slice(1, 4), ROUTERS.length);
+		expect(duties.isLargeFleet).toBe(true);
+	});
+});
--- /dev/null
+++ b/src/fleet/test/fleetFixture.ts
@@ -0,0 +1,150 @@
+import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { systemClock } from '../../base/common/clock.js';
+import { DisposableStore } from '../../base/common/lifecycle.js';
+import type { RegisteredServer } from '../../engines/common/directory.js';
+import type { PromptWork } from '../../engines/common/engineChoice.js';
+import { EngineFleet } from '../../engines/common/engineFleet.js';
+import type { SocketAddress } from '../../settings/common/settings.js';
+import { FleetShares } from '../../shares/common/fleetShares.js';
+import { Effect } from 'effect';
+import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
+import { PrefixFollower } from '../../store/node/prefixFollower.js';
+import { FleetDuties } from '../common/fleetDuties.js';
+import { FleetExchange } from '../node/fleetExchange.js';
+import { QueueReservations } from '../node/queueReservations.js';
+import { SnapshotExchange } from '../node/snapshotExchange.js';
+
+/** The only server of these fleets. */
+export const server: RegisteredServer = {
+	id: 'engine-1',
+	service: 'drafts',
+	address: '10.0.0.1:80',
+	failureDomain: 'a',
+	slots: 64,
+	leaving: false,
+	startedAt: 1,
+};
+
+/** A short prompt. */
+export const work: PromptWork = {
+	parts: [
+		{ key: 11, tokens: 500 },
+		{ key: 12, tokens: 100 },
+	],
+	promptTokens: 600,
+	tokensPerEvent: 5,
+	pauseAimMs: 500,
+};
+
+/** The exchange of one router and what it is about. */
+export interface FixtureRouter {
+	readonly exchange: FleetExchange;
+	readonly engines: EngineFleet;
+	readonly duties: FleetDuties;
+	readonly reservations: QueueReservations;
+	readonly shares: FleetShares;
+	readonly suspects: CrashSuspects;
+	readonly follower: PrefixFollower;
+	readonly datagramAddress: SocketAddress;
+	readonly events: string[];
+	readonly owner: DisposableStore;
+}
+
+// Addresses of their own, with ports below those of outgoing connections, cannot be taken by tests that run beside.
+const DATAGRAM_PORT = 17_400;
+const PEER_PORT = 18_785;
+
+const routers: FixtureRouter[] = [];
+let started = 0;
+
+/** Ends all routers of a test. */
+export function disposeRouters(): void {
+	routers.splice(0).forEach(({ owner }) => owner.dispose());
+}
+
+/**
+ * @param instance name of the router
+ * @param network first three bytes of its address, which no other test file uses
+ * @returns a running router that knows no peers
+ */
+export async function startRouter(instance: string, network: string): Promise<FixtureRouter> {
+	const owner = DisposableStore.create();
+	const events: string[] = [];
+	const log = { write: (event: string) => void events.push(event) };
+	const duties = FleetDuties.create(instance);
+	const engines = EngineFleet.create(instance, 'a', (id) => duties.keeps(id));
+	engines.setServers([server], systemClock.now());
+	const shares = FleetShares.create(4_000, () => 1_000);
+	const suspects = CrashSuspects.create(instance, systemClock);
+	const unreadable: IRevisionedStore = {
+		get: () => Effect.never,
+		compareAndSwap: () => Effect.never,
+		remove: () => Effect.never,
+		grantLease: () => Effect.never,
+		keepAlive: () => Effect.never,
+		readAll: () => Effect.never,
+		waitForChanges: () => Effect.never,
+	};
+	const follower = owner.add(PrefixFollower.create('servers/', unreadable, systemClock, log));
+	const host = `${network}.${++started}`;
+	const datagramAddress = { host, port: DATAGRAM_PORT };
+	const peerAddress = { host, port: PEER_PORT };
+	const exchange = owner.add(
+		FleetExchange.create(
+			{ instance, failureDomain: 'a', peerAddress, datagramAddress },
+			{
+				engines,
+				shares,
+				suspects,
+				duties,
+				contactSince: () => follower.contactSince,
+				followedRevisions: () => [follower.lastChangeRevision],
+			},
+			systemClock,
+			log,
+		),
+	);
+	const reservations = owner.add(QueueReservations.create(duties, engines, exchange, systemClock, log));
+	const snapshots = owner.add(SnapshotExchange.create([follower], exchange, systemClock, log));
+	await exchange.listen();
+	await snapshots.listen(peerAddress);
+	const router = {
+		exchange,
+		engines,
+		duties,
+		reservations,
+		shares,
+		suspects,
+		follower,
+		datagramAddress,
+		events,
+		owner,
+	};
+	routers.push(router);
+	return router;
+}
+
+/**
+ * @param network first three bytes of the addresses, which no other test file uses
+ * @returns two routers that know each other
+ */
+export async function startPair(network: string): Promise<readonly [FixtureRouter, FixtureRouter]> {
+	const one = await startRouter('router-1', network);
+	const two = await startRouter('router-2', network);
+	one.exchange.introduce(two.datagramAddress);
+	await until(() => one.exchange.peers.length === 1 && two.exchange.peers.length === 1);
+	return [one, two];
+}
+
+/**
+ * @param holds condition that is waited for
+ * @param limitMs longest wait in milliseconds
+ */
+export async function until(holds: () => boolean, limitMs = 4_000): Promise<void> {
+	for (const end = Date.now() + limitMs; !holds();) {
+		if (Date.now() > end) {
+			throw new Error(`condition not met within ${limitMs} ms`);
+		}
+		await new Promise((resolve) => setTimeout(resolve, 10));
+	}
+}
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -8,10 +8,13 @@
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { EventStream } from '../../dispatch/node/eventStream.js';
 import { fingerprintOf } from '../../dispatch/node/fingerprint.js';
-import type { EngineFleet, EngineOption, PromptWork } from '../../engines/common/engineFleet.js';
+import type { EngineOption, PromptWork } from '../../engines/common/engineChoice.js';
+import type { EngineFleet, Reservation } from '../../engines/common/engineFleet.js';
+import type { IQueueReservations, ReservationTerms } from '../../engines/common/queueReservations.js';
+import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import type { EngineSize } from '../../routing/common/model.js';
 import type { RoutingResult } from '../../routing/common/routeTable.js';
-import type { FleetShares } from '../../shares/common/fleetShares.js';
+import type { FleetShares, Standing } from '../../shares/common/fleetShares.js';
 import type { CrashWatch } from '../common/crashWatch.js';
 import type { IHeaderCodec, IngressFields } from '../common/ingress.js';
 import type { RetryAllowance } from '../common/retryAllowance.js';
@@ -22,6 +25,7 @@
 export interface RunContext {
 	readonly clock: IClock;
 	readonly fleet: EngineFleet;
+	readonly reservations: IQueueReservations;
 	readonly shares: FleetShares;
 	readonly client: IBackendClient;
 	readonly codec: IHeaderCodec;
@@ -60,12 +64,27 @@
 /** Time after which a refused caller may return when a server refused the request. */
 const REFUSED_RETRY_MS = 150;
 
+/** Difference to the expected wait from which another server is likely to be better: a short prompt's reading time. */
+const WORSE_THAN_HEARD_MS = 40;
+
+/** Choices after which a request takes any wait that it can bear. */
+const PARTICULAR_CHOICES = 2;
+
+/** Keepers that are asked for one request; where so many servers are full, the next one hardly has room. */
+const MAXIMUM_DECLINED = 5;
+
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
 const GATEWAY_TIMEOUT = 504;
 const FIRST_ERROR_STATUS = 500;
 
+/** What was decided about a request, and its place in the queue that another router keeps. */
+interface Choice {
+	readonly decision: AdmissionDecision;
+	readonly reservation: Reservation | undefined;
+}
+
 /** Runs one request until its answer has ended. */
 export class RequestRun {
 	private readonly tried = new Set<string>();
@@ -145,12 +164,12 @@
 			}
 			self.recordOffered();
 			for (;;) {
-				const decision = self.decide();
+				const { decision, reservation } = yield* self.decide();
 				if (decision.kind === 'refuse') {
 					self.refuse(decision);
 					return;
 				}
-				const result = yield* Effect.result(self.attempt(decision.option));
+				const result = yield* Effect.result(self.attempt(decision.option, reservation));
 				self.inProgress = false;
 				if (result._tag === 'Success') {
 					self.complete();
@@ -193,22 +212,57 @@
 		retries.countRequest(this.request.routing.service, now);
 	}
 
-	private decide(): AdmissionDecision {
-		const { fleet, shares, clock } = this.context;
-		const { routing, fields, arrivedAt, elapsedBeforeMs, engine } = this.request;
-		const now = clock.now();
-		const elapsedMs = now - arrivedAt;
-		const options = fleet.options(routing.service, this.work, this.tried, now);
-		const standing = shares.standing(this.accountKey(), now);
-		const aimLeftMs = routing.route.aimMs - elapsedBeforeMs - elapsedMs;
-		const deadlineLeftMs = (fields.deadlineMs ?? routing.route.timeoutMs) - elapsedMs;
-		const decision = decideAdmission({
-			options,
-			standing,
-			aimMs: routing.route.aimMs,
-			aimLeftMs,
-			deadlineLeftMs,
+	/** Chooses a server, asks the router that keeps its queue, and chooses again when that declines. */
+	private decide(): Effect.Effect<Choice> {
+		const self = this;
+		return Effect.gen(function* () {
+			const declinedBy = new Set<string>();
+			for (let declined = 0; ; declined++) {
+				const now = self.context.clock.now();
+				const { routing } = self.request;
+				const options = self.context.fleet.options(routing.service, self.work, self.tried, now);
+				const standing = self.context.shares.standing(self.accountKey(), now);
+				const elapsedMs = now - self.request.arrivedAt;
+				if (declined >= MAXIMUM_DECLINED) {
+					options.forEach(({ server }) => declinedBy.add(server.id));
+				}
+				const decision = decideAdmission({
+					options,
+					declinedBy,
+					standing,
+					aimMs: routing.route.aimMs,
+					aimLeftMs: routing.route.aimMs - self.request.elapsedBeforeMs - elapsedMs,
+					deadlineLeftMs: (self.request.fields.deadlineMs ?? routing.route.timeoutMs) - elapsedMs,
+				});
+				if (decision.kind === 'refuse') {
+					self.logAdmission({ decision, reservation: undefined }, options, standing, declined);
+					return { decision, reservation: undefined };
+				}
+				const result = yield* self.context.reservations.reserve(
+					decision.option,
+					self.work,
+					reservationTerms(decision, declined),
+				);
+				if (result.kind !== 'declined') {
+					const choice = { decision, reservation: result.kind === 'reserved' ? result.reservation : undefined };
+					self.logAdmission(choice, options, standing, declined);
+					return choice;
+				}
+				if (declined >= PARTICULAR_CHOICES) {
+					declinedBy.add(decision.option.server.id);
+				}
+			}
 		});
+	}
+
+	private logAdmission(
+		{ decision, reservation }: Choice,
+		options: readonly EngineOption[],
+		standing: Standing,
+		declined: number,
+	): void {
+		const { routing, fields, arrivedAt, elapsedBeforeMs, engine } = this.request;
+		const elapsedMs = this.context.clock.now() - arrivedAt;
 		const option = decision.kind === 'place' ? decision.option : options[0];
 		this.context.log.write('admission', {
 			id: fields.id,
@@ -218,10 +272,14 @@
 			configuration: this.request.configurationVersion,
 			outcome: decision.kind === 'place' ? 'placed' : decision.reason,
 			server: option?.server.id,
-			waitMs: round(option?.waitMs),
+			waitMs: round(reservation?.waitMs ?? option?.waitMs),
 			readMs: round(option?.readMs),
 			limitMs: round(decision.limitMs),
-			aimLeftMs: round(aimLeftMs),
+			aimLeftMs: round(routing.route.aimMs - elapsedBeforeMs - elapsedMs),
+			elapsedMs: round(elapsedMs),
+			reservation: reservation?.sequence,
+			confirmed: reservation?.confirmed,
+			declined: declined > 0 ? declined : undefined,
 			inProgress: option?.inProgress,
 			load: option && Number(option.load.toFixed(2)),
 			failureRate: option && Number(option.health.failureRate.toFixed(2)),
@@ -236,10 +294,9 @@
 			retryAfterMs: decision.kind === 'refuse' ? round(decision.retryAfterMs) : undefined,
 			plain: engine === undefined ? true : undefined,
 		});
-		return decision;
 	}
 
-	private attempt(option: EngineOption): Effect.Effect<void, BackendFailure> {
+	private attempt(option: EngineOption, reservation: Reservation | undefined): Effect.Effect<void, BackendFailure> {
 		const { fleet, shares, client, codec, clock } = this.context;
 		const { request } = this;
 		const { fields, routing } = request;
@@ -247,13 +304,17 @@
 		const { server } = option;
 		this.attempts++;
 		this.tried.add(server.id);
-		const sequence = fleet.place(option, request.engine !== undefined ? this.work : undefined, now);
+		const sequence = fleet.place(option, this.work, now, reservation);
 		if (request.engine !== undefined) {
 			shares.recordAdmitted(this.accountKey(), this.cost, now);
-			this.predictedMs = now - request.arrivedAt + option.waitMs + option.readMs;
+			this.predictedMs = now - request.arrivedAt + (reservation?.waitMs ?? option.waitMs) + option.readMs;
 		}
 		const deadlineLeftMs = fields.deadlineMs === undefined ? undefined : fields.deadlineMs - (now - request.arrivedAt);
-		const state = { hadFirstEvent: false, failed: false, resumeStatus: undefined as number | undefined };
+		const state = {
+			hadFirstEvent: request.engine === undefined,
+			failed: false,
+			resumeStatus: undefined as number | undefined,
+		};
 		const sink: IAttemptSink = {
 			sent: () => (this.inProgress = true),
 			head: (head) => {
@@ -296,8 +357,8 @@
 				Effect.sync(() => {
 					const endedAt = clock.now();
 					const slotTimeMs = exit._tag === 'Success' && this.firstBytesAt !== undefined ? endedAt - now : undefined;
-					fleet.recordEnd(server.id, sequence, state.hadFirstEvent, endedAt, request.engine && slotTimeMs);
-					this.recordOutcome(server.id, exit, state.failed, endedAt);
+					const outcome = this.outcomeOf(server.id, exit, state.failed);
+					fleet.recordEnd(server.id, sequence, { hadFirstEvent: state.hadFirstEvent, slotTimeMs, outcome }, endedAt);
 				}),
 			),
 		);
@@ -328,40 +389,34 @@
 		this.context.metrics.observeFirstEvent(this.request.routing.service, observedMs, this.predictedMs);
 	}
 
-	private recordOutcome(
+	/** Says what the end of an attempt tells of its server, and watches for requests that end servers. */
+	private outcomeOf(
 		server: string,
 		exit: Exit.Exit<void, BackendFailure>,
 		answeredWithError: boolean,
-		now: number,
-	): void {
-		const outcomes = this.context.fleet.outcomesOf(server);
+	): ServerOutcome | undefined {
 		if (exit._tag === 'Success') {
-			outcomes?.record(answeredWithError ? 'failed' : 'answered', now);
-			return;
+			return answeredWithError ? 'failed' : 'answered';
 		}
 		const { crashes } = this.context;
 		const [reason] = exit.cause.reasons;
 		if (reason?._tag !== 'Fail') {
-			return; // The caller left, which says nothing about the server.
+			return undefined; // The caller left, which says nothing about the server.
 		}
 		switch (reason.error.kind) {
 			case 'refused':
 			case 'fenced':
-				outcomes?.record('refused', now);
-				break;
+				return 'refused';
 			case 'unreachable':
-				outcomes?.record('unreachable', now);
 				crashes.recordUnreachable(server);
-				break;
+				return 'unreachable';
 			case 'silent':
-				outcomes?.record('silent', now);
-				break;
+				return 'silent';
 			case 'broken':
-				outcomes?.record('failed', now);
 				if (!this.answer.hasHead) {
 					crashes.recordBroken(server, this.fingerprint());
 				}
-				break;
+				return 'failed';
 		}
 	}
 
@@ -475,6 +530,18 @@
 	}
 }
 
+/**
+ * What was last heard of a server may be old, so a first choice is given up for another when the server is worse than
+ * that; after some choices the longest wait that the request can take decides alone.
+ */
+function reservationTerms(
+	{ option, limitMs, maximumLoad }: AdmissionDecision & { readonly kind: 'place' },
+	declined: number,
+): ReservationTerms {
+	const withinMs = declined < PARTICULAR_CHOICES ? option.waitMs + WORSE_THAN_HEARD_MS : Infinity;
+	return { limitMs: Math.min(limitMs, withinMs), maximumLoad };
+}
+
 function notResumed(status: number): BackendFailure {
 	return { kind: 'broken', verdict: 'may-have-run', message: `answered the resumed stream with status ${status}` };
 }
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -12,6 +12,7 @@
 import type { LogFields } from '../../base/node/structuredLog.js';
 import type { RegisteredServer } from '../../engines/common/directory.js';
 import { EngineFleet } from '../../engines/common/engineFleet.js';
+import { allQueuesKeptHere } from '../../engines/common/queueReservations.js';
 import type { Route, RoutingConfiguration } from '../../routing/common/model.js';
 import { RouteTable } from '../../routing/common/routeTable.js';
 import { FleetShares } from '../../shares/common/fleetShares.js';
@@ -169,6 +170,7 @@
 		{
 			clock: systemClock,
 			fleet,
+			reservations: allQueuesKeptHere,
 			client,
 			shares: FleetShares.create(4_000, () => undefined),
 			codec: testCodec,
