Leave out an engine that has stopped without ending

Cause: an engine without power keeps its connections open and answers nothing. The predicted end of its work passed, so it looked idle, and most new prompts were sent to it until connections timed out.

Change: when several first events are 0.7 s overdue and none has arrived meanwhile, the engine is left out until one does, or its prompts are given up after 4 s. One missing event does not count, since news of peers can be lost.

--- a/src/engines/common/engineQueue.ts
+++ b/src/engines/common/engineQueue.ts
@@ -10,6 +10,8 @@
 export interface QueuedPlacement extends PlacementId {
 	readonly placedAt: number;
 	readonly workMs: number;
+	/** Monotonic milliseconds at which its first event was predicted. */
+	readonly dueAt: number;
 }
 
 // An engine whose pace leaves this range has failed or was misjudged, which health and retries deal with.
@@ -25,6 +27,12 @@
 /** Time constant of the mean over which an engine's load is told. */
 const LOAD_PERIOD_MS = 1_000;
 
+/** First events that are late by this much without any other are a sign that the engine has stopped; pauses are shorter. */
+const STALL_MS = 700;
+
+/** A single late first event may be news that was lost. */
+const STALLED_PLACEMENTS = 2;
+
 /** A placement without a first event for this long beyond its prediction has failed unnoticed. */
 const LOST_AFTER_MS = 4_000;
 
@@ -90,6 +98,21 @@
 		return this.busyPart;
 	}
 
+	/**
+	 * Tells whether the engine has stopped without ending, as one without power does: its connections stay open, and
+	 * with no work done it would look idle.
+	 *
+	 * @param now monotonic milliseconds
+	 * @returns whether several first events are long overdue and no other has arrived
+	 */
+	public isStalled(now: number): boolean {
+		this.dropLost(now);
+		return (
+			now - this.lastProgressAt > STALL_MS &&
+			this.placements.filter(({ dueAt }) => now - dueAt > STALL_MS).length >= STALLED_PLACEMENTS
+		);
+	}
+
 	/**
 	 * Adds a prompt; one that is known already is left as it is.
 	 *
@@ -102,8 +125,8 @@
 			return;
 		}
 		this.load(now);
-		this.placements.push({ ...id, placedAt: now, workMs });
 		this.busyUntil = Math.max(this.busyUntil, now) + workMs * this.currentPace;
+		this.placements.push({ ...id, placedAt: now, workMs, dueAt: this.busyUntil });
 	}
 
 	/**
--- a/src/engines/common/engineState.ts
+++ b/src/engines/common/engineState.ts
@@ -30,6 +30,9 @@
 /** A report that was not renewed for this long says nothing: its keeper or the way to it has failed. */
 const REPORT_VALID_MS = 2_500;
 
+/** A stalled engine is left out until the next report but one. */
+const STALL_REPORTED_MS = 1_000;
+
 interface ReceivedReport extends EngineReport {
 	readonly receivedAt: number;
 }
@@ -71,7 +74,7 @@
 				pace: this.queue.pace,
 				load: this.queue.load(now),
 				inProgress: this.own + (keeps ? sum(this.peers.values()) : 0),
-				health,
+				health: { ...health, usable: health.usable && !(keeps && this.queue.isStalled(now)) },
 			};
 		}
 		const ageMs = now - report.receivedAt;
@@ -99,7 +102,7 @@
 			load,
 			inProgress,
 			failureRate: health.failureRate,
-			suspendedMs: this.outcomes.suspendedMs(now),
+			suspendedMs: this.queue.isStalled(now) ? STALL_REPORTED_MS : this.outcomes.suspendedMs(now),
 		};
 	}
 
--- a/src/engines/test/engineQueue.test.ts
+++ b/src/engines/test/engineQueue.test.ts
@@ -113,4 +113,42 @@
 			),
 		);
 	});
+
+	// An engine without power keeps its connections open. It looked idle, so most new prompts were sent to it.
+	test('an engine that reads nothing any more is stalled until something shows that it reads', () => {
+		const queue = EngineQueue.create();
+		for (let sequence = 1; sequence <= 5; sequence++) {
+			queue.place(own(sequence), 1_000, 50);
+		}
+		expect(queue.isStalled(1_700)).toBe(false);
+		expect(queue.isStalled(2_000)).toBe(true);
+		queue.recordFirstEvent(own(3), 2_010);
+		expect(queue.isStalled(2_020)).toBe(false);
+	});
+
+	test('an engine is tried again when its prompts have been given up', () => {
+		const queue = EngineQueue.create();
+		queue.place(own(1), 1_000, 50);
+		queue.place(own(2), 1_000, 50);
+		expect(queue.isStalled(4_000)).toBe(true);
+		expect(queue.isStalled(6_000)).toBe(false);
+	});
+
+	test('one first event that nobody told of does not make an engine look stalled', () => {
+		const queue = EngineQueue.create();
+		queue.place(own(1), 1_000, 50);
+		expect(queue.isStalled(3_000)).toBe(false);
+	});
+
+	test('a slow engine that goes on reading is not stalled', () => {
+		const queue = EngineQueue.create();
+		for (let sequence = 1; sequence <= 20; sequence++) {
+			queue.place(own(sequence), 1_000, 50);
+		}
+		for (let sequence = 1; sequence < 20; sequence++) {
+			const readAt = 1_000 + sequence * 400;
+			expect(queue.isStalled(readAt - 1)).toBe(false);
+			queue.recordFirstEvent(own(sequence), readAt);
+		}
+	});
 });
