Let nine routers of a large fleet read the store for all

Ruled out: longer watches alone. Changes, not time-outs, ended most of them.

Change: in a fleet of more than 16 routers, nine that all agree on by hash read the store and announce each change; the others fetch it from one of them. When none of the nine reads the store, the others try, so a store that refuses a third of the routers reaches all. Watches wait 5 s at most, since a silent connection is now noticed by fewer watches.

--- a/src/fleet/common/fleetDuties.ts
+++ b/src/fleet/common/fleetDuties.ts
@@ -69,6 +69,17 @@
 		return (this.keeperOf(server) ?? this.own) === this.own;
 	}
 
+	/**
+	 * @param duty name of what some routers do for all
+	 * @param count of these routers
+	 * @returns whether this router is one of them
+	 */
+	public isAmong(duty: string, count: number): boolean {
+		const dutyKey = shortKey(duty);
+		const ownWeight = rendezvousWeight(dutyKey, shortKey(this.own));
+		return this.routers.filter(({ key }) => rendezvousWeight(dutyKey, key) > ownWeight).length < count;
+	}
+
 	private choose(server: number): string {
 		let best = this.own;
 		let bestWeight = -1;
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -197,6 +197,16 @@
 		this.send(this.encode({ replyRequested: true, withUsage: true }), address);
 	}
 
+	/** Whether some other router reads the registrations now. */
+	public get isReadByPeers(): boolean {
+		return this.peers.some(({ lost, leaving, contactSince }) => !lost && !leaving && contactSince !== undefined);
+	}
+
+	/** Tells all routers soon which changes in the store are known here. */
+	public announce(): void {
+		this.broadcast.schedule(LEAST_FLUSH_DELAY_MS);
+	}
+
 	/**
 	 * Asks the keeper of a queue for a place.
 	 *
--- a/src/fleet/test/fleetDuties.test.ts
+++ b/src/fleet/test/fleetDuties.test.ts
@@ -43,4 +43,14 @@
 		duties.setRouters(ROUTERS.slice(1, 4), ROUTERS.length);
 		expect(duties.isLargeFleet).toBe(true);
 	});
+
+	test('as many routers as wanted have a duty, and others take it over', () => {
+		const readers = (routers: readonly string[]): readonly string[] =>
+			routers.filter((own) => dutiesOf(own, routers).isAmong('store', 5));
+		const before = readers(ROUTERS);
+		expect(before).toHaveLength(5);
+		const left = ROUTERS.filter((name) => !before.slice(0, 2).includes(name));
+		expect(readers(left)).toHaveLength(5);
+		expect(readers(left)).toEqual(expect.arrayContaining(before.slice(2)));
+	});
 });
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -7,14 +7,16 @@
 import type { ChangeSet, IRevisionedStore, Snapshot } from '../common/revisionedStore.js';
 
 /** Longest wait of one watch. A connection that has gone silent is found after it, and each watch is paid for. */
-const LEAST_WATCH_WAIT_MS = 2_500;
-const LONGEST_WATCH_WAIT_MS = 12_000;
+const WATCH_WAIT_MS = 2_500;
 
 /**
- * In a larger fleet each watch waits longer by this for each router, and by a random part of it. Some watch of the fleet
- * ends soon at any time, and routers learn from peers what their own watch has missed.
+ * In a larger fleet a few routers read for all, and each watch waits up to this long, less a random part of it. Some
+ * watch of the fleet ends within a second at any time, and the others learn from it what theirs have missed.
  */
-const WATCH_WAIT_PER_ROUTER_MS = 150;
+const LARGE_FLEET_WATCH_WAIT_MS = 5_000;
+
+/** Interval at which a router that does not read asks itself whether it has to. */
+const REST_CHECK_MS = 250;
 
 /** Pause after changes, in which further ones gather, for each router of a larger fleet. */
 const GATHERING_PER_ROUTER_MS = 4;
@@ -29,6 +31,16 @@
 /** Part of a pause that is random, so that routers do not return together. */
 const JITTER = 0.5;
 
+/** What a follower knows of the fleet. */
+export interface FollowerFleet {
+	/** Routers that serve. */
+	readonly routers: () => number;
+	/** Whether this router reads the store; otherwise it learns from peers what the store holds. */
+	readonly isReader: () => boolean;
+}
+
+const ALONE: FollowerFleet = { routers: () => 1, isReader: () => true };
+
 /** Knows all values below one prefix of the store. */
 export class PrefixFollower extends Disposable {
 	private readonly changeEmitter = this.register(Emitter.create<ReadonlyMap<string, KeyValue>>());
@@ -51,7 +63,7 @@
 		private readonly keyValues: IRevisionedStore,
 		private readonly clock: IClock,
 		private readonly log: IDecisionLog,
-		private readonly routers: () => number,
+		private readonly fleet: FollowerFleet,
 		private readonly random: () => number,
 	) {
 		super();
@@ -62,7 +74,7 @@
 	 * @param store to read from
 	 * @param clock measures how long the store has been read
 	 * @param log receives changes of contact
-	 * @param routers number of routers in the fleet
+	 * @param fleet the routers
 	 * @param random numbers from 0 to 1, which spread repeated calls
 	 * @returns a follower that knows nothing yet
 	 */
@@ -71,10 +83,10 @@
 		store: IRevisionedStore,
 		clock: IClock,
 		log: IDecisionLog,
-		routers: () => number = () => 1,
+		fleet: FollowerFleet = ALONE,
 		random: () => number = Math.random,
 	): PrefixFollower {
-		return new PrefixFollower(prefix, store, clock, log, routers, random);
+		return new PrefixFollower(prefix, store, clock, log, fleet, random);
 	}
 
 	/** Whether the last call to the store was answered. */
@@ -129,11 +141,16 @@
 		const self = this;
 		return Effect.gen(function* () {
 			for (;;) {
+				if (self.knownRevision !== undefined && !self.fleet.isReader()) {
+					self.rest();
+					yield* Effect.sleep(REST_CHECK_MS * (1 + JITTER * self.random()));
+					continue;
+				}
 				const result = yield* Effect.result(self.step());
 				if (result._tag === 'Success') {
 					self.noteSuccess();
-					if (result.success === 'changed' && self.routers() > SMALL_FLEET_ROUTERS) {
-						yield* Effect.sleep(self.routers() * GATHERING_PER_ROUTER_MS);
+					if (result.success === 'changed' && self.fleet.routers() > SMALL_FLEET_ROUTERS) {
+						yield* Effect.sleep(self.fleet.routers() * GATHERING_PER_ROUTER_MS);
 					}
 					continue;
 				}
@@ -164,12 +181,17 @@
 	}
 
 	private watchWaitMs(): number {
-		const routers = this.routers();
-		if (routers <= SMALL_FLEET_ROUTERS) {
-			return LEAST_WATCH_WAIT_MS;
+		return this.fleet.routers() <= SMALL_FLEET_ROUTERS
+			? WATCH_WAIT_MS
+			: Math.round(LARGE_FLEET_WATCH_WAIT_MS * (1 - JITTER * this.random()));
+	}
+
+	private rest(): void {
+		if (this.connected) {
+			this.connected = false;
+			this.log.write('store-reading-left', { prefix: this.prefix, revision: this.knownRevision });
+			this.contactEmitter.fire(false);
 		}
-		const waitMs = Math.min(LONGEST_WATCH_WAIT_MS, routers * WATCH_WAIT_PER_ROUTER_MS);
-		return Math.round(waitMs * (1 - JITTER * this.random()));
 	}
 
 	private applyChanges({ changes, revision }: ChangeSet): void {
--- a/src/store/test/prefixFollower.test.ts
+++ b/src/store/test/prefixFollower.test.ts
@@ -41,6 +41,7 @@
 	store: IRevisionedStore,
 	milliseconds = 60,
 	routers = 1,
+	isReader: () => boolean = () => true,
 ): Promise<{
 	readonly follower: PrefixFollower;
 	readonly contacts: readonly boolean[];
@@ -51,7 +52,7 @@
 		store,
 		systemClock,
 		{ write: () => undefined },
-		() => routers,
+		{ routers: () => routers, isReader },
 		() => 1,
 	);
 	const contacts: boolean[] = [];
@@ -135,4 +136,20 @@
 		expect(follower.apply({ entries: [], revision: 8 })).toBe(true);
 		expect(follower.lastChangeRevision).toBe(8);
 	});
+
+	// Seventy routers that all watched the store paid a tenth of their worth for it.
+	test('a router for which others read makes no calls, and goes on from what they told it', async () => {
+		let isReader = false;
+		const store = storeWith([Effect.succeed({ entries: [entry('servers/a', 3)], revision: 5 })], []);
+		const { follower, contacts } = await follow(store, 300, 40, () => isReader);
+		expect(store.watchedAfter).toEqual([]);
+		expect(follower.isConnected).toBe(false);
+		expect(contacts).toEqual([true, false]);
+		follower.apply({ entries: [entry('servers/b', 8)], revision: 9 });
+		isReader = true;
+		const fiber = Effect.runFork(follower.run());
+		await new Promise((resolve) => setTimeout(resolve, 20));
+		await Effect.runPromise(Fiber.interrupt(fiber));
+		expect(store.watchedAfter).toEqual([9]);
+	});
 });
