Make the test of a stopped engine fail without its detection

Cause: the first form of the test passed without the detection too: its other engines were idle, so the stopped one got few prompts at any rate.

Change: the two other engines are busy most of the time.

--- a/src/engines/test/engineFleet.test.ts
+++ b/src/engines/test/engineFleet.test.ts
@@ -147,25 +147,34 @@
 		expect(fleet.options(SERVICE, promptWith('tides'), NONE, 1_000)[0]?.server.id).toBe('sound');
 	});
 
-	// Load pattern: prompts arrive every 20 ms while one of three engines has lost its power.
+	// Load pattern: two engines are busy most of the time, and a third one has lost its power and looks idle.
 	test('prompts do not gather at an engine that has stopped without ending', () => {
 		const fleet = fleetOf('dark', 'one', 'two');
-		const counts = new Map<string, number>();
-		for (let now = 0; now < 4_000; now += 20) {
+		const readUntil = new Map<string, number>();
+		let reading: { readonly id: string; readonly sequence: number; readonly endsAt: number }[] = [];
+		let atDarkEngine = 0;
+		for (let now = 0; now < 4_000; now += 65) {
+			for (const { id, sequence, endsAt } of reading.filter((item) => item.endsAt <= now)) {
+				fleet.recordFirstEvent(id, sequence, endsAt);
+				fleet.recordEnd(id, sequence, { hadFirstEvent: true, slotTimeMs: 10, outcome: 'answered' }, endsAt);
+			}
+			reading = reading.filter(({ endsAt }) => endsAt > now);
 			const work = promptWith(`document ${now}`);
 			const [option] = fleet.options(SERVICE, work, NONE, now).filter(({ health }) => health.usable);
 			if (option === undefined) {
 				throw new Error('no engine is usable');
 			}
 			const { id } = option.server;
-			counts.set(id, (counts.get(id) ?? 0) + 1);
 			const sequence = fleet.place(option, work, now);
-			if (id !== 'dark') {
-				fleet.recordFirstEvent(id, sequence, now + 10);
-				fleet.recordEnd(id, sequence, { hadFirstEvent: true, slotTimeMs: 10, outcome: 'answered' }, now + 10);
+			if (id === 'dark') {
+				atDarkEngine++;
+				continue;
 			}
+			const endsAt = Math.max(now, readUntil.get(id) ?? 0) + option.workMs;
+			readUntil.set(id, endsAt);
+			reading.push({ id, sequence, endsAt });
 		}
-		expect(counts.get('dark') ?? 0).toBeLessThan(30);
+		expect(atDarkEngine).toBeLessThan(10);
 	});
 
 	test('an engine that cannot be reached is left out for a while and then tried again', () => {
