Take back the relief of exhausted routers and the short connection queue

Ruled out: that relief serves more of the caller whose connections go to one router.

Change: back to the guard by lateness and the usual queue of connections. Refused requests keep their connection, which makes refusing cheaper. The soak can run with more than 16 routers.

--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -28,8 +28,6 @@
 /** Largest number that a random incarnation can have. */
 const INCARNATION_LIMIT = 2 ** 47;
 
-const HUNDREDTHS = 100;
-
 /** Another router, as its datagrams describe it. */
 export interface FleetPeer {
 	readonly instance: string;
@@ -44,10 +42,6 @@
 	/** Newest change that the peer knows, by followed prefix. */
 	readonly followedRevisions: readonly number[];
 	readonly lost: boolean;
-	/** Part of the time for which its event loop works, from 0 to 1. */
-	readonly utilization: number;
-	/** Whether it has left the balancer's rotation because it gets more than it can do. */
-	readonly isRelieved: boolean;
 	/** Monotonic milliseconds since which the peer has read the registrations; undefined while it cannot. */
 	readonly contactSince: number | undefined;
 	readonly sequence: number;
@@ -68,8 +62,6 @@
 	/** Newest change that is known, by followed prefix. */
 	readonly followedRevisions: () => readonly number[];
 	readonly suspects: CrashSuspects;
-	/** Load of this router. */
-	readonly ownLoad: () => { readonly utilization: number; readonly isRelieved: boolean };
 	/** Which router keeps the queue of a server. */
 	readonly duties: FleetDuties;
 	/** Monotonic milliseconds since which this router has read the registrations; undefined while it cannot. */
@@ -298,7 +290,6 @@
 		const now = this.clock.now();
 		const { engines, shares, duties } = this.state;
 		const contactSince = this.state.contactSince();
-		const ownLoad = this.state.ownLoad();
 		const state = RouterState.create({
 			storeContactMs: contactSince === undefined ? 0 : 1 + Math.max(0, Math.round(now - contactSince)),
 			instance: this.identity.instance,
@@ -309,8 +300,6 @@
 			datagramAddress: formatAddress(this.identity.datagramAddress),
 			leaving: this.leaving,
 			replyRequested: options.replyRequested,
-			utilization: Math.round(ownLoad.utilization * HUNDREDTHS),
-			relieved: ownLoad.isRelieved,
 			followedRevisions: [...this.state.followedRevisions()],
 		});
 		const inProgress = engines.ownInProgress();
@@ -368,8 +357,6 @@
 			heardAt: now,
 			followedRevisions: state.followedRevisions,
 			lost: false,
-			utilization: state.utilization / HUNDREDTHS,
-			isRelieved: state.relieved,
 			contactSince: state.storeContactMs > 0 ? now - state.storeContactMs : undefined,
 			sequence: state.sequence,
 		};
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -97,7 +97,6 @@
 				shares,
 				suspects,
 				duties,
-				ownLoad: () => ({ utilization: 0, isRelieved: false }),
 				contactSince: () => follower.contactSince,
 				followedRevisions: () => [follower.lastChangeRevision],
 			},
--- a/src/gateway/common/overloadGuard.ts
+++ b/src/gateway/common/overloadGuard.ts
@@ -1,10 +1,10 @@
 import { SlidingSum } from '../../shares/common/slidingSum.js';
 
-/** Interval in milliseconds at which the load of the processor is to be recorded. */
-export const LOAD_INTERVAL_MS = 50;
+/** Interval in milliseconds at which the lateness of timers is to be recorded. */
+export const LATENESS_INTERVAL_MS = 50;
 
-/** Load is averaged over about this time: some turns of a processor that is given out in tenths of a second. */
-const LOAD_PERIOD_MS = 250;
+/** Lateness is averaged over about this time, which covers several turns of a processor that is given out in tenths of a second. */
+const LATENESS_PERIOD_MS = 250;
 
 /** Mean lateness at which the processor is exhausted; it is below 3 ms on a router that is not. */
 const EXHAUSTED_LATENESS_MS = 25;
@@ -43,7 +43,6 @@
 export class OverloadGuard {
 	private readonly admitted = SlidingSum.create(RATE_WINDOW_MS);
 	private latenessMs = 0;
-	private utilization = 0;
 	private limit = Infinity;
 	private credit = 0;
 	private creditAt = 0;
@@ -66,22 +65,15 @@
 		return this.latenessMs;
 	}
 
-	/** Mean part of the time for which the event loop works, from 0 to 1. */
-	public get meanUtilization(): number {
-		return this.utilization;
-	}
-
 	/**
-	 * Notes the load of the processor since the last call, at intervals of {@link LOAD_INTERVAL_MS}.
+	 * Notes by how much a timer that is set at {@link LATENESS_INTERVAL_MS} was late.
 	 *
-	 * @param lateMs milliseconds by which the timer for this call was late
-	 * @param utilization part of the time for which the event loop worked, from 0 to 1
+	 * @param lateMs milliseconds
 	 * @param now monotonic milliseconds
 	 */
-	public recordLoad(lateMs: number, utilization: number, now: number): void {
-		const weight = 1 - Math.exp(-(LOAD_INTERVAL_MS + lateMs) / LOAD_PERIOD_MS);
+	public recordLateness(lateMs: number, now: number): void {
+		const weight = 1 - Math.exp(-(LATENESS_INTERVAL_MS + lateMs) / LATENESS_PERIOD_MS);
 		this.latenessMs += weight * (Math.min(lateMs, LONGEST_LATENESS_MS) - this.latenessMs);
-		this.utilization += weight * (utilization - this.utilization);
 		if (now - this.steppedAt < STEP_MS) {
 			return;
 		}
@@ -90,9 +82,7 @@
 		if (this.latenessMs > EXHAUSTED_LATENESS_MS) {
 			const limit = Math.min(this.limit, admittedPerSecond) * DECREASE;
 			this.limit = Math.max(LEAST_REQUESTS_PER_SECOND, limit);
-			return;
-		}
-		if (this.latenessMs < CALM_LATENESS_MS && this.limit !== Infinity) {
+		} else if (this.latenessMs < CALM_LATENESS_MS && this.limit !== Infinity) {
 			this.limit *= INCREASE;
 			if (this.limit > IDLE_LIMIT * Math.max(LEAST_REQUESTS_PER_SECOND, admittedPerSecond)) {
 				this.limit = Infinity;
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -1,6 +1,5 @@
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
-import { performance } from 'node:perf_hooks';
 import { Effect } from 'effect';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { afterNextPoll } from '../../base/node/eventLoop.js';
@@ -11,7 +10,7 @@
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
 import type { IngressFields } from '../common/ingress.js';
 import { CallerElapsed } from '../common/callerElapsed.js';
-import { LOAD_INTERVAL_MS, OverloadGuard } from '../common/overloadGuard.js';
+import { LATENESS_INTERVAL_MS, OverloadGuard } from '../common/overloadGuard.js';
 import { GatewayAnswer } from './gatewayAnswer.js';
 import { RequestRun, type RunContext } from './requestRun.js';
 
@@ -27,12 +26,6 @@
 /** Asked while the processor is exhausted: callers come back through another router, which is likely to have room. */
 const OVERLOADED_RETRY_MS = 50;
 
-/**
- * Connections that wait to be accepted. Node.js accepts one in each turn of its event loop, some hundred a second when the
- * processor is exhausted; a longer queue only holds connections until their callers have left.
- */
-const BACKLOG = 128;
-
 /** Asked while the router has no configuration yet. */
 const NOT_READY_RETRY_MS = 500;
 
@@ -53,7 +46,6 @@
 	private readonly busySockets = new Set<Socket>();
 	private readonly overload = OverloadGuard.create();
 	private closing = false;
-	private relieved = false;
 	private refusing = false;
 
 	private constructor(
@@ -66,16 +58,12 @@
 			(request, response) => this.handle(request, response),
 		);
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.answerBadInput(error, socket));
-		let expectedAt = context.clock.now() + LOAD_INTERVAL_MS;
-		let before = performance.eventLoopUtilization();
+		let expectedAt = context.clock.now() + LATENESS_INTERVAL_MS;
 		const timer = setInterval(() => {
 			const now = context.clock.now();
-			const total = performance.eventLoopUtilization();
-			const { utilization } = performance.eventLoopUtilization(total, before);
-			this.overload.recordLoad(Math.max(0, now - expectedAt), utilization, now);
-			before = total;
-			expectedAt = now + LOAD_INTERVAL_MS;
-		}, LOAD_INTERVAL_MS);
+			this.overload.recordLateness(Math.max(0, now - expectedAt), now);
+			expectedAt = now + LATENESS_INTERVAL_MS;
+		}, LATENESS_INTERVAL_MS);
 		this.register(
 			toDisposable(() => {
 				clearInterval(timer);
@@ -104,11 +92,6 @@
 		return this.overload.meanLatenessMs;
 	}
 
-	/** Mean part of the time for which the event loop works, from 0 to 1. */
-	public get meanUtilization(): number {
-		return this.overload.meanUtilization;
-	}
-
 	/** Requests whose answer is not complete. */
 	public get requestsInProgress(): number {
 		return this.open.size;
@@ -125,11 +108,6 @@
 		this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
 	}
 
-	/** @param relieved whether callers are asked to come back through other routers, while all requests are still served */
-	public setRelieved(relieved: boolean): void {
-		this.relieved = relieved;
-	}
-
 	/** Goes on accepting, but asks callers not to use their connections again. */
 	public startClosing(): void {
 		this.closing = true;
@@ -160,7 +138,7 @@
 	 * @returns the port that was bound
 	 */
 	public listen(host: string, port: number): Promise<number> {
-		return listenOn(this.server, host, port, BACKLOG);
+		return listenOn(this.server, host, port);
 	}
 
 	private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -168,12 +146,7 @@
 		const arrivedAt = clock.now();
 		const fields = codec.decode(request.headers);
 		const admits = this.overload.tryAdmit(arrivedAt);
-		const answer = GatewayAnswer.create(
-			response,
-			codec.requestIdHeader,
-			fields.id,
-			() => this.closing || this.relieved,
-		);
+		const answer = GatewayAnswer.create(response, codec.requestIdHeader, fields.id, () => this.closing);
 		this.open.add(response);
 		this.busySockets.add(request.socket);
 		response.once('close', () => this.busySockets.delete(request.socket));
--- a/src/gateway/test/overloadGuard.test.ts
+++ b/src/gateway/test/overloadGuard.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { LOAD_INTERVAL_MS, OverloadGuard } from '../common/overloadGuard.js';
+import { LATENESS_INTERVAL_MS, OverloadGuard } from '../common/overloadGuard.js';
 
 /** Processor time of a request that is taken and of one that is refused, in milliseconds. */
 const TAKEN_MS = 8;
@@ -23,13 +23,13 @@
 	const end = seconds * 1_000;
 	const lastSecond = end - 1_000;
 	let freeAt = 0;
-	let nextTick = LOAD_INTERVAL_MS;
+	let nextTick = LATENESS_INTERVAL_MS;
 	let taken = 0;
 	let longestWaitMs = 0;
 	for (let arrival = 0; arrival < end; arrival += 1_000 / perSecond) {
-		for (; nextTick <= arrival; nextTick += LOAD_INTERVAL_MS) {
+		for (; nextTick <= arrival; nextTick += LATENESS_INTERVAL_MS) {
 			const lateMs = Math.max(0, freeAt - nextTick);
-			guard?.recordLoad(lateMs, 1, nextTick + lateMs);
+			guard?.recordLateness(lateMs, nextTick + lateMs);
 		}
 		const readAt = Math.max(freeAt, arrival);
 		const admits = guard?.tryAdmit(readAt) ?? true;
@@ -60,8 +60,8 @@
 		const guard = OverloadGuard.create();
 		replay(guard, 800, 5);
 		expect(guard.requestsPerSecond).toBeLessThan(130);
-		for (let now = 5_000; now < 12_000; now += LOAD_INTERVAL_MS) {
-			guard.recordLoad(0, 0.3, now);
+		for (let now = 5_000; now < 12_000; now += LATENESS_INTERVAL_MS) {
+			guard.recordLateness(0, now);
 			guard.tryAdmit(now);
 		}
 		expect(guard.requestsPerSecond).toBe(Infinity);
@@ -72,7 +72,7 @@
 		for (let now = 0; now < 1_000; now += 10) {
 			guard.tryAdmit(now);
 		}
-		guard.recordLoad(60, 1, 1_060);
+		guard.recordLateness(60, 1_060);
 		expect(guard.requestsPerSecond).toBe(Infinity);
 	});
 });
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -1,5 +1,5 @@
 import sade from 'sade';
-import { soak } from './soak.js';
+import { DEFAULT_ROUTERS, soak } from './soak.js';
 
 const DEFAULT_SEEDS = 5;
 const DEFAULT_SECONDS = 15;
@@ -10,21 +10,23 @@
 	readonly seed?: unknown;
 	readonly seeds: unknown;
 	readonly seconds: unknown;
+	readonly routers: unknown;
 }
 
 sade('soak', true)
 	.describe('Injects random faults into routers that run as processes, and checks what callers and servers see.')
 	.option('--seed', 'First seed (default: the time)')
 	.option('--seeds', 'Number of seeds', DEFAULT_SEEDS)
+	.option('--routers', 'Routers; more than 16 divide their duties', DEFAULT_ROUTERS)
 	.option('--seconds', 'Time of faults for each seed', DEFAULT_SECONDS)
 	.action(run)
 	.parse(process.argv);
 
-async function run({ seed, seeds, seconds }: Options): Promise<void> {
+async function run({ seed, seeds, seconds, routers }: Options): Promise<void> {
 	const first = seed === undefined ? Date.now() % 1_000_000 : Number(seed);
 	let broken = 0;
 	for (let offset = 0; offset < Number(seeds); offset++) {
-		const result = await soak(first + offset, Number(seconds) * MILLISECONDS_PER_SECOND, NETWORK);
+		const result = await soak(first + offset, Number(seconds) * MILLISECONDS_PER_SECOND, NETWORK, Number(routers));
 		const { answered, calls, faults, violations } = result;
 		console.log(
 			`seed ${result.seed}: ${answered} of ${calls} answered, ${faults.length} faults, ${violations.length} violations`,
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -7,7 +7,8 @@
 import { callRouter, type CallResult } from '../platformFleet/caller.js';
 import { PlatformFleet, type PlatformRouterProcess } from '../platformFleet/platformFleet.js';
 
-const ROUTERS = 4;
+/** Routers of a small fleet, in which each one hears of all placements. */
+export const DEFAULT_ROUTERS = 4;
 const CALL_INTERVAL_MS = 12;
 const LEAST_FAULT_PAUSE_MS = 200;
 const FAULT_PAUSE_SPREAD_MS = 900;
@@ -36,9 +37,15 @@
  * @param seed decides faults and calls
  * @param durationMs time in which faults are injected
  * @param network number for the routers' loopback addresses
+ * @param routers number of routers; more than 16 divide their duties
  * @returns what was found
  */
-export async function soak(seed: number, durationMs: number, network: number): Promise<SoakResult> {
+export async function soak(
+	seed: number,
+	durationMs: number,
+	network: number,
+	routers = DEFAULT_ROUTERS,
+): Promise<SoakResult> {
 	const generator = xoroshiro128plus(seed);
 	const random = (): number => uniformFloat64(generator);
 	const group = ProcessGroup.create();
@@ -46,12 +53,12 @@
 	const relay = Relay.create(0);
 	try {
 		const stores = new Map<string, string>();
-		for (let index = 1; index <= ROUTERS; index++) {
+		for (let index = 1; index <= routers; index++) {
 			const name = `router-${index}`;
 			stores.set(name, await relay.add({ from: name, to: 'store', target: platform.storeAddress }));
 		}
 		const fleet = PlatformFleet.create(group, (name) => stores.get(name) ?? platform.storeAddress, network);
-		for (let index = 1; index <= ROUTERS; index++) {
+		for (let index = 1; index <= routers; index++) {
 			fleet.start(index);
 		}
 		await fleet.waitUntilReady();
