--- a/src/engines/common/engineChoice.ts
+++ b/src/engines/common/engineChoice.ts
@@ -46,7 +46,7 @@
 	readonly heldTokens: number;
 	/** Most leading tokens that some engine of the service is taken to hold. */
 	readonly mostHeldTokens: number;
-	/** Place of the engine in the order that all routers agree on for this prompt; 0 is its home. */
+	/** Place of the engine's group in the order that all routers agree on for this document; 0 is its home. */
 	readonly rank: number;
 	/** Whether the engine is in the failure domain of this router. */
 	readonly isNear: boolean;
@@ -57,7 +57,7 @@
 /** Weight of reading a shared part again, on top of the time it takes: the platform charges for it. */
 const REREAD_WEIGHT = 3;
 
-/** Preference for the engine that all routers choose for a prompt that no engine is known to hold. */
+/** Preference for the group that all routers choose for a document that no engine is known to hold. */
 const HOME_BONUS_MS = 8;
 
 /** Preference for an engine in the own failure domain, for the round trip and the price of its bytes. */
--- a/src/engines/common/queueReservations.ts
+++ b/src/engines/common/queueReservations.ts
@@ -1,6 +1,6 @@
 import { Effect } from 'effect';
 import type { EngineOption, PromptWork } from './engineChoice.js';
-import type { Reservation } from './engineFleet.js';
+import type { Reservation } from './placementMessages.js';
 
 /** Answer to a request for a place in the queue of a server. */
 export type ReservationResult =
--- a/src/engines/test/queueReservation.test.ts
+++ b/src/engines/test/queueReservation.test.ts
@@ -2,7 +2,8 @@
 import { shortKey } from '../../base/common/shortKey.js';
 import type { RegisteredServer } from '../common/directory.js';
 import type { EngineOption, PromptWork } from '../common/engineChoice.js';
-import { EngineFleet, type Reservation, type ReservationRequest } from '../common/engineFleet.js';
+import { EngineFleet } from '../common/engineFleet.js';
+import type { Reservation, ReservationRequest } from '../common/placementMessages.js';
 
 const ENGINES = 12;
 const ENGINES_PER_GROUP = 4;
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -4,7 +4,7 @@
 	FirstEventNotice,
 	PlacementNotice,
 	ReservationRequest,
-} from '../../engines/common/engineFleet.js';
+} from '../../engines/common/placementMessages.js';
 import type { EngineReport } from '../../engines/common/engineState.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import * as wire from './generated/masticloom/fleet/v1/fleet.js';
@@ -27,8 +27,9 @@
 
 /** What waits to be sent to one router or to all. */
 export class FleetOutbox {
-	/** Monotonic milliseconds. */
+	/** Monotonic milliseconds of the last datagram. */
 	public lastSentAt = 0;
+	/** Monotonic milliseconds of the last datagram with usage of accounts. */
 	public lastUsageAt = 0;
 	private readonly placements: PlacementNotice[] = [];
 	private readonly firstEvents: FirstEventNotice[] = [];
@@ -54,15 +55,18 @@
 		return this.placements.length > 0 || this.firstEvents.length > 0 || this.outcomes.length > 0;
 	}
 
+	/** @param notice a placement by this router */
 	public addPlacement(notice: PlacementNotice): void {
 		this.placements.push(notice);
 		this.servers.add(notice.server);
 	}
 
+	/** @param notice the end of a prompt of this router */
 	public addFirstEvent(notice: FirstEventNotice): void {
 		this.firstEvents.push(notice);
 	}
 
+	/** @param notice the end of a request of this router */
 	public addEnd({ server, outcome }: EndNotice): void {
 		this.servers.add(server);
 		if (outcome !== undefined) {
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -15,7 +15,8 @@
 import { EventStream } from '../../dispatch/node/eventStream.js';
 import { fingerprintOf } from '../../dispatch/node/fingerprint.js';
 import type { EngineOption, PromptWork } from '../../engines/common/engineChoice.js';
-import type { EngineFleet, Reservation } from '../../engines/common/engineFleet.js';
+import type { EngineFleet } from '../../engines/common/engineFleet.js';
+import type { Reservation } from '../../engines/common/placementMessages.js';
 import type {
 	IQueueReservations,
 	ReservationResult,
