--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -10,6 +10,7 @@
 import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
 import { PrefixFollower } from '../../store/node/prefixFollower.js';
 import { FleetDuties } from '../common/fleetDuties.js';
+import { SMALL_FLEET_ROUTERS } from '../common/fleetTiming.js';
 import { FleetExchange } from '../node/fleetExchange.js';
 import { QueueReservations } from '../node/queueReservations.js';
 import { SnapshotExchange } from '../node/snapshotExchange.js';
@@ -47,6 +48,8 @@
 	readonly follower: PrefixFollower;
 	readonly datagramAddress: SocketAddress;
 	readonly events: string[];
+	/** Since when the router reads the store, in monotonic milliseconds. */
+	readonly contact: { since: number | undefined };
 	readonly owner: DisposableStore;
 }
 
@@ -70,6 +73,7 @@
 export async function startRouter(instance: string, network: string): Promise<FixtureRouter> {
 	const owner = DisposableStore.create();
 	const events: string[] = [];
+	const contact: FixtureRouter['contact'] = { since: undefined };
 	const log = { write: (event: string) => void events.push(event) };
 	const duties = FleetDuties.create(instance);
 	const engines = EngineFleet.create(instance, 'a', duties);
@@ -97,7 +101,7 @@
 				shares,
 				suspects,
 				duties,
-				contactSince: () => follower.contactSince,
+				contactSince: () => contact.since,
 				followedRevisions: () => [follower.lastChangeRevision],
 			},
 			systemClock,
@@ -118,6 +122,7 @@
 		follower,
 		datagramAddress,
 		events,
+		contact,
 		owner,
 	};
 	routers.push(router);
@@ -136,6 +141,25 @@
 	return [one, two];
 }
 
+/** Routers of a fleet that divides its duties. */
+export const LARGE_FLEET_ROUTERS = SMALL_FLEET_ROUTERS + 3;
+
+/**
+ * @param network first three bytes of the addresses, which no other test file uses
+ * @returns a fleet that divides its duties, in which all routers know each other
+ */
+export async function startLargeFleet(network: string): Promise<readonly FixtureRouter[]> {
+	const routers: FixtureRouter[] = [];
+	for (let index = 0; index < LARGE_FLEET_ROUTERS; index++) {
+		routers.push(await startRouter(`router-${index}`, network));
+	}
+	for (const one of routers) {
+		routers.forEach((other) => one.exchange.introduce(other.datagramAddress));
+	}
+	await until(() => routers.every(({ exchange }) => exchange.routerCount === LARGE_FLEET_ROUTERS), 10_000);
+	return routers;
+}
+
 /**
  * @param holds condition that is waited for
  * @param limitMs longest wait in milliseconds
--- a/src/fleet/test/queueReservations.test.ts
+++ b/src/fleet/test/queueReservations.test.ts
@@ -3,27 +3,20 @@
 import { systemClock } from '../../base/common/clock.js';
 import type { EngineOption } from '../../engines/common/engineChoice.js';
 import type { ReservationResult, ReservationTerms } from '../../engines/common/queueReservations.js';
-import { SMALL_FLEET_ROUTERS } from '../common/fleetTiming.js';
-import { disposeRouters, type FixtureRouter, server, startRouter, until, work } from './fleetFixture.js';
+import {
+	disposeRouters,
+	type FixtureRouter,
+	LARGE_FLEET_ROUTERS,
+	server,
+	startLargeFleet as startLargeFleetOn,
+	until,
+	work,
+} from './fleetFixture.js';
 
-const NETWORK = '127.0.206';
-const ROUTERS = SMALL_FLEET_ROUTERS + 3;
+const startLargeFleet = (): Promise<readonly FixtureRouter[]> => startLargeFleetOn('127.0.206');
 
 afterEach(disposeRouters);
 
-/** Starts a fleet in which each queue is kept by one router. */
-async function startLargeFleet(): Promise<readonly FixtureRouter[]> {
-	const routers: FixtureRouter[] = [];
-	for (let index = 0; index < ROUTERS; index++) {
-		routers.push(await startRouter(`router-${index}`, NETWORK));
-	}
-	for (const one of routers) {
-		routers.forEach((other) => one.exchange.introduce(other.datagramAddress));
-	}
-	await until(() => routers.every(({ exchange }) => exchange.routerCount === ROUTERS), 10_000);
-	return routers;
-}
-
 function keeperAmong(routers: readonly FixtureRouter[]): FixtureRouter {
 	const keeper = routers.find(({ duties }) => duties.keeps(server.id));
 	if (keeper === undefined) {
@@ -119,7 +112,7 @@
 		expect(result).toMatchObject({ kind: 'reserved', reservation: { confirmed: false } });
 		expect(Date.now() - askedAt).toBeLessThan(300);
 		expect(one.events).toContain('reservation-unanswered');
-		await until(() => others.every(({ exchange }) => exchange.routerCount === ROUTERS - 1), 10_000);
+		await until(() => others.every(({ exchange }) => exchange.routerCount === LARGE_FLEET_ROUTERS - 1), 10_000);
 		const next = keeperAmong(others);
 		await until(() => waitAt(next) > 500);
 	});
