Keep descriptors for other connections than those of callers

Ruled out: the readers of the store and the divided duties, which a fleet of six does not have.

From three quarters of that, connections close after their answer; beyond it they are dropped, which is logged once a second. Both have a test that failed before.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -26,6 +26,12 @@
 /** Asked while the processor is exhausted: callers come back through another router, which is likely to have room. */
 const OVERLOADED_RETRY_MS = 50;
 
+/** Part of the largest number of connections from which each is closed after its answer. */
+const CROWDED_PART = 0.75;
+
+/** Dropped connections are logged together at most this often. */
+const DROP_LOG_INTERVAL_MS = 1_000;
+
 /** Asked while the router has no configuration yet. */
 const NOT_READY_RETRY_MS = 500;
 
@@ -45,12 +51,16 @@
 	private readonly elapsed = CallerElapsed.create();
 	private readonly busySockets = new Set<Socket>();
 	private readonly overload = OverloadGuard.create();
+	private openConnections = 0;
+	private droppedConnections = 0;
+	private droppedLoggedAt = -Infinity;
 	private closing = false;
 	private refusing = false;
 
 	private constructor(
 		private readonly context: RunContext,
 		private readonly table: () => RouteTable | undefined,
+		private readonly maximumConnections: number,
 	) {
 		super();
 		this.server = http.createServer(
@@ -58,6 +68,9 @@
 			(request, response) => this.handle(request, response),
 		);
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.answerBadInput(error, socket));
+		this.server.maxConnections = maximumConnections;
+		this.server.on('connection', (socket) => this.countConnection(socket));
+		this.server.on('drop', () => this.noteDropped());
 		let expectedAt = context.clock.now() + LATENESS_INTERVAL_MS;
 		const timer = setInterval(() => {
 			const now = context.clock.now();
@@ -76,10 +89,20 @@
 	/**
 	 * @param context parts that run requests
 	 * @param table routes in force; undefined before there is a configuration
+	 * @param maximumConnections of callers; the process needs descriptors for other connections too
 	 * @returns a server that does not listen yet
 	 */
-	public static create(context: RunContext, table: () => RouteTable | undefined): GatewayServer {
-		return new GatewayServer(context, table);
+	public static create(
+		context: RunContext,
+		table: () => RouteTable | undefined,
+		maximumConnections = Infinity,
+	): GatewayServer {
+		return new GatewayServer(context, table, maximumConnections);
+	}
+
+	/** Open connections of callers. */
+	public get connections(): number {
+		return this.openConnections;
 	}
 
 	/** Requests per second that are taken; infinite while the processor is not exhausted. */
@@ -146,7 +169,12 @@
 		const arrivedAt = clock.now();
 		const fields = codec.decode(request.headers);
 		const admits = this.overload.tryAdmit(arrivedAt);
-		const answer = GatewayAnswer.create(response, codec.requestIdHeader, fields.id, () => this.closing);
+		const answer = GatewayAnswer.create(
+			response,
+			codec.requestIdHeader,
+			fields.id,
+			() => this.closing || this.isCrowded,
+		);
 		this.open.add(response);
 		this.busySockets.add(request.socket);
 		response.once('close', () => this.busySockets.delete(request.socket));
@@ -232,6 +260,25 @@
 		});
 	}
 
+	private get isCrowded(): boolean {
+		return this.openConnections > this.maximumConnections * CROWDED_PART;
+	}
+
+	private countConnection(socket: Socket): void {
+		this.openConnections++;
+		socket.once('close', () => this.openConnections--);
+	}
+
+	private noteDropped(): void {
+		this.droppedConnections++;
+		const now = this.context.clock.now();
+		if (now - this.droppedLoggedAt >= DROP_LOG_INTERVAL_MS) {
+			this.droppedLoggedAt = now;
+			this.context.log.write('connections-dropped', { dropped: this.droppedConnections, open: this.openConnections });
+			this.droppedConnections = 0;
+		}
+	}
+
 	private refuse(
 		answer: GatewayAnswer,
 		fields: IngressFields,
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -286,4 +286,49 @@
 		expect(Atomics.load(steps, 0)).toBe(1);
 		expect(fixture.attempts).toHaveLength(0);
 	});
+
+	// A flood of connections took all descriptors, so that the router could not reach its peers and the store, and went on
+	// with an old configuration.
+	test('leaves descriptors for other connections than those of callers', async () => {
+		const fixture = await start([answerWith(200, 'done')], orders, undefined, 20);
+		const sockets: net.Socket[] = [];
+		for (let index = 0; index < 60; index++) {
+			const socket = net.connect(fixture.port, '127.0.0.1');
+			socket.on('error', () => undefined);
+			sockets.push(socket);
+		}
+		while (!fixture.lines.some(({ event }) => event === 'connections-dropped')) {
+			await new Promise((resolve) => setTimeout(resolve, 5));
+		}
+		expect(fixture.gateway.connections).toBeLessThanOrEqual(20);
+		sockets.forEach((socket) => socket.destroy());
+		while (fixture.gateway.connections > 0) {
+			await new Promise((resolve) => setTimeout(resolve, 5));
+		}
+		expect((await send(fixture.port)).status).toBe(200);
+	});
+
+	test('closes connections after their answer while many are open', async () => {
+		const fixture = await start([answerWith(200, 'done')], orders, undefined, 4);
+		const agent = new http.Agent({ keepAlive: true });
+		const kept = (): Promise<string | undefined> =>
+			new Promise((resolve, reject) => {
+				const headers = { host: HOST, authorization: KEY, 'request-id': 'request-1' };
+				const options = { agent, headers, port: fixture.port, host: '127.0.0.1', path: '/orders/1', method: 'POST' };
+				const request = http.request(options, (response) => {
+					response.resume();
+					response.on('end', () => resolve(response.headers.connection));
+				});
+				request.on('error', reject);
+				request.end();
+			});
+		expect(await kept()).toBe('keep-alive');
+		const idle = Array.from({ length: 3 }, () => net.connect(fixture.port, '127.0.0.1').on('error', () => undefined));
+		while (fixture.gateway.connections < 4) {
+			await new Promise((resolve) => setTimeout(resolve, 5));
+		}
+		expect(await kept()).toBe('close');
+		idle.forEach((socket) => socket.destroy());
+		agent.destroy();
+	});
 });
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -144,12 +144,14 @@
  * @param behaviours of the attempts, in their order; the last one holds for all further attempts
  * @param configuration in force
  * @param servers that may get requests
+ * @param maximumConnections of callers
  * @returns the running gateway
  */
 export async function startGateway(
 	behaviours: readonly Behaviour[],
 	configuration: RoutingConfiguration,
 	servers: readonly RegisteredServer[] = [serverOf('desk', 'desk-1'), serverOf('scribes', 'scribe-1')],
+	maximumConnections = 1_000,
 ): Promise<GatewayFixture> {
 	const attempts: SeenAttempt[] = [];
 	const lines: { readonly event: string; readonly fields: LogFields }[] = [];
@@ -180,6 +182,7 @@
 			metrics: GatewayMetrics.create(),
 		},
 		() => table,
+		maximumConnections,
 	);
 	const port = await gateway.listen('127.0.0.1', 0);
 	return {
