Take a connection that fails at once for one that did not run the request

Callers were told 502.

Change: a socket that has ended when it is assigned sends nothing. The test connects to the broadcast address, which fails in the same way; it was told may-have-run before.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -139,6 +139,11 @@
 	public start(outgoing: http.ClientRequest): void {
 		this.outgoing = outgoing;
 		outgoing.on('socket', (socket) => {
+			if (socket.destroyed) {
+				// Without a free descriptor the connection has failed already; its error follows, and nothing was sent.
+				setImmediate(() => this.fail('unreachable', 'the connection ended before it was used'));
+				return;
+			}
 			if (!socket.connecting) {
 				this.send();
 				return;
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -70,6 +70,12 @@
 const pause = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
 
 describe('HttpBackendClient with a protocol', () => {
+	// A router without a free descriptor told callers that their requests may have run, although nothing was sent.
+	test('a connection that fails at once has not run the request', async () => {
+		const { result } = await call(clientWith(), 'http://255.255.255.255:80', 'request-1');
+		expect(result).toMatchObject({ _tag: 'Failure', failure: { kind: 'unreachable', verdict: 'not-run' } });
+	});
+
 	test('uses a connection again', async () => {
 		const url = await startRawServer((socket, count) => socket.write(framed(String(count), 'ok')));
 		const client = clientWith();
