--- a/src/admission/test/admission.test.ts
+++ b/src/admission/test/admission.test.ts
@@ -1,18 +1,11 @@
 import { describe, expect, test } from '@jest/globals';
 import type { EngineOption } from '../../engines/common/engineChoice.js';
 import { type AdmissionInputs, decideAdmission } from '../common/admission.js';
+import { engineWith } from '../../engines/test/engineFixture.js';
 
 function optionWith(overrides: Partial<EngineOption> = {}): EngineOption {
 	return {
-		server: {
-			id: 'engine-1',
-			service: 'drafts',
-			address: '10.0.0.1:80',
-			failureDomain: 'a',
-			slots: 64,
-			leaving: false,
-			startedAt: 1,
-		},
+		server: engineWith('engine-1'),
 		waitMs: 0,
 		delayMs: 0,
 		readMs: 50,
--- a/src/engines/test/engineFleet.test.ts
+++ b/src/engines/test/engineFleet.test.ts
@@ -1,30 +1,16 @@
 import { describe, expect, test } from '@jest/globals';
 import { shortKey } from '../../base/common/shortKey.js';
-import type { RegisteredServer } from '../common/directory.js';
 import type { PromptWork } from '../common/engineChoice.js';
 import { EngineFleet } from '../common/engineFleet.js';
 import { readingTimeMs, streamPauseMs } from '../common/readingTime.js';
+import { engineWith, SERVICE } from './engineFixture.js';
 
-const SERVICE = 'drafts';
 const NONE: ReadonlySet<string> = new Set();
 
-function engine(id: string, overrides: Partial<RegisteredServer> = {}): RegisteredServer {
-	return {
-		id,
-		service: SERVICE,
-		address: '10.0.0.1:80',
-		failureDomain: 'a',
-		slots: 64,
-		leaving: false,
-		startedAt: 1,
-		...overrides,
-	};
-}
-
 function fleetOf(...ids: readonly string[]): EngineFleet {
 	const fleet = EngineFleet.create('router-1', 'a');
 	fleet.setServers(
-		ids.map((id) => engine(id)),
+		ids.map((id) => engineWith(id)),
 		0,
 	);
 	return fleet;
@@ -77,7 +63,7 @@
 		const choices = ['router-1', 'router-2', 'router-3'].map((name) => {
 			const fleet = EngineFleet.create(name, name);
 			fleet.setServers(
-				['one', 'two', 'three'].map((id) => engine(id)),
+				['one', 'two', 'three'].map((id) => engineWith(id)),
 				0,
 			);
 			return placeBest(fleet, promptWith('tides'), 0);
@@ -103,7 +89,7 @@
 	test('an engine that started again holds nothing of before', () => {
 		const fleet = fleetOf('one');
 		placeBest(fleet, promptWith('tides'), 0);
-		fleet.setServers([engine('one', { startedAt: 2 })], 100);
+		fleet.setServers([engineWith('one', { startedAt: 2 })], 100);
 		const [option] = fleet.options(SERVICE, promptWith('tides'), NONE, 100);
 		expect(option?.waitMs).toBe(0);
 		expect(option?.workMs).toBeCloseTo(readingTimeMs(6_500, 0));
@@ -122,7 +108,7 @@
 	// Engines with 12 slots looked idle while all slots were taken, and requests waited 2 s for one.
 	test('an engine without a free slot is one to wait for', () => {
 		const fleet = fleetOf('full', 'free');
-		fleet.setServers([engine('full', { slots: 12 }), engine('free', { slots: 12 })], 0);
+		fleet.setServers([engineWith('full', { slots: 12 }), engineWith('free', { slots: 12 })], 0);
 		fleet.applyInProgress('router-2', new Map([[shortKey('full'), 14]]));
 		const options = fleet.options(SERVICE, promptWith('tides'), NONE, 0);
 		expect(options.find(({ server }) => server.id === 'full')?.waitMs).toBeGreaterThan(200);
--- a/src/engines/test/queueReservation.test.ts
+++ b/src/engines/test/queueReservation.test.ts
@@ -1,14 +1,13 @@
 import { describe, expect, test } from '@jest/globals';
 import { shortKey } from '../../base/common/shortKey.js';
-import type { RegisteredServer } from '../common/directory.js';
 import type { EngineOption, PromptWork } from '../common/engineChoice.js';
 import { EngineFleet } from '../common/engineFleet.js';
 import type { Reservation, ReservationRequest } from '../common/placementMessages.js';
+import { engineWith, SERVICE } from './engineFixture.js';
 
 const ENGINES = 12;
 const ENGINES_PER_GROUP = 4;
 const ROUTERS = 40;
-const SERVICE = 'drafts';
 const REPORT_INTERVAL_MS = 500;
 
 /** Arrivals in a millisecond that keep the engines busy for about 70 % of the time. */
@@ -16,18 +15,6 @@
 const WORK_TOKENS = 3_600;
 const LIMIT_MS = 300;
 
-function engine(id: string): RegisteredServer {
-	return {
-		id,
-		service: SERVICE,
-		address: '10.0.0.1:80',
-		failureDomain: 'a',
-		slots: 64,
-		leaving: false,
-		startedAt: 1,
-	};
-}
-
 const engineIds = Array.from({ length: ENGINES }, (_, index) => `engine-${index}`);
 /** Each group is kept by the router of its number. */
 const keeperOf = (server: string): number => Math.floor(engineIds.indexOf(server) / ENGINES_PER_GROUP);
@@ -35,7 +22,10 @@
 function fleetOf(router: number): EngineFleet {
 	const queues = { keeps: (server: string) => keeperOf(server) === router, groupOf: keeperOf };
 	const fleet = EngineFleet.create(`router-${router}`, 'a', queues);
-	fleet.setServers(engineIds.map(engine), 0);
+	fleet.setServers(
+		engineIds.map((id) => engineWith(id)),
+		0,
+	);
 	return fleet;
 }
 
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -1,9 +1,9 @@
 import { CrashSuspects } from '../../backends/common/crashSuspects.js';
 import { systemClock } from '../../base/common/clock.js';
 import { DisposableStore } from '../../base/common/lifecycle.js';
-import type { RegisteredServer } from '../../engines/common/directory.js';
 import type { PromptWork } from '../../engines/common/engineChoice.js';
 import { EngineFleet } from '../../engines/common/engineFleet.js';
+import { engineWith } from '../../engines/test/engineFixture.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import { FleetShares } from '../../shares/common/fleetShares.js';
 import { Effect } from 'effect';
@@ -16,15 +16,7 @@
 import { SnapshotExchange } from '../node/snapshotExchange.js';
 
 /** The only server of these fleets. */
-export const server: RegisteredServer = {
-	id: 'engine-1',
-	service: 'drafts',
-	address: '10.0.0.1:80',
-	failureDomain: 'a',
-	slots: 64,
-	leaving: false,
-	startedAt: 1,
-};
+export const server = engineWith('engine-1');
 
 /** A short prompt. */
 export const work: PromptWork = {
