--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -105,11 +105,6 @@
 		return this.openConnections;
 	}
 
-	/** Requests per second that are taken; infinite while the processor is not exhausted. */
-	public get requestsPerSecond(): number {
-		return this.overload.requestsPerSecond;
-	}
-
 	/** Mean milliseconds by which timers are late. */
 	public get meanLatenessMs(): number {
 		return this.overload.meanLatenessMs;
