State once which engine meets the terms of a request

The admission and the keeper of a queue tested the same four conditions, and three types listed the same three limits. PlacementTerms names them and isAcceptable tests them; the admission, the request for a place and its answer use both. Behaviour is unchanged.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -1,4 +1,4 @@
-import type { EngineOption } from '../../engines/common/engineChoice.js';
+import { type EngineOption, isAcceptable, type PlacementTerms } from '../../engines/common/engineChoice.js';
 import type { Standing } from '../../shares/common/fleetShares.js';
 
 /** What decides whether a request is sent to an engine now. */
@@ -22,15 +22,7 @@
 
 /** Where a request goes, or when it may come back. */
 export type AdmissionDecision =
-	| {
-			readonly kind: 'place';
-			readonly option: EngineOption;
-			readonly limitMs: number;
-			/** Highest load of the engine at which the request may still be placed, from 0 to 1. */
-			readonly maximumLoad: number;
-			/** Most tokens of shared parts that the engine may read again. */
-			readonly maximumRereadTokens: number;
-	  }
+	| (PlacementTerms & { readonly kind: 'place'; readonly option: EngineOption })
 	| {
 			readonly kind: 'refuse';
 			readonly reason: RefusalReason;
@@ -107,19 +99,14 @@
 		};
 	}
 	const overShare = inputs.standing.usedShare >= SPARE_ONLY_SHARE;
-	const limitMs = overShare ? SPARE_WAIT_MS : waitLimitMs(inputs, best.readMs);
-	const maximumLoad = overShare ? SPARE_LOAD : 1;
-	const maximumRereadTokens = overShare ? SPARE_REREAD_TOKENS : Infinity;
-	const accepted = usable.find(
-		({ server, waitMs, load, rereadTokens }) =>
-			waitMs <= limitMs &&
-			load <= maximumLoad &&
-			rereadTokens <= maximumRereadTokens &&
-			!inputs.declinedBy.has(server.id),
-	);
+	const terms: PlacementTerms = overShare
+		? { limitMs: SPARE_WAIT_MS, maximumLoad: SPARE_LOAD, maximumRereadTokens: SPARE_REREAD_TOKENS }
+		: { limitMs: waitLimitMs(inputs, best.readMs), maximumLoad: 1, maximumRereadTokens: Infinity };
+	const accepted = usable.find((option) => isAcceptable(option, terms) && !inputs.declinedBy.has(option.server.id));
 	if (accepted !== undefined) {
-		return { kind: 'place', option: accepted, limitMs, maximumLoad, maximumRereadTokens };
+		return { kind: 'place', option: accepted, ...terms };
 	}
+	const { limitMs } = terms;
 	const shortestWaitMs = Math.min(...inputs.options.map(({ waitMs }) => waitMs));
 	const retryAfterMs = overShare ? inputs.aimMs * RETURN_OF_AIM : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
 	return {
--- a/src/engines/common/engineChoice.ts
+++ b/src/engines/common/engineChoice.ts
@@ -38,6 +38,30 @@
 	readonly health: EngineHealth;
 }
 
+/** On which terms a request takes an engine. */
+export interface PlacementTerms {
+	/** Longest wait in milliseconds. */
+	readonly limitMs: number;
+	/** Highest load of the engine, from 0 to 1. */
+	readonly maximumLoad: number;
+	/** Most tokens of shared parts that may be read again. */
+	readonly maximumRereadTokens: number;
+}
+
+/**
+ * @param option an engine that could take a request
+ * @param terms on which the request takes one
+ * @returns whether the engine can be used and meets the terms
+ */
+export function isAcceptable(option: EngineOption, terms: PlacementTerms): boolean {
+	return (
+		option.health.usable &&
+		option.waitMs <= terms.limitMs &&
+		option.load <= terms.maximumLoad &&
+		option.rereadTokens <= terms.maximumRereadTokens
+	);
+}
+
 /** An engine and what decides its place in the order of preference. */
 export interface EngineCandidate {
 	readonly server: RegisteredServer;
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -1,7 +1,7 @@
 import { Emitter, type Event } from '../../base/common/event.js';
 import { rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
 import type { RegisteredServer } from './directory.js';
-import { type EngineOption, optionOf, type PromptWork } from './engineChoice.js';
+import { type EngineOption, isAcceptable, optionOf, type PromptWork } from './engineChoice.js';
 import { type EngineReport, EngineState, type PromptDemand } from './engineState.js';
 import type {
 	EndNotice,
@@ -293,13 +293,7 @@
 		if (first === undefined) {
 			return undefined;
 		}
-		const accepted = options.find(
-			({ health, waitMs, load, rereadTokens }) =>
-				health.usable &&
-				waitMs <= request.limitMs &&
-				load <= request.maximumLoad &&
-				rereadTokens <= request.maximumRereadTokens,
-		);
+		const accepted = options.find((option) => isAcceptable(option, request));
 		if (accepted !== undefined) {
 			const parts = work.parts.map(({ key }) => key);
 			const server = shortKey(accepted.server.id);
--- a/src/engines/common/placementMessages.ts
+++ b/src/engines/common/placementMessages.ts
@@ -1,4 +1,4 @@
-import type { PromptWork } from './engineChoice.js';
+import type { PlacementTerms, PromptWork } from './engineChoice.js';
 import type { EngineReport } from './engineState.js';
 import type { ServerOutcome } from './serverOutcomes.js';
 
@@ -37,7 +37,7 @@
 }
 
 /** Asks the router that keeps the queues of a group of servers for a place in one of them. */
-export interface ReservationRequest {
+export interface ReservationRequest extends PlacementTerms {
 	/** Name of the service, as a short key. */
 	readonly service: number;
 	/** Servers that must not be chosen, by short key. */
@@ -45,12 +45,6 @@
 	/** Number that the asking router gives the placement. */
 	readonly sequence: number;
 	readonly work: PromptWork;
-	/** Longest wait in milliseconds that is accepted. */
-	readonly limitMs: number;
-	/** Highest load that is accepted, from 0 to 1. */
-	readonly maximumLoad: number;
-	/** Most tokens of shared parts that may be read again. */
-	readonly maximumRereadTokens: number;
 }
 
 /** What the keeper of queues answers. */
--- a/src/engines/common/queueReservations.ts
+++ b/src/engines/common/queueReservations.ts
@@ -1,5 +1,5 @@
 import { Effect } from 'effect';
-import type { EngineOption, PromptWork } from './engineChoice.js';
+import type { EngineOption, PlacementTerms, PromptWork } from './engineChoice.js';
 import type { Reservation } from './placementMessages.js';
 
 /** Answer to a request for a place in the queue of a server. */
@@ -8,16 +8,6 @@
 	| { readonly kind: 'reserved'; readonly reservation: Reservation }
 	| { readonly kind: 'declined' };
 
-/** On which terms a place is wanted. */
-export interface ReservationTerms {
-	/** Longest wait in milliseconds. */
-	readonly limitMs: number;
-	/** Highest load of the server, from 0 to 1. */
-	readonly maximumLoad: number;
-	/** Most tokens of shared parts that may be read again. */
-	readonly maximumRereadTokens: number;
-}
-
 /** Takes places in queues that other routers keep. */
 export interface IQueueReservations {
 	/**
@@ -32,7 +22,7 @@
 		option: EngineOption,
 		work: PromptWork,
 		excluded: ReadonlySet<string>,
-		terms: ReservationTerms,
+		terms: PlacementTerms,
 	): Effect.Effect<ReservationResult>;
 }
 
--- a/src/fleet/node/queueReservations.ts
+++ b/src/fleet/node/queueReservations.ts
@@ -3,13 +3,9 @@
 import { Disposable } from '../../base/common/lifecycle.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { EngineOption, PromptWork } from '../../engines/common/engineChoice.js';
+import type { EngineOption, PlacementTerms, PromptWork } from '../../engines/common/engineChoice.js';
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
-import type {
-	IQueueReservations,
-	ReservationResult,
-	ReservationTerms,
-} from '../../engines/common/queueReservations.js';
+import type { IQueueReservations, ReservationResult } from '../../engines/common/queueReservations.js';
 import { RESERVATION_TIMEOUT_MS } from '../common/fleetTiming.js';
 import type { ReservationAnswer } from '../common/generated/masticloom/fleet/v1/fleet.js';
 import type { FleetDuties } from '../common/fleetDuties.js';
@@ -63,7 +59,7 @@
 		option: EngineOption,
 		work: PromptWork,
 		excluded: ReadonlySet<string>,
-		terms: ReservationTerms,
+		terms: PlacementTerms,
 	): Effect.Effect<ReservationResult> {
 		const server = option.server.id;
 		const keeper = this.duties.keeperOf(server);
--- a/src/fleet/test/queueReservations.test.ts
+++ b/src/fleet/test/queueReservations.test.ts
@@ -1,8 +1,8 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect, Fiber } from 'effect';
 import { systemClock } from '../../base/common/clock.js';
-import type { EngineOption } from '../../engines/common/engineChoice.js';
-import type { ReservationResult, ReservationTerms } from '../../engines/common/queueReservations.js';
+import type { EngineOption, PlacementTerms } from '../../engines/common/engineChoice.js';
+import type { ReservationResult } from '../../engines/common/queueReservations.js';
 import {
 	disposeRouters,
 	type FixtureRouter,
@@ -33,7 +33,7 @@
 	return option;
 }
 
-function termsWith(limitMs: number): ReservationTerms {
+function termsWith(limitMs: number): PlacementTerms {
 	return { limitMs, maximumLoad: 1, maximumRereadTokens: Infinity };
 }
 
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -14,14 +14,10 @@
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { EventStream } from '../../dispatch/node/eventStream.js';
 import { fingerprintOf } from '../../dispatch/node/fingerprint.js';
-import type { EngineOption, PromptWork } from '../../engines/common/engineChoice.js';
+import type { EngineOption, PlacementTerms, PromptWork } from '../../engines/common/engineChoice.js';
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
 import type { Reservation } from '../../engines/common/placementMessages.js';
-import type {
-	IQueueReservations,
-	ReservationResult,
-	ReservationTerms,
-} from '../../engines/common/queueReservations.js';
+import type { IQueueReservations, ReservationResult } from '../../engines/common/queueReservations.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import type { EngineSize } from '../../routing/common/model.js';
 import type { RoutingResult } from '../../routing/common/routeTable.js';
@@ -555,7 +551,7 @@
 function reservationTerms(
 	{ option, limitMs, maximumLoad, maximumRereadTokens }: PlaceDecision,
 	declined: number,
-): ReservationTerms {
+): PlacementTerms {
 	const withinMs = declined < PARTICULAR_CHOICES ? option.waitMs + WORSE_THAN_HEARD_MS : Infinity;
 	return { limitMs: Math.min(limitMs, withinMs), maximumLoad, maximumRereadTokens };
 }
