Do the work of a placement once

Each request computed the time to read its prompt twice for each engine, hashed the identifier of each engine for its group three times, and each datagram to a keeper listed the requests in progress of all servers to send those of one. The reading time is now handed on, groups are remembered until the routers change, and one server is asked for.

--- a/src/engines/common/engineChoice.ts
+++ b/src/engines/common/engineChoice.ts
@@ -66,6 +66,8 @@
 export interface EngineCandidate {
 	readonly server: RegisteredServer;
 	readonly view: EngineView;
+	/** Nominal milliseconds to read what the engine does not hold, on an engine of pace 1. */
+	readonly workMs: number;
 	/** Leading tokens of the prompt that the engine is taken to hold. */
 	readonly heldTokens: number;
 	/** Most leading tokens that some engine of the service is taken to hold. */
@@ -110,9 +112,8 @@
  * @returns the engine as an option
  */
 export function optionOf(work: PromptWork, candidate: EngineCandidate): EngineOption {
-	const { server, view, heldTokens, mostHeldTokens } = candidate;
+	const { server, view, workMs, heldTokens, mostHeldTokens } = candidate;
 	const { pace, inProgress, health, load } = view;
-	const workMs = work.promptTokens > 0 ? readingTimeMs(work.promptTokens, heldTokens) : 0;
 	const rereadTokens = Math.max(0, mostHeldTokens - heldTokens);
 	const waitMs = view.waitMs + slotWaitMs(candidate);
 	const readMs = workMs * pace;
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -2,7 +2,7 @@
 import { rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
 import type { RegisteredServer } from './directory.js';
 import { type EngineOption, isAcceptable, optionOf, type PromptWork } from './engineChoice.js';
-import { type EngineReport, EngineState, type PromptDemand } from './engineState.js';
+import { type EngineReport, EngineState } from './engineState.js';
 import type {
 	EndNotice,
 	FirstEventNotice,
@@ -238,6 +238,14 @@
 		return this.nameByKey.get(server);
 	}
 
+	/**
+	 * @param server identifier of a server
+	 * @returns requests of this router in progress there
+	 */
+	public ownInProgressAt(server: string): number {
+		return this.states.get(server)?.ownInProgress ?? 0;
+	}
+
 	/** @returns requests of this router in progress, by server */
 	public ownInProgress(): ReadonlyMap<string, number> {
 		return new Map([...this.states].map(([id, state]) => [id, state.ownInProgress]));
@@ -440,9 +448,12 @@
 	private optionAt(server: RegisteredServer, work: PromptWork, holding: Holding, now: number): EngineOption {
 		const state = this.states.get(server.id) ?? EngineState.create(server);
 		const firstSlotTimeMs = work.promptTokens > 0 ? FIRST_STREAM_SLOT_TIME_MS : FIRST_PLAIN_SLOT_TIME_MS;
+		const workMs = work.promptTokens > 0 ? readingTimeMs(work.promptTokens, holding.heldTokens) : 0;
+		const demand = { workMs, longestBurstMs: longestBurstMs(work.tokensPerEvent, work.pauseAimMs) };
 		return optionOf(work, {
 			server,
-			view: state.view(this.queues.keeps(server.id), now, demandOf(work, holding.heldTokens)),
+			workMs,
+			view: state.view(this.queues.keeps(server.id), now, demand),
 			...holding,
 			isNear: server.failureDomain === this.failureDomain,
 			slotTimeMs: this.slotTimes.get(server.service) ?? firstSlotTimeMs,
@@ -466,15 +477,6 @@
 	}
 }
 
-function demandOf(work: PromptWork, heldTokens: number): PromptDemand | undefined {
-	return work.promptTokens > 0
-		? {
-				workMs: readingTimeMs(work.promptTokens, heldTokens),
-				longestBurstMs: longestBurstMs(work.tokensPerEvent, work.pauseAimMs),
-			}
-		: undefined;
-}
-
 function hasReport(entry: readonly [string, EngineReport | undefined]): entry is [string, EngineReport] {
 	return entry[1] !== undefined;
 }
--- a/src/fleet/common/fleetDuties.ts
+++ b/src/fleet/common/fleetDuties.ts
@@ -26,6 +26,8 @@
 export class FleetDuties implements IQueueDivision {
 	private routers: readonly KnownRouter[] = [];
 	private readonly keepers = new Map<number, string>();
+	/** Groups that were asked for; each request asks for those of all servers of its service. */
+	private readonly groupByServer = new Map<string, number>();
 	private groups = 1;
 	private large = false;
 
@@ -56,6 +58,7 @@
 		this.large = known > SMALL_FLEET_ROUTERS;
 		this.groups = 2 ** Math.max(1, Math.floor(Math.log2(known / ROUTERS_PER_GROUP)));
 		this.keepers.clear();
+		this.groupByServer.clear();
 		if (groups !== this.groups || large !== this.large) {
 			return true;
 		}
@@ -63,8 +66,13 @@
 	}
 
 	public groupOf(server: string): number {
-		const key = shortKey(server);
-		return this.large ? rendezvousWeight(key, GROUP_KEY) % this.groups : key;
+		let group = this.groupByServer.get(server);
+		if (group === undefined) {
+			const key = shortKey(server);
+			group = this.large ? rendezvousWeight(key, GROUP_KEY) % this.groups : key;
+			this.groupByServer.set(server, group);
+		}
+		return group;
 	}
 
 	/**
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -303,8 +303,7 @@
 			replyRequested: options.replyRequested,
 			followedRevisions: [...this.state.followedRevisions()],
 		});
-		const inProgress = engines.ownInProgress();
-		outbox?.moveTo(state, (server) => inProgress.get(server) ?? 0, now);
+		outbox?.moveTo(state, (server) => engines.ownInProgressAt(server), now);
 		if (outbox === this.broadcast && duties.isLargeFleet) {
 			state.reports = [...engines.keptReports(now)].map(([id, report]) => encodeReport(shortKey(id), report));
 		}
@@ -313,7 +312,7 @@
 			state.usage = [...shares.ownUsage(now)];
 			if (!duties.isLargeFleet) {
 				state.hasAllStreams = true;
-				state.streams = [...inProgress]
+				state.streams = [...engines.ownInProgress()]
 					.filter(([, requests]) => requests > 0)
 					.map(([server, requests]) => ({ engine: shortKey(server), requests }));
 			}
