--- a/src/fleet/node/queueReservations.ts
+++ b/src/fleet/node/queueReservations.ts
@@ -11,9 +11,7 @@
 import type { FleetDuties } from '../common/fleetDuties.js';
 import type { FleetExchange } from './fleetExchange.js';
 
-interface PendingReservation {
-	readonly settle: (server: string | undefined, answer: ReservationAnswer) => void;
-}
+type Settle = (server: string | undefined, answer: ReservationAnswer) => void;
 
 /** Answers to requests whose caller has left are waited for as long as this many others are asked for. */
 const MAXIMUM_ABANDONED = 200;
@@ -23,7 +21,7 @@
  * request is placed by what was last heard of the server.
  */
 export class QueueReservations extends Disposable implements IQueueReservations {
-	private readonly pending = new Map<number, PendingReservation>();
+	private readonly pending = new Map<number, Settle>();
 	private readonly abandoned = new Set<number>();
 
 	private constructor(
@@ -32,6 +30,7 @@
 		private readonly exchange: FleetExchange,
 		private readonly clock: IClock,
 		private readonly log: IDecisionLog,
+		private readonly timeoutMs: number,
 	) {
 		super();
 		this.register(exchange.onDidAnswerReservation((answer) => this.receive(answer)));
@@ -43,6 +42,7 @@
 	 * @param exchange carries requests and answers
 	 * @param clock stamps what keepers tell
 	 * @param log receives requests that were not answered
+	 * @param timeoutMs longest time in milliseconds for which an answer is waited for
 	 * @returns reservations, none of which is asked for
 	 */
 	public static create(
@@ -51,8 +51,9 @@
 		exchange: FleetExchange,
 		clock: IClock,
 		log: IDecisionLog,
+		timeoutMs = RESERVATION_TIMEOUT_MS,
 	): QueueReservations {
-		return new QueueReservations(duties, engines, exchange, clock, log);
+		return new QueueReservations(duties, engines, exchange, clock, log, timeoutMs);
 	}
 
 	public reserve(
@@ -78,21 +79,19 @@
 				const waitedMs = Math.round(this.clock.now() - askedAt);
 				this.log.write('reservation-unanswered', { keeper, server, sequence, waitedMs });
 				resume(Effect.succeed(unconfirmed));
-			}, RESERVATION_TIMEOUT_MS);
-			this.pending.set(sequence, {
-				settle: (chosen, { waitMs, delayMs, workMs }) => {
-					clearTimeout(timer);
-					resume(
-						Effect.succeed(
-							chosen === undefined
-								? { kind: 'declined' }
-								: {
-										kind: 'reserved',
-										reservation: { server: chosen, sequence, confirmed: true, waitMs, delayMs, workMs },
-									},
-						),
-					);
-				},
+			}, this.timeoutMs);
+			this.pending.set(sequence, (chosen, { waitMs, delayMs, workMs }) => {
+				clearTimeout(timer);
+				resume(
+					Effect.succeed(
+						chosen === undefined
+							? { kind: 'declined' }
+							: {
+									kind: 'reserved',
+									reservation: { server: chosen, sequence, confirmed: true, waitMs, delayMs, workMs },
+								},
+					),
+				);
 			});
 			this.exchange.requestReservation(keeper, {
 				service: shortKey(option.server.service),
@@ -115,10 +114,10 @@
 			this.engines.applyReport(engine, report, now);
 		}
 		const chosen = answer.engine === 0 ? undefined : this.engines.nameOf(answer.engine);
-		const pending = this.pending.get(sequence);
-		if (pending !== undefined) {
+		const settle = this.pending.get(sequence);
+		if (settle !== undefined) {
 			this.pending.delete(sequence);
-			pending.settle(chosen, answer);
+			settle(chosen, answer);
 		} else if (this.abandoned.delete(sequence) && chosen !== undefined) {
 			this.engines.abandonReservation(chosen, sequence, now);
 		}
