Encode answers of keepers where the other messages are encoded

The exchange built the answer to a request for a place field by field, while the outbox encoded all other messages. Reports were collected in two ways and keyed by identifier, only to be hashed again. The clocks of the broadcast were fields of every outbox. Tests look reports up by the short key; their assertions are the same. Behaviour is unchanged.

--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -262,11 +262,13 @@
 
 	/**
 	 * @param now monotonic milliseconds
-	 * @returns state of the servers whose queue this router keeps, by identifier
+	 * @returns state of the servers whose queue this router keeps, by short key
 	 */
-	public keptReports(now: number): ReadonlyMap<string, EngineReport> {
-		const kept = [...this.byId.keys()].filter((id) => this.queues.keeps(id));
-		return new Map(kept.flatMap((id) => [[id, this.states.get(id)?.reportOf(now)] as const]).filter(hasReport));
+	public keptReports(now: number): ReadonlyMap<number, EngineReport> {
+		return this.reportsOf(
+			[...this.byId.values()].filter(({ server }) => this.queues.keeps(server.id)),
+			now,
+		);
 	}
 
 	/**
@@ -308,12 +310,8 @@
 			const { workMs, delayMs } = accepted;
 			this.applyPlacement(router, { server, sequence, workMs, parts, delayMs }, now);
 		}
-		const reports = kept.flatMap(({ server, key }) => {
-			const state = this.states.get(server.id);
-			return state === undefined ? [] : [[key, state.reportOf(now)] as const];
-		});
 		const { waitMs, delayMs, workMs } = accepted ?? first;
-		return { server: accepted?.server.id, waitMs, delayMs, workMs, reports: new Map(reports) };
+		return { server: accepted?.server.id, waitMs, delayMs, workMs, reports: this.reportsOf(kept, now) };
 	}
 
 	/**
@@ -410,6 +408,17 @@
 		}
 	}
 
+	private reportsOf(known: readonly KnownServer[], now: number): ReadonlyMap<number, EngineReport> {
+		const reports = new Map<number, EngineReport>();
+		for (const { server, key } of known) {
+			const state = this.states.get(server.id);
+			if (state !== undefined) {
+				reports.set(key, state.reportOf(now));
+			}
+		}
+		return reports;
+	}
+
 	private stateOf(server: number): EngineState | undefined {
 		return this.states.get(this.nameByKey.get(server) ?? '');
 	}
@@ -476,7 +485,3 @@
 		}
 	}
 }
-
-function hasReport(entry: readonly [string, EngineReport | undefined]): entry is [string, EngineReport] {
-	return entry[1] !== undefined;
-}
--- a/src/engines/test/queueReservation.test.ts
+++ b/src/engines/test/queueReservation.test.ts
@@ -62,7 +62,7 @@
 	const report = (now: number): void => {
 		for (const keeper of fleets) {
 			for (const [server, state] of keeper.keptReports(now)) {
-				fleets.forEach((fleet) => fleet.applyReport(shortKey(server), state, now));
+				fleets.forEach((fleet) => fleet.applyReport(server, state, now));
 			}
 		}
 	};
@@ -186,9 +186,9 @@
 	test('that are asked for twice count once', () => {
 		const keeper = fleetOf(0);
 		const given = keeper.reserve('router-9', requestWith(longPrompt(30_000)), 0)?.server ?? '';
-		const before = keeper.keptReports(0).get(given)?.waitMs;
+		const before = keeper.keptReports(0).get(shortKey(given))?.waitMs;
 		keeper.applyPlacement('router-9', { server: shortKey(given), sequence: 1, workMs: 600, parts: [] }, 0);
-		expect(keeper.keptReports(0).get(given)?.waitMs).toBe(before);
+		expect(keeper.keptReports(0).get(shortKey(given))?.waitMs).toBe(before);
 	});
 
 	// The other routers went on sending to a server that one of them had found unreachable.
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -3,6 +3,7 @@
 	EndNotice,
 	FirstEventNotice,
 	PlacementNotice,
+	ReservationAnswer,
 	ReservationRequest,
 } from '../../engines/common/placementMessages.js';
 import type { EngineReport } from '../../engines/common/engineState.js';
@@ -27,10 +28,6 @@
 
 /** What waits to be sent to one router or to all. */
 export class FleetOutbox {
-	/** Monotonic milliseconds of the last datagram. */
-	public lastSentAt = 0;
-	/** Monotonic milliseconds of the last datagram with usage of accounts. */
-	public lastUsageAt = 0;
 	private readonly placements: PlacementNotice[] = [];
 	private readonly firstEvents: FirstEventNotice[] = [];
 	private readonly crashes: wire.CrashNotice[] = [];
@@ -100,9 +97,20 @@
 		});
 	}
 
-	/** @param answer to a request for a place */
-	public addAnswer(answer: wire.ReservationAnswer): void {
-		this.answers.push(answer);
+	/**
+	 * @param sequence number of the request in the asking router
+	 * @param answer to the request for a place
+	 */
+	public addAnswer(sequence: number, answer: ReservationAnswer): void {
+		const { server, waitMs, delayMs, workMs, reports } = answer;
+		this.answers.push({
+			sequence,
+			engine: server === undefined ? 0 : shortKey(server),
+			waitMs: Math.round(waitMs),
+			delayMs: Math.round(delayMs),
+			workMs: Math.round(workMs),
+			reports: encodeReports(reports),
+		});
 	}
 
 	/** @param delayMs milliseconds after which what waits is sent, unless that is due earlier */
@@ -169,20 +177,19 @@
 }
 
 /**
- * @param server short key
- * @param report its state
- * @returns the report as it is sent
+ * @param reports states of servers, by short key
+ * @returns the reports as they are sent
  */
-export function encodeReport(server: number, report: EngineReport): wire.EngineReport {
-	return {
-		engine: server,
+export function encodeReports(reports: ReadonlyMap<number, EngineReport>): wire.EngineReport[] {
+	return [...reports].map(([engine, report]) => ({
+		engine,
 		waitMs: Math.round(report.waitMs),
 		pace: report.pace,
 		load: report.load,
 		inProgress: report.inProgress,
 		failureRate: report.failureRate,
 		suspendedMs: Math.round(report.suspendedMs),
-	};
+	}));
 }
 
 /**
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -11,7 +11,7 @@
 import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
 import { readAddress } from '../../settings/node/values.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
-import { decodeOutcome, decodeReservation, encodeReport, FleetOutbox } from '../common/fleetOutbox.js';
+import { decodeOutcome, decodeReservation, encodeReports, FleetOutbox } from '../common/fleetOutbox.js';
 import {
 	FLUSH_DELAY_PER_PEER_MS,
 	HEARTBEAT_INTERVAL_MS,
@@ -81,6 +81,8 @@
 	private readonly answerEmitter = this.register(Emitter.create<ReservationAnswer>());
 	private readonly broadcast = FleetOutbox.create(() => this.flushToAll());
 	private readonly outboxes = new Map<string, FleetOutbox>();
+	private lastBroadcastAt = 0;
+	private lastUsageAt = 0;
 	private lastLostSendAt = 0;
 	private sequence = 0;
 	private leaving = false;
@@ -264,11 +266,11 @@
 		broadcast.cancel();
 		const now = this.clock.now();
 		const usageIntervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, this.peersByName.size * USAGE_INTERVAL_PER_PEER_MS);
-		const withUsage = now - broadcast.lastUsageAt >= usageIntervalMs;
+		const withUsage = now - this.lastUsageAt >= usageIntervalMs;
 		if (withUsage) {
-			broadcast.lastUsageAt = now;
+			this.lastUsageAt = now;
 		}
-		broadcast.lastSentAt = now;
+		this.lastBroadcastAt = now;
 		const toLost = now - this.lastLostSendAt >= LOST_PEER_INTERVAL_MS;
 		if (toLost) {
 			this.lastLostSendAt = now;
@@ -305,7 +307,7 @@
 		});
 		outbox?.moveTo(state, (server) => engines.ownInProgressAt(server), now);
 		if (outbox === this.broadcast && duties.isLargeFleet) {
-			state.reports = [...engines.keptReports(now)].map(([id, report]) => encodeReport(shortKey(id), report));
+			state.reports = encodeReports(engines.keptReports(now));
 		}
 		if (options.withUsage) {
 			state.hasUsage = true;
@@ -416,25 +418,17 @@
 				continue; // The peer decides by itself when it gets no answer.
 			}
 			const { sequence } = request;
-			const { server, waitMs, delayMs, workMs, reports } = answer;
-			if (server === undefined) {
+			if (answer.server === undefined) {
 				this.log.write('reservation-declined', {
 					peer: instance,
 					sequence,
-					waitMs: Math.round(waitMs),
+					waitMs: Math.round(answer.waitMs),
 					limitMs: Math.round(request.limitMs),
 					maximumLoad: request.maximumLoad,
-					servers: reports.size,
+					servers: answer.reports.size,
 				});
 			}
-			outbox.addAnswer({
-				sequence,
-				engine: server === undefined ? 0 : shortKey(server),
-				waitMs: Math.round(waitMs),
-				delayMs: Math.round(delayMs),
-				workMs: Math.round(workMs),
-				reports: [...reports].map(([key, report]) => encodeReport(key, report)),
-			});
+			outbox.addAnswer(sequence, answer);
 		}
 		this.flushTo(instance, outbox);
 	}
@@ -485,7 +479,7 @@
 			this.updateKeepers();
 		}
 		const heartbeatMs = this.state.duties.isLargeFleet ? HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS / 2;
-		if (now - this.broadcast.lastSentAt >= heartbeatMs) {
+		if (now - this.lastBroadcastAt >= heartbeatMs) {
 			this.flushToAll();
 		}
 	}
