Pick the heaviest member in one place

The duties of a fleet repeated the loop of rendezvous hashing, without its rule for equal weights, so that routers could have named different keepers of a group whose two best routers weigh the same (one in 2^32). Both use heaviest now.

--- a/src/base/common/shortKey.ts
+++ b/src/base/common/shortKey.ts
@@ -37,10 +37,19 @@
  * @returns the chosen member, or undefined when there is none
  */
 export function rendezvous(key: string, members: readonly string[]): string | undefined {
+	return heaviest(members, (member) => mix(shortKey(`${member}/${key}`)));
+}
+
+/**
+ * @param members candidates, without duplicates
+ * @param weightOf weight of a member, 0 or more
+ * @returns the member with the highest weight, or undefined when there is none; the same one in any order of the members
+ */
+export function heaviest(members: readonly string[], weightOf: (member: string) => number): string | undefined {
 	let best: string | undefined;
 	let bestWeight = -1;
 	for (const member of members) {
-		const weight = mix(shortKey(`${member}/${key}`));
+		const weight = weightOf(member);
 		if (weight > bestWeight || (weight === bestWeight && best !== undefined && member > best)) {
 			best = member;
 			bestWeight = weight;
--- a/src/fleet/common/fleetDuties.ts
+++ b/src/fleet/common/fleetDuties.ts
@@ -1,4 +1,4 @@
-import { rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
+import { heaviest, rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
 import type { IQueueDivision } from '../../engines/common/queueDivision.js';
 import { SMALL_FLEET_ROUTERS } from './fleetTiming.js';
 
@@ -11,11 +11,6 @@
 /** Any number, by which servers are spread over groups. */
 const GROUP_KEY = 0x51ed;
 
-interface KnownRouter {
-	readonly name: string;
-	readonly key: number;
-}
-
 /**
  * Agrees with the other routers, without talking to them, on who does what. Backend servers are divided into groups, and
  * one router keeps the queues of each group; a few routers read the store for all. In a small fleet every router hears
@@ -24,7 +19,8 @@
  * Load pattern: a message to all routers for each request would cost 70 routers more than the requests themselves.
  */
 export class FleetDuties implements IQueueDivision {
-	private routers: readonly KnownRouter[] = [];
+	/** Short keys of the routers that serve, by name. */
+	private routers: ReadonlyMap<string, number> = new Map();
 	private readonly keepers = new Map<number, string>();
 	/** Groups that were asked for; each request asks for those of all servers of its service. */
 	private readonly groupByServer = new Map<string, number>();
@@ -54,7 +50,7 @@
 	public setRouters(serving: readonly string[], known: number): boolean {
 		const before = new Map(this.keepers);
 		const { groups, large } = this;
-		this.routers = [this.own, ...serving].map((name) => ({ name, key: shortKey(name) }));
+		this.routers = new Map([this.own, ...serving].map((name) => [name, shortKey(name)]));
 		this.large = known > SMALL_FLEET_ROUTERS;
 		this.groups = 2 ** Math.max(1, Math.floor(Math.log2(known / ROUTERS_PER_GROUP)));
 		this.keepers.clear();
@@ -95,28 +91,18 @@
 	public isAmong(duty: string, count: number): boolean {
 		const dutyKey = shortKey(duty);
 		const ownWeight = rendezvousWeight(dutyKey, shortKey(this.own));
-		return this.routers.filter(({ key }) => rendezvousWeight(dutyKey, key) > ownWeight).length < count;
+		return [...this.routers.values()].filter((key) => rendezvousWeight(dutyKey, key) > ownWeight).length < count;
 	}
 
 	private keeperOfGroup(group: number): string {
 		let keeper = this.keepers.get(group);
 		if (keeper === undefined) {
-			keeper = this.choose(shortKey(`group ${group}`));
+			const groupKey = shortKey(`group ${group}`);
+			keeper =
+				heaviest([...this.routers.keys()], (name) => rendezvousWeight(groupKey, this.routers.get(name) ?? 0)) ??
+				this.own;
 			this.keepers.set(group, keeper);
 		}
 		return keeper;
 	}
-
-	private choose(group: number): string {
-		let best = this.own;
-		let bestWeight = -1;
-		for (const { name, key } of this.routers) {
-			const weight = rendezvousWeight(group, key);
-			if (weight > bestWeight) {
-				best = name;
-				bestWeight = weight;
-			}
-		}
-		return best;
-	}
 }
