--- a/src/fleet/common/fleetDuties.ts
+++ b/src/fleet/common/fleetDuties.ts
@@ -1,6 +1,6 @@
+import { SMALL_FLEET_ROUTERS } from '../../base/common/fleetSize.js';
 import { heaviest, rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
 import type { IQueueDivision } from '../../engines/common/queueDivision.js';
-import { SMALL_FLEET_ROUTERS } from './fleetTiming.js';
 
 /**
  * A keeper answers for a group of servers, from which it chooses. Of a larger fleet a group holds five to ten engines, and
--- a/src/fleet/common/fleetTiming.ts
+++ b/src/fleet/common/fleetTiming.ts
@@ -4,9 +4,6 @@
 /** Delay for each peer that events are sent to, so that a router sends some 350 datagrams a second at most. */
 export const FLUSH_DELAY_PER_PEER_MS = 3;
 
-/** In a larger fleet a message to all routers for each request costs more than the request itself. */
-export const SMALL_FLEET_ROUTERS = 16;
-
 /** First events and ends are told to the keeper of a queue together after this time: a tenth of a short prompt's wait. */
 export const KEEPER_NOTICE_DELAY_MS = 15;
 
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -1,5 +1,6 @@
 import { CrashSuspects } from '../../backends/common/crashSuspects.js';
 import { systemClock } from '../../base/common/clock.js';
+import { SMALL_FLEET_ROUTERS } from '../../base/common/fleetSize.js';
 import { DisposableStore } from '../../base/common/lifecycle.js';
 import type { PromptWork } from '../../engines/common/engineChoice.js';
 import { EngineFleet } from '../../engines/common/engineFleet.js';
@@ -10,7 +11,6 @@
 import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
 import { PrefixFollower } from '../../store/node/prefixFollower.js';
 import { FleetDuties } from '../common/fleetDuties.js';
-import { SMALL_FLEET_ROUTERS } from '../common/fleetTiming.js';
 import { FleetExchange } from '../node/fleetExchange.js';
 import { QueueReservations } from '../node/queueReservations.js';
 import { SnapshotExchange } from '../node/snapshotExchange.js';
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -2,6 +2,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import { Disposable } from '../../base/common/lifecycle.js';
 import { Emitter } from '../../base/common/event.js';
+import { SMALL_FLEET_ROUTERS } from '../../base/common/fleetSize.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { KeyValue, StoreError } from '../common/keyValueStore.js';
 import type { ChangeSet, IRevisionedStore, Snapshot } from '../common/revisionedStore.js';
@@ -21,9 +22,6 @@
 /** Pause after changes, in which further ones gather, for each router of a larger fleet. */
 const GATHERING_PER_ROUTER_MS = 4;
 
-/** A larger fleet has more routers than this. */
-const SMALL_FLEET_ROUTERS = 16;
-
 /** Pause before the first repetition of a failed call; it doubles with each failure. */
 const FIRST_PAUSE_MS = 60;
 const LONGEST_PAUSE_MS = 500;
