Let relays of each failure domain tell routers of each other

Cause: each router told all others twice a second that it lives. Usage of accounts was told every 14 ms per router and valid for 2 s, so from 142 routers on it was not counted part of the time.

Ruled out: rarer heartbeats alone (still square, and a lost router is noticed later); gossip with random peers (each needs the whole list, and bytes between failure domains are paid for).

Change: in a fleet of more than 16 routers each one speaks to three relays of its failure domain, chosen by rendezvous hashing. Relays tell each other and the routers of their domain what is new, take turns through all members within 2 s, pass on reports of keepers and sum up the usage of accounts. Changes in the store are fetched from relays. What must be fresh, a place in a queue, still goes directly to its keeper.

Conclusion: the exchange no longer grows with the fleet; what is left of the processor time is idle work of each router and requests.

--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -276,10 +276,10 @@
 	 *
 	 * @param server short key of the server
 	 * @param report its state
-	 * @param now monotonic milliseconds
+	 * @param toldAt monotonic milliseconds at which the keeper told it
 	 */
-	public applyReport(server: number, report: EngineReport, now: number): void {
-		this.stateOf(server)?.applyReport(report, now);
+	public applyReport(server: number, report: EngineReport, toldAt: number): void {
+		this.stateOf(server)?.applyReport(report, toldAt);
 	}
 
 	/**
--- a/src/engines/common/engineState.ts
+++ b/src/engines/common/engineState.ts
@@ -56,6 +56,8 @@
 	public readonly outcomes = ServerOutcomes.create();
 	private own = 0;
 	private readonly peers = new Map<string, number>();
+	/** Sum of {@link peers}, which is asked for several times with each request. */
+	private peersInProgress = 0;
 	private report: ReceivedReport | undefined;
 
 	private constructor(public readonly startedAt: number | undefined) {}
@@ -83,12 +85,15 @@
 		const health = this.outcomes.health(now);
 		const report = keeps ? undefined : this.validReport(now);
 		if (report === undefined) {
+			const { delayMs, waitMs } = this.queue.turn(now, prompt.workMs, prompt.longestBurstMs * this.queue.pace);
+			const isStalled = keeps && this.queue.isStalled(now);
 			return {
-				...this.queue.turn(now, prompt.workMs, prompt.longestBurstMs * this.queue.pace),
+				delayMs,
+				waitMs,
 				pace: this.queue.pace,
 				load: this.queue.load(now),
-				inProgress: this.own + (keeps ? sum(this.peers.values()) : 0),
-				health: { ...health, usable: health.usable && !(keeps && this.queue.isStalled(now)) },
+				inProgress: this.own + (keeps ? this.peersInProgress : 0),
+				health: { failureRate: health.failureRate, usable: health.usable && !isStalled },
 			};
 		}
 		const ageMs = now - report.receivedAt;
@@ -123,10 +128,12 @@
 
 	/**
 	 * @param report of the router that keeps the queue
-	 * @param now monotonic milliseconds
+	 * @param toldAt monotonic milliseconds at which the keeper told it; a newer report stays in force
 	 */
-	public applyReport(report: EngineReport, now: number): void {
-		this.report = { ...report, receivedAt: now };
+	public applyReport(report: EngineReport, toldAt: number): void {
+		if (this.report === undefined || toldAt >= this.report.receivedAt) {
+			this.report = { ...report, receivedAt: toldAt };
+		}
 	}
 
 	/**
@@ -155,7 +162,7 @@
 
 	/** @param router that has begun a request */
 	public addPeer(router: string): void {
-		this.peers.set(router, (this.peers.get(router) ?? 0) + 1);
+		this.setPeer(router, (this.peers.get(router) ?? 0) + 1);
 	}
 
 	/**
@@ -163,7 +170,12 @@
 	 * @param requests that it has in progress
 	 */
 	public setPeer(router: string, requests: number): void {
-		this.peers.set(router, requests);
+		this.peersInProgress += requests - (this.peers.get(router) ?? 0);
+		if (requests > 0) {
+			this.peers.set(router, requests);
+		} else {
+			this.peers.delete(router);
+		}
 	}
 
 	/**
@@ -172,7 +184,7 @@
 	 */
 	public removePeer(router: string, now: number): void {
 		this.queue.removeRouter(router, now);
-		this.peers.delete(router);
+		this.setPeer(router, 0);
 	}
 
 	private validReport(now: number): ReceivedReport | undefined {
@@ -180,11 +192,3 @@
 		return report !== undefined && now - report.receivedAt <= REPORT_VALID_MS ? report : undefined;
 	}
 }
-
-function sum(values: Iterable<number>): number {
-	let total = 0;
-	for (const value of values) {
-		total += value;
-	}
-	return total;
-}
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -8,6 +8,7 @@
 } from '../../engines/common/placementMessages.js';
 import type { EngineReport } from '../../engines/common/engineState.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
+import { encodeReport } from './fleetMessages.js';
 import * as wire from './generated/masticloom/fleet/v1/fleet.js';
 
 /** Lists beyond this are split over datagrams, since one that the network splits is lost when one piece is. */
@@ -47,6 +48,11 @@
 		return new FleetOutbox(flush);
 	}
 
+	/** Whether news wait that every router has to hear. */
+	public get hasCrashes(): boolean {
+		return this.crashes.length > 0;
+	}
+
 	/** Whether events wait that did not fit into the last datagram. */
 	public get hasEvents(): boolean {
 		return this.placements.length > 0 || this.firstEvents.length > 0 || this.outcomes.length > 0;
@@ -181,15 +187,7 @@
  * @returns the reports as they are sent
  */
 export function encodeReports(reports: ReadonlyMap<number, EngineReport>): wire.EngineReport[] {
-	return [...reports].map(([engine, report]) => ({
-		engine,
-		waitMs: Math.round(report.waitMs),
-		pace: report.pace,
-		load: report.load,
-		inProgress: report.inProgress,
-		failureRate: report.failureRate,
-		suspendedMs: Math.round(report.suspendedMs),
-	}));
+	return [...reports].map(([engine, report]) => encodeReport(engine, report));
 }
 
 /**
--- a/src/fleet/common/fleetTiming.ts
+++ b/src/fleet/common/fleetTiming.ts
@@ -17,6 +17,27 @@
 export const LEAST_USAGE_INTERVAL_MS = 200;
 export const USAGE_INTERVAL_PER_PEER_MS = 14;
 
+/** News of routers is told together after this time, since many are lost or come back at the same moment. */
+export const NEWS_DELAY_MS = 40;
+
+/** A relay that has been silent for this long, three of its intervals, is passed over. */
+export const RELAY_SILENCE_MS = 800;
+
+/** Relays tell of each router once within this time, so that news that was lost on its way is told again. */
+export const MEMBER_TURN_MS = 2_000;
+
+/** A router that nobody tells of for this long, four turns, is lost. */
+export const TOLD_SILENCE_MS = 8_000;
+
+/** A timer that is late by this much has kept the router from hearing others, whose silence then says nothing. */
+export const LATE_TICK_MS = 400;
+
+/** Lost and silent routers that are sent to at a time. */
+export const REACHED_LOST_PEERS = 16;
+
+/** Entries of a datagram about other routers; more are split, since a large datagram is lost when one of its pieces is. */
+export const MEMBERS_PER_DATAGRAM = 30;
+
 /** Without anything else to say, a router shows this often that it lives. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -11,7 +11,18 @@
 import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
 import { readAddress } from '../../settings/node/values.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
+import type { FleetDuties } from '../common/fleetDuties.js';
+import { type Announcement, FleetMembership, TICK_INTERVAL_MS } from '../common/fleetMembership.js';
+import {
+	decodeMember,
+	decodeSender,
+	encodeContact,
+	encodeMember,
+	encodeToldReports,
+	type AddressReader,
+} from '../common/fleetMessages.js';
 import { decodeOutcome, decodeReservation, encodeReports, FleetOutbox } from '../common/fleetOutbox.js';
+import { type FleetPeer, isServing } from '../common/fleetPeer.js';
 import {
 	FLUSH_DELAY_PER_PEER_MS,
 	HEARTBEAT_INTERVAL_MS,
@@ -19,33 +30,30 @@
 	LEAST_FLUSH_DELAY_MS,
 	LEAST_USAGE_INTERVAL_MS,
 	LOST_PEER_INTERVAL_MS,
-	LOST_PEER_KEPT_MS,
-	PEER_SILENCE_MS,
+	MEMBERS_PER_DATAGRAM,
+	NEWS_DELAY_MS,
 	USAGE_INTERVAL_PER_PEER_MS,
 } from '../common/fleetTiming.js';
-import { type ReservationAnswer, RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
-import type { FleetDuties } from '../common/fleetDuties.js';
+import {
+	type EngineReport,
+	type Member,
+	type ReservationAnswer,
+	RouterState,
+	type UsageSum,
+} from '../common/generated/masticloom/fleet/v1/fleet.js';
+import { ReportBoard } from '../common/reportBoard.js';
+import type { MemberNews } from '../common/routerMembers.js';
 
 /** Largest number that a random incarnation can have. */
 const INCARNATION_LIMIT = 2 ** 47;
 
-/** Another router, as its datagrams describe it. */
-export interface FleetPeer {
-	readonly instance: string;
-	readonly incarnation: number;
-	readonly failureDomain: string;
-	/** Address for requests between routers. */
-	readonly peerAddress: SocketAddress;
-	readonly datagramAddress: SocketAddress;
-	readonly leaving: boolean;
-	/** Monotonic milliseconds of its last datagram. */
-	readonly heardAt: number;
-	/** Newest change that the peer knows, by followed prefix. */
-	readonly followedRevisions: readonly number[];
-	readonly lost: boolean;
-	/** Monotonic milliseconds since which the peer has read the registrations; undefined while it cannot. */
-	readonly contactSince: number | undefined;
-	readonly sequence: number;
+/** What a datagram holds beside its sender. */
+interface DatagramContent {
+	readonly replyRequested?: boolean;
+	readonly withUsage?: boolean;
+	readonly members?: readonly Member[];
+	readonly reports?: readonly EngineReport[];
+	readonly usageSum?: UsageSum;
 }
 
 /** What a router tells its peers about itself. */
@@ -75,7 +83,8 @@
  */
 export class FleetExchange extends Disposable {
 	private readonly incarnation = randomInt(INCARNATION_LIMIT);
-	private readonly peersByName = new Map<string, FleetPeer>();
+	private readonly membership: FleetMembership;
+	private readonly reports = ReportBoard.create();
 	private readonly changeEmitter = this.register(Emitter.create<FleetPeer>());
 	private readonly socket: Socket = createSocket('udp4');
 	private readonly answerEmitter = this.register(Emitter.create<ReservationAnswer>());
@@ -84,6 +93,8 @@
 	private lastBroadcastAt = 0;
 	private lastUsageAt = 0;
 	private lastLostSendAt = 0;
+	private wasRelay = false;
+	private wasLarge = false;
 	private sequence = 0;
 	private leaving = false;
 	private sent = 0;
@@ -100,6 +111,7 @@
 		private readonly log: IDecisionLog,
 	) {
 		super();
+		this.membership = FleetMembership.create(identity.instance, identity.failureDomain);
 		this.register(
 			toDisposable(() => {
 				this.broadcast.cancel();
@@ -107,7 +119,7 @@
 				this.socket.close();
 			}),
 		);
-		const timer = setInterval(() => this.tick(), HEARTBEAT_INTERVAL_MS / 2);
+		const timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
 		this.register(toDisposable(() => clearInterval(timer)));
 		const { engines, suspects } = state;
 		this.register(engines.onDidPlace((notice) => this.tell(notice.server, (outbox) => outbox.addPlacement(notice))));
@@ -157,12 +169,12 @@
 
 	/** Routers that are heard of, without this one. */
 	public get peers(): readonly FleetPeer[] {
-		return [...this.peersByName.values()];
+		return this.membership.members.all;
 	}
 
 	/** Routers that serve, this one included. */
 	public get routerCount(): number {
-		return 1 + this.peers.filter(({ lost, leaving }) => !lost && !leaving).length;
+		return 1 + this.peers.filter(isServing).length;
 	}
 
 	/** Monotonic milliseconds since which some router has read the registrations; undefined while none is known to. */
@@ -197,12 +209,22 @@
 		if (isKnown || (address.host === own.host && address.port === own.port)) {
 			return;
 		}
-		this.send(this.encode({ replyRequested: true, withUsage: true }), address);
+		this.send(this.encode({ replyRequested: true, withUsage: !this.state.duties.isLargeFleet }), address);
 	}
 
 	/** Whether some other router reads the registrations now. */
 	public get isReadByPeers(): boolean {
-		return this.peers.some(({ lost, leaving, contactSince }) => !lost && !leaving && contactSince !== undefined);
+		return this.peers.some((peer) => isServing(peer) && peer.contactSince !== undefined);
+	}
+
+	/** Whether other routers are to be looked for, besides those that are known and tell of others. */
+	public get needsSearch(): boolean {
+		return !this.state.duties.isLargeFleet || this.isRelay;
+	}
+
+	/** Whether this router passes on to others what it learns of the store. */
+	public get isRelay(): boolean {
+		return this.membership.isRelay;
 	}
 
 	/** Tells all routers soon which changes in the store are known here. */
@@ -232,7 +254,7 @@
 		const keeper = this.state.duties.keeperOf(server);
 		if (keeper === undefined) {
 			add(this.broadcast);
-			this.broadcast.schedule(Math.max(LEAST_FLUSH_DELAY_MS, this.peersByName.size * FLUSH_DELAY_PER_PEER_MS));
+			this.broadcast.schedule(Math.max(LEAST_FLUSH_DELAY_MS, this.membership.members.size * FLUSH_DELAY_PER_PEER_MS));
 		} else if (keeper !== this.identity.instance) {
 			const outbox = this.outboxOf(keeper);
 			add(outbox);
@@ -251,50 +273,109 @@
 
 	private flushTo(name: string, outbox: FleetOutbox): void {
 		outbox.cancel();
-		const bytes = this.encode({ replyRequested: false, withUsage: false }, outbox);
-		const peer = this.peersByName.get(name);
-		if (peer !== undefined) {
-			this.send(bytes, peer.datagramAddress);
-		}
+		const bytes = this.encode({}, outbox);
+		this.sendTo([name], bytes);
 		if (outbox.hasEvents) {
 			outbox.schedule(KEEPER_NOTICE_DELAY_MS);
 		}
 	}
 
+	/** Sends what is due to those that this router speaks to without being asked. */
 	private flushToAll(): void {
-		const { broadcast } = this;
+		const { broadcast, membership } = this;
+		const { duties, engines } = this.state;
 		broadcast.cancel();
 		const now = this.clock.now();
-		const usageIntervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, this.peersByName.size * USAGE_INTERVAL_PER_PEER_MS);
-		const withUsage = now - this.lastUsageAt >= usageIntervalMs;
-		if (withUsage) {
-			this.lastUsageAt = now;
-		}
 		this.lastBroadcastAt = now;
-		const toLost = now - this.lastLostSendAt >= LOST_PEER_INTERVAL_MS;
-		if (toLost) {
-			this.lastLostSendAt = now;
-		}
-		const bytes = this.encode({ replyRequested: false, withUsage }, broadcast);
-		for (const peer of this.peersByName.values()) {
-			if (!peer.lost || toLost) {
-				this.send(bytes, peer.datagramAddress);
+		const announcements = membership.announcements();
+		if (!duties.isLargeFleet) {
+			const withUsage = this.isUsageDue(now);
+			const bytes = this.encode({ withUsage }, broadcast);
+			announcements.forEach(({ to }) => this.sendTo(to, bytes));
+		} else {
+			if (broadcast.hasCrashes) {
+				this.sendTo(
+					this.peers.filter(isServing).map(({ instance }) => instance),
+					this.encode({}, broadcast),
+				);
+			}
+			if (membership.isRelay) {
+				this.flushAsRelay(announcements, now);
+			} else {
+				const reports = encodeReports(engines.keptReports(now));
+				announcements.forEach(({ to, members }) => this.sendSplit(to, members, { withUsage: true, reports }, now));
 			}
 		}
+		this.reachOut(now);
 		if (broadcast.hasEvents) {
 			broadcast.schedule(LEAST_FLUSH_DELAY_MS);
 		}
 	}
 
-	private encode(
-		options: { readonly replyRequested: boolean; readonly withUsage: boolean },
-		outbox?: FleetOutbox,
-	): Uint8Array {
+	private flushAsRelay([toDomain, toRelays]: readonly Announcement[], now: number): void {
+		const { engines, shares } = this.state;
+		const kept = encodeReports(engines.keptReports(now));
+		const told = this.reports.take();
+		const usageSum = { failureDomain: '', usage: [...shares.summedUsage('fleet', now)] };
+		if (toDomain !== undefined) {
+			const reports = [...kept, ...encodeToldReports(told, now)];
+			this.sendSplit(toDomain.to, toDomain.members, { withUsage: true, usageSum, reports }, now);
+		}
+		if (toRelays !== undefined) {
+			const near = told.filter(({ isNear }) => isNear);
+			const reports = [...kept, ...encodeToldReports(near, now)];
+			const { failureDomain } = this.identity;
+			const domainSum = { failureDomain, usage: [...shares.summedUsage('domain', now)] };
+			this.sendSplit(toRelays.to, toRelays.members, { usageSum: domainSum, reports }, now);
+		}
+	}
+
+	/** Sends a datagram, and further ones when it would tell of too many routers. */
+	private sendSplit(to: readonly string[], members: readonly FleetPeer[], content: DatagramContent, now: number): void {
+		if (to.length === 0) {
+			return;
+		}
+		for (let start = 0; start === 0 || start < members.length; start += MEMBERS_PER_DATAGRAM) {
+			const part = members.slice(start, start + MEMBERS_PER_DATAGRAM).map((peer) => encodeMember(peer, now));
+			this.sendTo(to, this.encode({ ...(start === 0 ? content : {}), members: part }));
+		}
+	}
+
+	private isUsageDue(now: number): boolean {
+		const { size } = this.membership.members;
+		const intervalMs = Math.max(LEAST_USAGE_INTERVAL_MS, size * USAGE_INTERVAL_PER_PEER_MS);
+		if (now - this.lastUsageAt < intervalMs) {
+			return false;
+		}
+		this.lastUsageAt = now;
+		return true;
+	}
+
+	private reachOut(now: number): void {
+		if (now - this.lastLostSendAt < LOST_PEER_INTERVAL_MS) {
+			return;
+		}
+		this.lastLostSendAt = now;
+		const names = this.membership.outOfReach();
+		if (names.length > 0) {
+			this.sendTo(names, this.encode({ replyRequested: true }));
+		}
+	}
+
+	private sendTo(names: readonly string[], bytes: Uint8Array): void {
+		for (const name of names) {
+			const peer = this.membership.members.get(name);
+			if (peer !== undefined) {
+				this.send(bytes, peer.datagramAddress);
+			}
+		}
+	}
+
+	private encode(content: DatagramContent, outbox?: FleetOutbox): Uint8Array {
 		const now = this.clock.now();
 		const { engines, shares, duties } = this.state;
-		const contactSince = this.state.contactSince();
 		const state = RouterState.create({
-			storeContactMs: contactSince === undefined ? 0 : 1 + Math.max(0, Math.round(now - contactSince)),
+			storeContactMs: encodeContact(this.state.contactSince(), now),
 			instance: this.identity.instance,
 			incarnation: this.incarnation,
 			sequence: ++this.sequence,
@@ -302,17 +383,20 @@
 			peerAddress: formatAddress(this.identity.peerAddress),
 			datagramAddress: formatAddress(this.identity.datagramAddress),
 			leaving: this.leaving,
-			replyRequested: options.replyRequested,
+			replyRequested: content.replyRequested,
 			followedRevisions: [...this.state.followedRevisions()],
+			members: [...(content.members ?? [])],
+			reports: [...(content.reports ?? [])],
+			usageSum: content.usageSum,
 		});
 		outbox?.moveTo(state, (server) => engines.ownInProgressAt(server), now);
-		if (outbox === this.broadcast && duties.isLargeFleet) {
-			state.reports = encodeReports(engines.keptReports(now));
-		}
-		if (options.withUsage) {
+		if (content.withUsage === true) {
+			const usage = shares.ownUsage(now);
 			state.hasUsage = true;
-			state.usage = [...shares.ownUsage(now)];
-			if (!duties.isLargeFleet) {
+			state.usage = [...usage];
+			if (duties.isLargeFleet) {
+				shares.noteTold(usage);
+			} else {
 				state.hasAllStreams = true;
 				state.streams = [...engines.ownInProgress()]
 					.filter(([, requests]) => requests > 0)
@@ -336,58 +420,56 @@
 			this.log.write('datagram-unreadable', { source: source.address, reason: String(error) });
 			return;
 		}
-		const peerAddress = readAddress(state.peerAddress).unwrapOr(undefined);
-		const datagramAddress = readAddress(state.datagramAddress).unwrapOr(undefined);
-		if (state.instance === this.identity.instance || peerAddress === undefined || datagramAddress === undefined) {
+		const now = this.clock.now();
+		const sender = decodeSender(state, now, readOptionalAddress);
+		if (sender === undefined || sender.instance === this.identity.instance) {
 			return;
 		}
-		const before = this.peersByName.get(state.instance);
-		if (before?.incarnation === state.incarnation && state.sequence <= before.sequence) {
+		const isMet = this.membership.members.hasMet(sender);
+		const direct = this.membership.recordDirect(sender);
+		if (direct === 'outdated') {
 			return;
 		}
-		const now = this.clock.now();
-		if (before !== undefined && before.incarnation !== state.incarnation) {
-			this.forgetWork(state.instance, now);
-		}
-		const peer: FleetPeer = {
-			instance: state.instance,
-			incarnation: state.incarnation,
-			failureDomain: state.failureDomain,
-			peerAddress,
-			datagramAddress,
-			leaving: state.leaving,
-			heardAt: now,
-			followedRevisions: state.followedRevisions,
-			lost: false,
-			contactSince: state.storeContactMs > 0 ? now - state.storeContactMs : undefined,
-			sequence: state.sequence,
-		};
-		this.peersByName.set(state.instance, peer);
-		this.logChange(before, peer);
-		if (before === undefined || before.lost || before.leaving !== peer.leaving) {
-			this.updateKeepers();
-		}
+		const told = state.members.flatMap((member) => decodeMember(member, now, readOptionalAddress) ?? []);
+		const news = [...(direct === undefined ? [] : [direct]), ...this.membership.recordTold(told, now)];
+		this.noteNews(news, sender.instance, now);
 		this.apply(state, now);
-		this.changeEmitter.fire(peer);
-		if (state.replyRequested) {
-			this.send(this.encode({ replyRequested: false, withUsage: true }), datagramAddress);
+		this.changeEmitter.fire(sender);
+		const isTakenForLost = told.some(({ instance, lost }) => lost && instance === this.identity.instance);
+		const isNewcomer = !isMet && this.membership.isRelay && sender.failureDomain === this.identity.failureDomain;
+		if (state.replyRequested || isTakenForLost || isNewcomer) {
+			this.reply(sender.instance, isMet, now);
+		}
+	}
+
+	private reply(instance: string, isMet: boolean, now: number): void {
+		if (!this.state.duties.isLargeFleet || isMet) {
+			this.sendSplit([instance], [], { withUsage: !this.state.duties.isLargeFleet }, now);
+			return;
 		}
+		this.sendSplit([instance], this.membership.introductions(), {}, now);
 	}
 
 	private apply(state: RouterState, now: number): void {
-		const { engines, shares, suspects } = this.state;
-		for (const { engine, sequence, workMs, ageMs, parts } of state.placements) {
-			engines.applyPlacement(state.instance, { server: engine, sequence, workMs, parts }, now - ageMs);
+		const { engines, shares, suspects, duties } = this.state;
+		const isNear = state.failureDomain === this.identity.failureDomain;
+		for (const placement of state.placements) {
+			engines.applyPlacement(state.instance, { ...placement, server: placement.engine }, now);
 		}
-		for (const { engine, sequence, abandoned, ageMs } of state.firstEvents) {
-			engines.applyFirstEvent(state.instance, { server: engine, sequence, abandoned }, now - ageMs);
+		for (const firstEvent of state.firstEvents) {
+			engines.applyFirstEvent(state.instance, { ...firstEvent, server: firstEvent.engine }, now);
 		}
 		for (const { fingerprint, deaths, quarantineMs } of state.crashes) {
 			const name = Buffer.from(fingerprint).toString('hex');
+			this.log.write('crash-suspect-heard', { peer: state.instance, fingerprint: name, deaths, quarantineMs });
 			suspects.applyNotice(state.instance, { fingerprint: name, deaths, quarantineMs, claimMs: 0 });
 		}
-		for (const { engine, ...report } of state.reports) {
-			engines.applyReport(engine, report, now);
+		for (const { engine, ageMs, ...report } of state.reports) {
+			const toldAt = now - ageMs;
+			engines.applyReport(engine, report, toldAt);
+			if (this.membership.isRelay) {
+				this.reports.add({ engine, report, toldAt, isNear });
+			}
 		}
 		for (const { engine, outcome } of state.outcomes) {
 			const decoded = decodeOutcome(outcome);
@@ -395,9 +477,12 @@
 				engines.applyOutcome(engine, decoded, now);
 			}
 		}
-		if (state.hasUsage) {
+		if (state.hasUsage && (!duties.isLargeFleet || (this.membership.isRelay && isNear))) {
 			shares.applyPeer(state.instance, state.usage, now);
 		}
+		if (state.usageSum !== undefined) {
+			this.applyUsageSum(state.usageSum, now);
+		}
 		if (state.hasAllStreams || state.streams.length > 0) {
 			const streams = new Map(state.streams.map(({ engine, requests }) => [engine, requests]));
 			engines.applyInProgress(state.instance, streams, state.hasAllStreams);
@@ -406,6 +491,18 @@
 		state.answers.forEach((answer) => this.answerEmitter.fire(answer));
 	}
 
+	/** Relays sum up their domain themselves and hear the sums of the others; all others hear the sum of the fleet. */
+	private applyUsageSum({ failureDomain, usage }: UsageSum, now: number): void {
+		if (!this.state.duties.isLargeFleet) {
+			return;
+		}
+		if (failureDomain === '' && !this.membership.isRelay) {
+			this.state.shares.applyFleetSum(usage, now);
+		} else if (failureDomain !== '' && this.membership.isRelay && failureDomain !== this.identity.failureDomain) {
+			this.state.shares.applyDomainSum(failureDomain, usage, now);
+		}
+	}
+
 	private answerReservations({ instance, reservations }: RouterState, now: number): void {
 		if (reservations.length === 0) {
 			return;
@@ -433,14 +530,35 @@
 		this.flushTo(instance, outbox);
 	}
 
+	private noteNews(news: readonly MemberNews[], source: string, now: number): void {
+		if (news.length === 0) {
+			return;
+		}
+		for (const { peer, change } of news) {
+			if (change === 'restarted' || change === 'lost') {
+				this.state.engines.removeRouter(peer.instance, now);
+				this.state.shares.removePeer(peer.instance);
+			}
+		}
+		this.logNews(news, source);
+		if (news.some(({ change }) => change !== 'contact')) {
+			this.updateKeepers(now);
+		}
+		if (this.state.duties.isLargeFleet && this.membership.members.hasNews) {
+			this.broadcast.schedule(NEWS_DELAY_MS);
+		}
+	}
+
 	// A router that begins to keep a queue hears what is in it from those who placed it.
-	private updateKeepers(): void {
+	private updateKeepers(now: number): void {
 		const { duties, engines } = this.state;
-		const serving = this.peers.filter(({ lost, leaving }) => !lost && !leaving);
+		const { members } = this.membership;
+		const serving = members.all.filter(isServing);
 		const moved = duties.setRouters(
 			serving.map(({ instance }) => instance),
-			this.peersByName.size + 1,
+			members.size + 1,
 		);
+		this.updateRelays(now);
 		if (!moved) {
 			return;
 		}
@@ -452,53 +570,54 @@
 		}
 	}
 
+	private updateRelays(now: number): void {
+		const { membership, state } = this;
+		const { isLargeFleet } = state.duties;
+		membership.setLarge(isLargeFleet, now);
+		const { isRelay } = membership;
+		if (isRelay === this.wasRelay && isLargeFleet === this.wasLarge) {
+			return;
+		}
+		this.wasRelay = isRelay;
+		this.wasLarge = isLargeFleet;
+		state.shares.forgetOthers();
+		this.reports.take();
+		this.log.write('relay-role', { isRelay, isLargeFleet, relays: membership.roles.ownRelays.join(' ') });
+	}
+
 	private tick(): void {
 		const now = this.clock.now();
-		let changed = false;
-		for (const peer of this.peersByName.values()) {
-			const silentMs = now - peer.heardAt;
-			if (silentMs > LOST_PEER_KEPT_MS) {
-				this.peersByName.delete(peer.instance);
-				this.outboxes.get(peer.instance)?.cancel();
-				this.outboxes.delete(peer.instance);
-				changed = true;
-			} else if (silentMs > PEER_SILENCE_MS && !peer.lost) {
-				const lostPeer: FleetPeer = { ...peer, lost: true };
-				this.peersByName.set(peer.instance, lostPeer);
-				this.forgetWork(peer.instance, now);
-				this.log.write('peer-lost', {
-					peer: peer.instance,
-					incarnation: peer.incarnation,
-					silentMs: Math.round(silentMs),
-				});
-				this.changeEmitter.fire(lostPeer);
-				changed = true;
-			}
-		}
-		if (changed) {
-			this.updateKeepers();
-		}
-		const heartbeatMs = this.state.duties.isLargeFleet ? HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS / 2;
-		if (now - this.lastBroadcastAt >= heartbeatMs) {
+		const { news, forgotten } = this.membership.tick(now);
+		for (const instance of forgotten) {
+			this.outboxes.get(instance)?.cancel();
+			this.outboxes.delete(instance);
+		}
+		this.noteNews(news, this.identity.instance, now);
+		news.forEach(({ peer }) => this.changeEmitter.fire(peer));
+		if (forgotten.length > 0) {
+			this.updateKeepers(now);
+		}
+		this.updateRelays(now);
+		const { isLargeFleet } = this.state.duties;
+		const heartbeatMs = isLargeFleet && !this.membership.isRelay ? HEARTBEAT_INTERVAL_MS : TICK_INTERVAL_MS;
+		if (now - this.lastBroadcastAt >= heartbeatMs - TICK_INTERVAL_MS / 2) {
 			this.flushToAll();
 		}
 	}
 
-	private forgetWork(instance: string, now: number): void {
-		this.state.engines.removeRouter(instance, now);
-		this.state.shares.removePeer(instance);
-	}
-
-	private logChange(before: FleetPeer | undefined, peer: FleetPeer): void {
-		const fields = { peer: peer.instance, incarnation: peer.incarnation, failureDomain: peer.failureDomain };
-		if (before === undefined) {
-			this.log.write('peer-found', fields);
-		} else if (before.incarnation !== peer.incarnation) {
-			this.log.write('peer-restarted', fields);
-		} else if (before.lost) {
-			this.log.write('peer-regained', fields);
-		} else if (peer.leaving && !before.leaving) {
-			this.log.write('peer-leaving', fields);
+	// Many routers change at once, so one line tells of all that a datagram or a tick has brought.
+	private logNews(news: readonly MemberNews[], source: string): void {
+		const byChange = new Map<string, FleetPeer[]>();
+		for (const { peer, change } of news) {
+			byChange.set(change, [...(byChange.get(change) ?? []), peer]);
+		}
+		for (const [change, peers] of byChange) {
+			this.log.write(`peer-${change}`, {
+				peers: peers.map(({ instance, incarnation }) => `${instance}:${incarnation}`).join(' '),
+				source,
+			});
 		}
 	}
 }
+
+const readOptionalAddress: AddressReader = (text) => readAddress(text).unwrapOr(undefined);
--- a/src/fleet/node/snapshotExchange.ts
+++ b/src/fleet/node/snapshotExchange.ts
@@ -9,7 +9,8 @@
 import { callJson } from '../../store/node/httpJson.js';
 import type { PrefixFollower } from '../../store/node/prefixFollower.js';
 import { BEHIND_TOLERANCE_MS, FETCH_INTERVAL_MS, FETCH_TIMEOUT_MS } from '../common/fleetTiming.js';
-import type { FleetExchange, FleetPeer } from './fleetExchange.js';
+import type { FleetPeer } from '../common/fleetPeer.js';
+import type { FleetExchange } from './fleetExchange.js';
 
 const PATH = '/followed/';
 
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -49,6 +49,8 @@
 const DATAGRAM_PORT = 17_400;
 const PEER_PORT = 18_785;
 
+const FAILURE_DOMAINS = ['a', 'b', 'c'];
+
 const routers: FixtureRouter[] = [];
 let started = 0;
 
@@ -61,19 +63,21 @@
  * @param instance name of the router
  * @param network first three bytes of its address, which no other test file uses
  * @param reservationTimeoutMs longest time in milliseconds for which a keeper is waited for; the product's by default
+ * @param failureDomain where it runs
  * @returns a running router that knows no peers
  */
 export async function startRouter(
 	instance: string,
 	network: string,
 	reservationTimeoutMs?: number,
+	failureDomain = 'a',
 ): Promise<FixtureRouter> {
 	const owner = DisposableStore.create();
 	const events: string[] = [];
 	const contact: FixtureRouter['contact'] = { since: undefined };
 	const log = { write: (event: string) => void events.push(event) };
 	const duties = FleetDuties.create(instance);
-	const engines = EngineFleet.create(instance, 'a', duties);
+	const engines = EngineFleet.create(instance, failureDomain, duties);
 	engines.setServers([server], systemClock.now());
 	const shares = FleetShares.create(4_000, () => 1_000);
 	const suspects = CrashSuspects.create(instance, systemClock);
@@ -92,7 +96,7 @@
 	const peerAddress = { host, port: PEER_PORT };
 	const exchange = owner.add(
 		FleetExchange.create(
-			{ instance, failureDomain: 'a', peerAddress, datagramAddress },
+			{ instance, failureDomain, peerAddress, datagramAddress },
 			{
 				engines,
 				shares,
@@ -154,10 +158,12 @@
 ): Promise<readonly FixtureRouter[]> {
 	const routers: FixtureRouter[] = [];
 	for (let index = 0; index < LARGE_FLEET_ROUTERS; index++) {
-		routers.push(await startRouter(`router-${index}`, network, reservationTimeoutMs));
+		const failureDomain = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length];
+		routers.push(await startRouter(`router-${index}`, network, reservationTimeoutMs, failureDomain));
 	}
+	// As on the platform, a few routers are known to all.
 	for (const one of routers) {
-		routers.forEach((other) => one.exchange.introduce(other.datagramAddress));
+		routers.slice(0, 3).forEach((seed) => one.exchange.introduce(seed.datagramAddress));
 	}
 	await until(() => routers.every(({ exchange }) => exchange.routerCount === LARGE_FLEET_ROUTERS), 10_000);
 	return routers;
--- /dev/null
+++ b/src/fleet/test/fleetMembership.test.ts
@@ -0,0 +1,126 @@
+import { describe, expect, test } from '@jest/globals';
+import fc from 'fast-check';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { FleetDuties } from '../common/fleetDuties.js';
+import { type Delivers, MembershipHarness } from './membershipHarness.js';
+
+const ALWAYS: Delivers = () => true;
+
+function randomOf(seed: number): () => number {
+	const generator = xoroshiro128plus(seed);
+	return () => uniformFloat64(generator);
+}
+
+function fleetOf(routers: number, seed: number, delivers: Delivers = ALWAYS): MembershipHarness {
+	return MembershipHarness.create({ routers, domains: 6, random: randomOf(seed), delivers });
+}
+
+/** Datagrams that a router of a calm fleet sends in a second, on average. */
+function datagramsPerRouter(routers: number): number {
+	const fleet = fleetOf(routers, 7);
+	fleet.run(6_000);
+	const before = fleet.sent;
+	fleet.run(4_000);
+	return (fleet.sent - before) / routers / 4;
+}
+
+describe('FleetMembership', () => {
+	// Heartbeats from each router to all others were 390 datagrams a second and router at 195 routers.
+	test('what a router sends does not grow with the fleet', () => {
+		const [small = 0, medium, large] = [30, 100, 300].map(datagramsPerRouter);
+		expect(medium).toBeLessThanOrEqual(small);
+		expect(large).toBeLessThanOrEqual(small);
+	});
+
+	test('all routers know each other soon after they have started together', () => {
+		const fleet = fleetOf(195, 1);
+		fleet.run(2_500);
+		expect(fleet.disagreeing).toEqual([]);
+	});
+
+	test('all routers agree on the keepers of all queues', () => {
+		const fleet = fleetOf(100, 2);
+		fleet.run(3_000);
+		const keepers = fleet.running.map((name) => {
+			const duties = FleetDuties.create(name);
+			const others = fleet.servingSeenBy(name).filter((other) => other !== name);
+			duties.setRouters(others, others.length + 1);
+			return Array.from({ length: 88 }, (_, index) => duties.keeperOf(`engine-${index}`)).join();
+		});
+		expect(new Set(keepers).size).toBe(1);
+	});
+
+	// 55 of 100 routers lose their power at once on some days, all relays of a domain among them.
+	test('routers that lose their power together are noticed, and met again when they are back', () => {
+		const fleet = fleetOf(120, 3);
+		fleet.run(4_000);
+		const random = randomOf(4);
+		const stopped = fleet.running.filter(() => random() < 0.55);
+		fleet.stop(stopped);
+		fleet.run(4_500);
+		expect(fleet.disagreeing).toEqual([]);
+		fleet.start(stopped);
+		fleet.run(3_000);
+		expect(fleet.disagreeing).toEqual([]);
+	});
+
+	// A router that is cut off takes all others for lost. When it is back, its view must not spread.
+	test('a router that was cut off is met again, and the others keep each other', () => {
+		const cut = { name: '', until: 0 };
+		const fleet = fleetOf(60, 5, (from, to, now) => now >= cut.until || (from !== cut.name && to !== cut.name));
+		fleet.run(4_000);
+		for (const name of fleet.running.slice(0, 12)) {
+			cut.name = name;
+			cut.until = fleet.now + 5_500;
+			fleet.run(5_000);
+			const others = fleet.running.filter((other) => other !== name);
+			expect(others.filter((other) => fleet.servingSeenBy(other).length < 59)).toEqual([]);
+			fleet.run(4_000);
+			expect(fleet.disagreeing).toEqual([]);
+		}
+	});
+
+	test('views converge after any mix of kills, restarts, cuts and loss', () => {
+		const event = fc.record({
+			kind: fc.constantFrom('stop', 'start', 'cut-domain', 'cut-router'),
+			index: fc.nat(29),
+			share: fc.double({ min: 0.05, max: 0.6, noNaN: true }),
+			pauseMs: fc.integer({ min: 100, max: 3_000 }),
+		});
+		fc.assert(
+			fc.property(fc.array(event, { maxLength: 6 }), fc.nat(), fc.constantFrom(0, 0.05), (events, seed, loss) => {
+				const random = randomOf(seed);
+				let severed: Delivers = ALWAYS;
+				const fleet = MembershipHarness.create({
+					routers: 30,
+					domains: 3,
+					random,
+					delivers: (from, to, now) => severed(from, to, now) && random() >= loss,
+				});
+				fleet.run(3_000);
+				for (const { kind, index, share, pauseMs } of events) {
+					const all = Array.from({ length: 30 }, (_, position) => `router-${position}`);
+					const isNear = (name: string): boolean => Number(name.slice('router-'.length)) % 3 === index % 3;
+					if (kind === 'stop') {
+						fleet.stop(all.filter(() => random() < share));
+					} else if (kind === 'start') {
+						fleet.start(all.filter((name) => !fleet.running.includes(name)));
+					} else if (kind === 'cut-domain') {
+						severed = (from, to) => isNear(from) === isNear(to);
+					} else {
+						severed = (from, to) => from !== all[index] && to !== all[index];
+					}
+					fleet.run(pauseMs);
+				}
+				severed = ALWAYS;
+				fleet.start(Array.from({ length: 30 }, (_, position) => `router-${position}`));
+				fleet.run(12_000);
+				// With loss a router can be missed for a moment at any time.
+				const limit = loss === 0 ? 0 : 2;
+				expect(fleet.disagreeing.length).toBeLessThanOrEqual(limit);
+			}),
+			{ numRuns: 25, seed: 15 },
+		);
+	});
+});
--- /dev/null
+++ b/src/fleet/test/membershipHarness.ts
@@ -0,0 +1,235 @@
+import { FleetMembership, TICK_INTERVAL_MS } from '../common/fleetMembership.js';
+import { type FleetPeer, isServing } from '../common/fleetPeer.js';
+import {
+	HEARTBEAT_INTERVAL_MS,
+	LOST_PEER_INTERVAL_MS,
+	MEMBERS_PER_DATAGRAM,
+	NEWS_DELAY_MS,
+} from '../common/fleetTiming.js';
+
+/** What the network does to a datagram. */
+export type Delivers = (from: string, to: string, now: number) => boolean;
+
+/** Figures of a fleet in virtual time. */
+export interface HarnessOptions {
+	readonly routers: number;
+	readonly domains: number;
+	/** Numbers from 0 to 1. */
+	readonly random: () => number;
+	readonly delivers: Delivers;
+}
+
+interface Datagram {
+	readonly from: string;
+	readonly to: string;
+	readonly sequence: number;
+	readonly incarnation: number;
+	readonly replyRequested: boolean;
+	readonly members: readonly FleetPeer[];
+}
+
+interface Node {
+	readonly name: string;
+	readonly domain: string;
+	readonly incarnation: number;
+	readonly membership: FleetMembership;
+	sequence: number;
+	nextTickAt: number;
+	sentAt: number;
+	reachedAt: number;
+	flushAt: number | undefined;
+	isRunning: boolean;
+	sent: number;
+}
+
+const STEP_MS = 10;
+const SEEDS = 3;
+
+/** A fleet of routers that exchange nothing but their membership, in virtual time. */
+export class MembershipHarness {
+	private readonly nodes: Map<string, Node>;
+	/** By virtual time in steps. */
+	private readonly inFlight = new Map<number, Datagram[]>();
+	private incarnations = 0;
+	private time = 1_000;
+
+	private constructor(private readonly options: HarnessOptions) {
+		const nodes = Array.from({ length: options.routers }, (_, index) =>
+			this.createNode(`router-${index}`, `domain-${index % options.domains}`),
+		);
+		this.nodes = new Map(nodes.map((node) => [node.name, node]));
+		nodes.forEach((node) => this.greetSeeds(node));
+	}
+
+	/**
+	 * @param options of the fleet
+	 * @returns a fleet whose routers start within 300 ms of each other and know three of them
+	 */
+	public static create(options: HarnessOptions): MembershipHarness {
+		return new MembershipHarness(options);
+	}
+
+	/** Names of all routers that run. */
+	public get running(): readonly string[] {
+		return this.runningNodes.map(({ name }) => name);
+	}
+
+	/** Datagrams sent so far. */
+	public get sent(): number {
+		return [...this.nodes.values()].reduce((sum, node) => sum + node.sent, 0);
+	}
+
+	public get now(): number {
+		return this.time;
+	}
+
+	/** @param durationMs virtual milliseconds to pass */
+	public run(durationMs: number): void {
+		for (const end = this.time + durationMs; this.time < end;) {
+			this.time += STEP_MS;
+			this.deliver();
+			this.runningNodes.forEach((node) => this.step(node));
+		}
+	}
+
+	/** @param names of routers that lose their power */
+	public stop(names: readonly string[]): void {
+		for (const name of names) {
+			this.node(name).isRunning = false;
+		}
+	}
+
+	/** @param names of stopped routers that start again without memory */
+	public start(names: readonly string[]): void {
+		for (const name of names) {
+			const fresh = this.createNode(name, this.node(name).domain);
+			this.nodes.set(name, fresh);
+			this.greetSeeds(fresh);
+		}
+	}
+
+	/**
+	 * @param name of a router
+	 * @returns names of the routers that it takes to serve, itself included, in order
+	 */
+	public servingSeenBy(name: string): readonly string[] {
+		const { members } = this.node(name).membership;
+		const others = members.all.filter(isServing).map(({ instance }) => instance);
+		return [name, ...others].sort();
+	}
+
+	/** Routers whose view differs from the set of those that run. */
+	public get disagreeing(): readonly string[] {
+		const expected = [...this.running].sort().join();
+		return this.running.filter((name) => this.servingSeenBy(name).join() !== expected);
+	}
+
+	private get runningNodes(): readonly Node[] {
+		return [...this.nodes.values()].filter(({ isRunning }) => isRunning);
+	}
+
+	private node(name: string): Node {
+		const node = this.nodes.get(name);
+		if (node === undefined) {
+			throw new Error(`no router ${name}`);
+		}
+		return node;
+	}
+
+	private createNode(name: string, domain: string): Node {
+		const membership = FleetMembership.create(name, domain, this.options.random);
+		const nextTickAt = this.time + this.options.random() * 300;
+		const incarnation = ++this.incarnations;
+		const times = { nextTickAt, sentAt: 0, reachedAt: 0, flushAt: undefined };
+		return { name, domain, incarnation, membership, sequence: 0, ...times, isRunning: true, sent: 0 };
+	}
+
+	private greetSeeds(node: Node): void {
+		const seeds = [...this.nodes.keys()].slice(0, SEEDS).filter((name) => name !== node.name);
+		this.send(node, seeds, [], true);
+	}
+
+	private step(node: Node): void {
+		const { membership } = node;
+		if (this.time >= node.nextTickAt) {
+			node.nextTickAt = this.time + TICK_INTERVAL_MS;
+			membership.setLarge(true, this.time);
+			membership.tick(this.time);
+			const intervalMs = membership.isRelay ? TICK_INTERVAL_MS : HEARTBEAT_INTERVAL_MS;
+			if (this.time - node.sentAt >= intervalMs - TICK_INTERVAL_MS / 2) {
+				this.flush(node);
+			}
+		}
+		if (membership.members.hasNews) {
+			node.flushAt ??= this.time + NEWS_DELAY_MS;
+		}
+		if (node.flushAt !== undefined && this.time >= node.flushAt) {
+			this.flush(node);
+		}
+	}
+
+	private flush(node: Node): void {
+		node.sentAt = this.time;
+		node.flushAt = undefined;
+		for (const { to, members } of node.membership.announcements()) {
+			this.send(node, to, members, false);
+		}
+		if (this.time - node.reachedAt >= LOST_PEER_INTERVAL_MS) {
+			node.reachedAt = this.time;
+			this.send(node, node.membership.outOfReach(), [], true);
+		}
+	}
+
+	private send(node: Node, receivers: readonly string[], members: readonly FleetPeer[], replyRequested: boolean): void {
+		const sequence = ++node.sequence;
+		for (const to of receivers) {
+			node.sent += Math.max(1, Math.ceil(members.length / MEMBERS_PER_DATAGRAM));
+			if (this.options.delivers(node.name, to, this.time)) {
+				const { name: from, incarnation } = node;
+				const at = this.time + STEP_MS;
+				const arriving = this.inFlight.get(at) ?? [];
+				arriving.push({ from, to, sequence, incarnation, members, replyRequested });
+				this.inFlight.set(at, arriving);
+			}
+		}
+	}
+
+	private deliver(): void {
+		const due = this.inFlight.get(this.time) ?? [];
+		this.inFlight.delete(this.time);
+		for (const datagram of due) {
+			const node = this.node(datagram.to);
+			if (node.isRunning) {
+				this.receive(node, datagram, this.node(datagram.from).domain);
+			}
+		}
+	}
+
+	private receive(node: Node, datagram: Datagram, domain: string): void {
+		const { membership } = node;
+		const address = { host: datagram.from, port: 1 };
+		const peer: FleetPeer = {
+			instance: datagram.from,
+			incarnation: datagram.incarnation,
+			failureDomain: domain,
+			peerAddress: address,
+			datagramAddress: address,
+			leaving: false,
+			heardAt: this.time,
+			followedRevisions: [],
+			lost: false,
+			contactSince: undefined,
+			sequence: datagram.sequence,
+		};
+		const isMet = membership.members.hasMet(peer);
+		if (membership.recordDirect(peer) === 'outdated') {
+			return;
+		}
+		membership.recordTold(datagram.members, this.time);
+		const isTakenForLost = datagram.members.some(({ instance, lost }) => lost && instance === node.name);
+		const isNewcomer = !isMet && membership.isRelay && domain === node.domain;
+		if (datagram.replyRequested || isTakenForLost || isNewcomer) {
+			this.send(node, [datagram.from], isMet ? [] : membership.introductions(), false);
+		}
+	}
+}
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -33,6 +33,9 @@
 /** Usage of a peer that was not heard of for longer is not counted. */
 const PEER_USAGE_VALID_MS = 2_000;
 
+/** Name of the sum over all failure domains, which no domain has. */
+const WHOLE_FLEET = '';
+
 /** The level is computed again after this time. */
 const LEVEL_VALID_MS = 50;
 
@@ -45,6 +48,10 @@
 export class FleetShares {
 	private readonly own = new Map<number, OwnUsage>();
 	private readonly peers = new Map<string, PeerUsage>();
+	/** Sums over several routers, by failure domain; of the whole fleet under the empty name. */
+	private readonly sums = new Map<string, PeerUsage>();
+	/** Own usage that the sum of the whole fleet contains. */
+	private ownTold: ReadonlyMap<number, AccountUsage> = new Map();
 	private levelComputedAt = -Infinity;
 	private level = Infinity;
 
@@ -91,11 +98,82 @@
 		this.peers.set(router, { receivedAt: now, accounts: new Map(usage.map((item) => [item.account, item])) });
 	}
 
+	/**
+	 * Takes over what the routers of a failure domain have seen together.
+	 *
+	 * @param failureDomain that is summed up
+	 * @param usage all its accounts with usage
+	 * @param now monotonic milliseconds
+	 */
+	public applyDomainSum(failureDomain: string, usage: readonly AccountUsage[], now: number): void {
+		this.sums.set(failureDomain, { receivedAt: now, accounts: new Map(usage.map((item) => [item.account, item])) });
+	}
+
+	/**
+	 * Takes over what all routers have seen together, this one included.
+	 *
+	 * @param usage all accounts with usage
+	 * @param now monotonic milliseconds
+	 */
+	public applyFleetSum(usage: readonly AccountUsage[], now: number): void {
+		const others = usage.map(({ account, offered, admitted }): AccountUsage => {
+			const told = this.ownTold.get(account);
+			return {
+				account,
+				offered: Math.max(0, offered - (told?.offered ?? 0)),
+				admitted: Math.max(0, admitted - (told?.admitted ?? 0)),
+			};
+		});
+		this.applyDomainSum(WHOLE_FLEET, others, now);
+	}
+
+	/**
+	 * Notes what this router has told of its own usage to those that sum it up.
+	 *
+	 * @param usage as {@link ownUsage} gave it
+	 */
+	public noteTold(usage: readonly AccountUsage[]): void {
+		this.ownTold = new Map(usage.map((item) => [item.account, item]));
+	}
+
 	/** @param router name of a peer that has ended */
 	public removePeer(router: string): void {
 		this.peers.delete(router);
 	}
 
+	/** Forgets what was heard of others, when it is to come from other sources than before. */
+	public forgetOthers(): void {
+		this.peers.clear();
+		this.sums.clear();
+	}
+
+	/**
+	 * @param scope `domain` for this router and the peers that tell it of themselves, `fleet` for all
+	 * @param now monotonic milliseconds
+	 * @returns usage of all accounts, summed up
+	 */
+	public summedUsage(scope: 'domain' | 'fleet', now: number): readonly AccountUsage[] {
+		const totals = new Map<number, AccountUsage>();
+		const add = ({ account, offered, admitted }: AccountUsage): void => {
+			const before = totals.get(account);
+			totals.set(account, {
+				account,
+				offered: offered + (before?.offered ?? 0),
+				admitted: admitted + (before?.admitted ?? 0),
+			});
+		};
+		this.ownUsage(now).forEach(add);
+		for (const peer of this.valid(this.peers, now)) {
+			[...peer.accounts.values()].forEach(add);
+		}
+		if (scope === 'fleet') {
+			for (const sum of this.valid(this.sums, now)) {
+				[...sum.accounts.values()].forEach(add);
+			}
+		}
+		return [...totals.values()];
+	}
+
 	/**
 	 * @param now monotonic milliseconds
 	 * @returns usage at this router, without accounts that had none
@@ -120,10 +198,8 @@
 	public standing(account: number, now: number): Standing {
 		this.refreshLevel(now);
 		let admitted = this.own.get(account)?.admitted.sum(now) ?? 0;
-		for (const peer of this.peers.values()) {
-			if (now - peer.receivedAt <= PEER_USAGE_VALID_MS) {
-				admitted += peer.accounts.get(account)?.admitted ?? 0;
-			}
+		for (const { accounts } of [...this.valid(this.peers, now), ...this.valid(this.sums, now)]) {
+			admitted += accounts.get(account)?.admitted ?? 0;
 		}
 		return { usedShare: this.level === Infinity ? 0 : admitted / this.level, level: this.level, admitted };
 	}
@@ -138,19 +214,12 @@
 			this.level = Infinity;
 			return;
 		}
-		const demands = new Map<number, number>();
-		const add = (items: Iterable<AccountUsage>): void => {
-			for (const { account, offered } of items) {
-				demands.set(account, (demands.get(account) ?? 0) + offered);
-			}
-		};
-		add(this.ownUsage(now));
-		for (const peer of this.peers.values()) {
-			if (now - peer.receivedAt <= PEER_USAGE_VALID_MS) {
-				add(peer.accounts.values());
-			}
-		}
-		this.level = fairLevel([...demands.values()], capacity);
+		const demands = this.summedUsage('fleet', now).map(({ offered }) => offered);
+		this.level = fairLevel(demands, capacity);
+	}
+
+	private valid(usages: ReadonlyMap<string, PeerUsage>, now: number): readonly PeerUsage[] {
+		return [...usages.values()].filter(({ receivedAt }) => now - receivedAt <= PEER_USAGE_VALID_MS);
 	}
 
 	private usageOf(account: number): OwnUsage {
