--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -29,15 +29,30 @@
 /** Part of a pause that is random, so that routers do not return together. */
 const JITTER = 0.5;
 
+/** Interval at which a new router looks whether a peer has told it what the store holds. */
+const PATIENCE_CHECK_MS = 20;
+
+/** Longest pause of a router that cannot read the store while another one can and tells it of changes. */
+const TOLD_PAUSE_MS = 2_000;
+
 /** What a follower knows of the fleet. */
 export interface FollowerFleet {
 	/** Routers that serve. */
 	readonly routers: () => number;
 	/** Whether this router reads the store; otherwise it learns from peers what the store holds. */
 	readonly isReader: () => boolean;
+	/** Whether another router reads the store. */
+	readonly isReadByPeers: () => boolean;
+	/** Milliseconds for which this router waits after its start for a peer that knows what the store holds. */
+	readonly patienceMs: () => number;
 }
 
-const ALONE: FollowerFleet = { routers: () => 1, isReader: () => true };
+const ALONE: FollowerFleet = {
+	routers: () => 1,
+	isReader: () => true,
+	isReadByPeers: () => false,
+	patienceMs: () => 0,
+};
 
 /** Knows all values below one prefix of the store. */
 export class PrefixFollower extends Disposable {
@@ -138,6 +153,10 @@
 	public run(): Effect.Effect<never> {
 		const self = this;
 		return Effect.gen(function* () {
+			const patienceMs = self.fleet.patienceMs();
+			for (let waitedMs = 0; self.knownRevision === undefined && waitedMs < patienceMs; waitedMs += PATIENCE_CHECK_MS) {
+				yield* Effect.sleep(PATIENCE_CHECK_MS);
+			}
 			for (;;) {
 				if (self.knownRevision !== undefined && !self.fleet.isReader()) {
 					self.rest();
@@ -224,7 +243,8 @@
 			this.log.write('store-lost', { prefix: this.prefix, revision: this.knownRevision, reason: failure.message });
 			this.contactEmitter.fire(false);
 		}
-		const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
+		const longestMs = this.fleet.isReadByPeers() ? TOLD_PAUSE_MS : LONGEST_PAUSE_MS;
+		const pauseMs = Math.min(longestMs, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
 		return pauseMs * (1 - JITTER * this.random());
 	}
 }
