Bound what is read of servers that send bytes without end

Cause: the rest of a refusal was read for as long as its server sent, and interim answers were not counted. An event of a resumable stream was held until its end, at the speed of the network, in memory.

Change: a refusal is read up to 64 KiB and 1 s, 16 interim answers and events of 1 MiB are the most, then the connection is closed; answers of peers and of the store end at 32 MiB. A resumption that is refused ends with its first bytes.

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -41,6 +41,12 @@
 export interface IAttemptSink extends IAnswerSink {
 	/** Called before the first byte goes to the backend server, after which the request may run. */
 	sent(): void;
+	/**
+	 * Asked after each part of a body.
+	 *
+	 * @returns why what has arrived is no answer, which ends the attempt; undefined when it may be one
+	 */
+	fault?(): string | undefined;
 }
 
 /**
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -20,6 +20,13 @@
 const SILENCE_CHECK_MS = 10_000;
 const SILENT_CHECKS = 60;
 
+/** The rest of a refusal is read so that its connection can be used again. Beyond these bounds a new connection is cheaper. */
+const LONGEST_REFUSAL_BYTES = 65_536;
+const LONGEST_REFUSAL_MS = 1_000;
+
+/** Interim answers (status 1xx) before the answer; servers send one or two. */
+const MOST_INTERIM_ANSWERS = 16;
+
 const CONFLICT = 409;
 
 /** Header with which a backend server says that it did not start the request. */
@@ -156,6 +163,13 @@
 			});
 		});
 		outgoing.on('error', (error) => this.fail(this.sent ? 'broken' : 'unreachable', error.message));
+		let interimAnswers = 0;
+		outgoing.on('information', () => {
+			if (++interimAnswers > MOST_INTERIM_ANSWERS) {
+				this.fail('broken', 'sent interim answers without end');
+				outgoing.destroy();
+			}
+		});
 		outgoing.on('response', (response) => this.receive(response));
 	}
 
@@ -192,8 +206,8 @@
 		}
 		const refusal = this.protocol.refusalOf(received);
 		if (refusal !== undefined) {
-			response.resume();
 			this.fail(refusal, `refused with status ${status}`);
+			drain(response);
 			return;
 		}
 		const framed = isFramed(this.request.method, response);
@@ -207,7 +221,15 @@
 		this.sink.head({ status, headers: definedHeaders(response.headers, HOP_BY_HOP_HEADERS) });
 		response.on('data', (chunk: Buffer) => {
 			this.silentChecks = 0;
-			if (!this.settled && !this.sink.write(chunk, () => response.resume())) {
+			if (this.settled) {
+				return;
+			}
+			const mayContinue = this.sink.write(chunk, () => response.resume());
+			const fault = this.sink.fault?.();
+			if (fault !== undefined) {
+				this.fail('broken', fault);
+				this.outgoing?.destroy();
+			} else if (!mayContinue) {
 				response.pause();
 			}
 		});
@@ -235,6 +257,20 @@
 	}
 }
 
+/** Reads the rest of an answer that nobody waits for, and closes its connection when that has no end. */
+function drain(response: http.IncomingMessage): void {
+	let bytes = 0;
+	const timer = setTimeout(() => response.destroy(), LONGEST_REFUSAL_MS);
+	response.on('data', (chunk: Buffer) => {
+		bytes += chunk.length;
+		if (bytes > LONGEST_REFUSAL_BYTES) {
+			response.destroy();
+		}
+	});
+	response.on('error', () => undefined); // The attempt has been settled by the head.
+	response.on('close', () => clearTimeout(timer));
+}
+
 // Node.js writes a list of names and values as it is; an object is first copied into a map, header by header.
 function headerList(request: BackendRequest, authority: string): string[] {
 	const list: string[] = ['host', request.authority ?? authority];
--- a/src/dispatch/node/answerRelay.ts
+++ b/src/dispatch/node/answerRelay.ts
@@ -94,6 +94,11 @@
 		return this.heldBytes <= limit || this.flush(resume);
 	}
 
+	/** Whether bytes have arrived that cannot be an event of the stream. */
+	public get isOverlong(): boolean {
+		return this.stream?.isOverlong === true;
+	}
+
 	/** @returns whether the answer that has ended is whole */
 	public isWhole(): boolean {
 		return this.stream === undefined || this.stream.isWhole;
--- a/src/dispatch/node/eventStream.ts
+++ b/src/dispatch/node/eventStream.ts
@@ -10,6 +10,9 @@
 const ID_LINES = /(?:^|\n)id: ?([^\r\n]*)/g;
 const LINE_FEED = 0x0a;
 
+/** An event is held until it is whole. Events hold some tokens; beyond this size, bytes are no events. */
+export const LONGEST_EVENT_BYTES = 1_048_576;
+
 /**
  * Follows a stream of server-sent events chunk by chunk. It scans bytes without decoding them, since decoding each
  * token's event costs more than passing it on.
@@ -35,6 +38,11 @@
 		return last !== undefined && endsWithMarker(last);
 	}
 
+	/** Whether more has arrived without the end of an event than any event holds. */
+	public get isOverlong(): boolean {
+		return (this.held?.length ?? 0) > LONGEST_EVENT_BYTES;
+	}
+
 	/** `id` of the last event that was passed on. */
 	public get lastEventId(): string | undefined {
 		const lines = [...(this.lastPartWithId?.toString('utf8').matchAll(ID_LINES) ?? [])];
--- a/src/dispatch/node/slotAttempt.ts
+++ b/src/dispatch/node/slotAttempt.ts
@@ -215,6 +215,13 @@
 		return !this.accepted || this.job.relay.write(chunk, resume, this.countTokens);
 	}
 
+	public fault(): string | undefined {
+		if (!this.accepted) {
+			return 'did not resume the stream';
+		}
+		return this.job.relay.isOverlong ? 'sent an event without end' : undefined;
+	}
+
 	public judgeEnd(server: string): BackendFailure | undefined {
 		if (this.accepted && this.job.relay.isWhole()) {
 			return undefined;
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -335,6 +335,12 @@
 					this.passHead(head);
 				}
 			},
+			fault: () => {
+				if (state.resumeStatus !== undefined) {
+					return notResumed(state.resumeStatus).message;
+				}
+				return this.events?.isOverlong === true ? 'sent an event without end' : undefined;
+			},
 			write: (chunk, resume) => {
 				if (state.resumeStatus !== undefined) {
 					return true; // The body of a refusal to resume is no part of the stream.
--- a/src/store/node/httpJson.ts
+++ b/src/store/node/httpJson.ts
@@ -1,5 +1,8 @@
 import * as http from 'node:http';
 
+/** Longest body that is read. Snapshots of a thousand servers take half a megabyte, and one value up to 1.4. */
+const LONGEST_BODY_BYTES = 33_554_432;
+
 /** Answer of a small JSON call. */
 export interface JsonAnswer {
 	readonly status: number;
@@ -60,7 +63,15 @@
 		request.on('error', fail);
 		request.on('response', (response) => {
 			const chunks: Buffer[] = [];
-			response.on('data', (chunk: Buffer) => chunks.push(chunk));
+			let bytes = 0;
+			response.on('data', (chunk: Buffer) => {
+				bytes += chunk.length;
+				if (bytes > LONGEST_BODY_BYTES) {
+					request.destroy(new Error(`an answer of more than ${LONGEST_BODY_BYTES} bytes`));
+					return;
+				}
+				chunks.push(chunk);
+			});
 			response.on('error', fail);
 			response.on('end', () => {
 				clearTimeout(timer);
