Let an unexpected error end only what it belongs to

Cause: an exception in the handling of one request ended the process; in the run of a request it left the caller without an answer; in a listener of changes it ended the following of the store for good, without a line. A report with a number that is none made an engine unusable until the next one. Found by reading and by mutated datagrams.

Change: each datagram, request and change is handled on its own; what fails is logged with its stack, and the caller is told whether the request may have run.

Tests: 400 mutated datagrams, numbers that are none, errors before and after the first byte to a server and while the header is read, a listener that fails.

--- a/src/fleet/common/fleetMessages.ts
+++ b/src/fleet/common/fleetMessages.ts
@@ -101,3 +101,15 @@
 export function encodeToldReports(reports: readonly ToldReport[], now: number): wire.EngineReport[] {
 	return reports.map(({ engine, report, toldAt }) => encodeReport(engine, report, now - toldAt));
 }
+
+/**
+ * @param state a datagram as it arrived
+ * @returns whether all its numbers can be computed with
+ */
+export function hasUsableNumbers({ reports, usage, usageSum }: wire.RouterState): boolean {
+	const numbers = [
+		...reports.flatMap(({ pace, load, failureRate }) => [pace, load, failureRate]),
+		...[...usage, ...(usageSum?.usage ?? [])].flatMap(({ offered, admitted }) => [offered, admitted]),
+	];
+	return numbers.every((number) => Number.isFinite(number) && number >= 0);
+}
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -19,6 +19,7 @@
 	encodeContact,
 	encodeMember,
 	encodeToldReports,
+	hasUsableNumbers,
 	type AddressReader,
 } from '../common/fleetMessages.js';
 import { decodeOutcome, decodeReservation, encodeReports, FleetOutbox } from '../common/fleetOutbox.js';
@@ -412,14 +413,21 @@
 		this.socket.send(bytes, port, host, () => undefined);
 	}
 
+	/** An error in one datagram ends its handling only. */
 	private receive(bytes: Buffer, source: RemoteInfo): void {
-		let state: RouterState;
 		try {
-			state = RouterState.decode(bytes);
+			const state = RouterState.decode(bytes);
+			if (hasUsableNumbers(state)) {
+				this.take(state);
+			} else {
+				this.log.write('datagram-unreadable', { source: source.address, reason: 'numbers out of range' });
+			}
 		} catch (error) {
 			this.log.write('datagram-unreadable', { source: source.address, reason: String(error) });
-			return;
 		}
+	}
+
+	private take(state: RouterState): void {
 		const now = this.clock.now();
 		const sender = decodeSender(state, now, readOptionalAddress);
 		if (sender === undefined || sender.instance === this.identity.instance) {
--- a/src/fleet/node/snapshotExchange.ts
+++ b/src/fleet/node/snapshotExchange.ts
@@ -139,13 +139,21 @@
 }
 
 function decodeSnapshot(body: unknown): Snapshot | undefined {
-	const encoded = body as Partial<EncodedSnapshot> | undefined;
+	const encoded = body as Partial<EncodedSnapshot> | null | undefined;
 	if (typeof encoded?.revision !== 'number' || !Array.isArray(encoded.entries)) {
 		return undefined;
 	}
-	const entries = encoded.entries as EncodedSnapshot['entries'];
+	const entries = encoded.entries as readonly unknown[];
+	if (!entries.every(isEncodedEntry)) {
+		return undefined;
+	}
 	return {
 		revision: encoded.revision,
 		entries: entries.map(({ key, revision, value }) => ({ key, revision, value: Buffer.from(value, 'base64') })),
 	};
 }
+
+function isEncodedEntry(value: unknown): value is EncodedSnapshot['entries'][number] {
+	const entry = value as Partial<EncodedSnapshot['entries'][number]> | null | undefined;
+	return typeof entry?.key === 'string' && typeof entry.revision === 'number' && typeof entry.value === 'string';
+}
--- /dev/null
+++ b/src/fleet/test/malformedDatagrams.test.ts
@@ -0,0 +1,83 @@
+import { createSocket } from 'node:dgram';
+import { afterEach, describe, expect, test } from '@jest/globals';
+import fc from 'fast-check';
+import { systemClock } from '../../base/common/clock.js';
+import { shortKey } from '../../base/common/shortKey.js';
+import { RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
+import { disposeRouters, type FixtureRouter, startPair, until, work } from './fleetFixture.js';
+
+const NETWORK = '127.0.210';
+const engine = shortKey('engine-1');
+
+afterEach(disposeRouters);
+
+/** A datagram with something in each list. */
+function stateWith(overrides: Partial<RouterState>): RouterState {
+	return RouterState.create({
+		instance: 'router-9',
+		incarnation: 7,
+		failureDomain: 'a',
+		peerAddress: '127.0.210.9:18785',
+		datagramAddress: '127.0.210.9:17400',
+		followedRevisions: [3],
+		placements: [{ engine, sequence: 1, workMs: 50, ageMs: 1, parts: [11] }],
+		firstEvents: [{ engine, sequence: 1, abandoned: false, ageMs: 1 }],
+		usage: [{ account: 5, offered: 100, admitted: 50 }],
+		hasUsage: true,
+		streams: [{ engine, requests: 2 }],
+		reservations: [],
+		reports: [reportWith({})],
+		usageSum: { failureDomain: '', usage: [{ account: 5, offered: 1, admitted: 1 }] },
+		...overrides,
+	});
+}
+
+function reportWith(overrides: Partial<RouterState['reports'][number]>): RouterState['reports'][number] {
+	const report = { engine, waitMs: 5, pace: 1, load: 0.5, inProgress: 1, failureRate: 0, suspendedMs: 0, ageMs: 0 };
+	return { ...report, ...overrides };
+}
+
+async function sendTo(router: FixtureRouter, datagrams: readonly Uint8Array[]): Promise<void> {
+	const socket = createSocket('udp4');
+	const { host, port } = router.datagramAddress;
+	for (const bytes of datagrams) {
+		await new Promise<void>((resolve) => socket.send(bytes, port, host, () => resolve()));
+	}
+	socket.close();
+}
+
+/** The router still exchanges its state, and knows what it may expect of its engine. */
+async function expectAlive(one: FixtureRouter, two: FixtureRouter): Promise<void> {
+	two.shares.recordAdmitted(77, 300, systemClock.now());
+	await until(() => one.shares.standing(77, systemClock.now()).admitted >= 300);
+	const [option] = one.engines.options('drafts', work, new Set(), systemClock.now());
+	expect(Number.isFinite(option?.waitMs)).toBe(true);
+	expect(Number.isFinite(option?.cost)).toBe(true);
+}
+
+describe('malformed datagrams', () => {
+	// One message that a router did not expect ended its process, and the next one that of its neighbour.
+	test('do no harm, whatever is cut, doubled or changed in them', async () => {
+		const [one, two] = await startPair(NETWORK);
+		const mutations = fc.array(fc.record({ at: fc.nat(), byte: fc.nat(255) }), { maxLength: 6 });
+		const datagrams = fc.sample(fc.tuple(mutations, fc.nat(), fc.boolean()), { numRuns: 400, seed: 17 });
+		const bytes = datagrams.map(([changes, length, isDoubled], index) => {
+			const encoded = Buffer.from(RouterState.encode(stateWith({ sequence: index + 1 })).finish());
+			changes.forEach(({ at, byte }) => (encoded[at % encoded.length] = byte));
+			const cut = encoded.subarray(0, 1 + (length % encoded.length));
+			return isDoubled ? Buffer.concat([encoded, cut]) : length % 3 === 0 ? cut : encoded;
+		});
+		await sendTo(one, bytes);
+		await expectAlive(one, two);
+	});
+
+	// A report without a number made its engine unusable until the next one.
+	test('with numbers that are none are dropped', async () => {
+		const [one, two] = await startPair(NETWORK);
+		const strange = [NaN, Infinity, -Infinity, -1].map((value) => reportWith({ pace: value, load: value }));
+		const usage = [{ account: 77, offered: NaN, admitted: Infinity }];
+		await sendTo(one, [RouterState.encode(stateWith({ sequence: 1, reports: strange, usage })).finish()]);
+		await until(() => one.events.includes('datagram-unreadable'));
+		await expectAlive(one, two);
+	});
+});
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -35,6 +35,8 @@
 /** Asked while the router has no configuration yet. */
 const NOT_READY_RETRY_MS = 500;
 
+const SERVICE_UNAVAILABLE = 503;
+
 /** The separator and line end of each header field. */
 const BYTES_PER_HEADER = 4;
 
@@ -65,7 +67,7 @@
 		super();
 		this.server = http.createServer(
 			{ maxHeaderSize: LARGEST_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
-			(request, response) => this.handle(request, response),
+			(request, response) => this.guard(response, () => this.handle(request, response)),
 		);
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.answerBadInput(error, socket));
 		this.server.maxConnections = maximumConnections;
@@ -159,6 +161,23 @@
 		return listenOn(this.server, host, port);
 	}
 
+	/** An error of the router's own ends the request that it belongs to, before which nothing was sent to a server. */
+	private guard(response: http.ServerResponse, action: () => void): void {
+		try {
+			action();
+		} catch (error) {
+			this.context.log.write('request-failed-unexpectedly', {
+				verdict: 'not-run',
+				reason: error instanceof Error ? error.stack : String(error),
+			});
+			if (response.headersSent) {
+				response.destroy();
+			} else {
+				response.writeHead(SERVICE_UNAVAILABLE, { connection: 'close', 'content-length': 0 }).end();
+			}
+		}
+	}
+
 	private handle(request: http.IncomingMessage, response: http.ServerResponse): void {
 		const { codec, clock } = this.context;
 		const arrivedAt = clock.now();
@@ -202,7 +221,8 @@
 				request.resume();
 			} else if (body !== 'incomplete') {
 				// Under overload a request is often read after its caller has left.
-				afterNextPoll(() => this.run(request, response, answer, { fields, routing, table, body, arrivedAt }));
+				const accepted = { fields, routing, table, body, arrivedAt };
+				afterNextPoll(() => this.guard(response, () => this.run(request, response, answer, accepted)));
 			}
 		});
 	}
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -145,6 +145,7 @@
 		const { routing, fields } = this.request;
 		const limitMs = Math.min(fields.deadlineMs ?? Infinity, routing.route.timeoutMs);
 		return this.runAttempts().pipe(
+			Effect.catchDefect((defect) => Effect.sync(() => this.endUnexpectedly(defect))),
 			Effect.timeoutOption(limitMs - (this.context.clock.now() - this.request.arrivedAt)),
 			Effect.map((result) => {
 				if (result._tag === 'None') {
@@ -160,6 +161,16 @@
 		this.sendUnfinished('shutting-down', BAD_GATEWAY);
 	}
 
+	/** An error of the router's own ends the request that it belongs to. */
+	private endUnexpectedly(defect: unknown): void {
+		this.context.log.write('request-failed-unexpectedly', {
+			id: this.request.fields.id,
+			verdict: this.verdict,
+			reason: defect instanceof Error ? defect.stack : String(defect),
+		});
+		this.sendUnfinished('internal-error', BAD_GATEWAY);
+	}
+
 	/** What is known of the request now. */
 	private get verdict(): Verdict {
 		return combineVerdicts(this.endedVerdict, this.inProgress ? 'may-have-run' : 'not-run');
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -332,3 +332,32 @@
 		agent.destroy();
 	});
 });
+
+describe('unexpected errors', () => {
+	// An error in the handling of one request ended the process, and all other requests with it.
+	test('end the request that they belong to, with an answer that says whether it may have run', async () => {
+		const failing: Behaviour = () =>
+			Effect.sync(() => {
+				throw new Error('unexpected before sending');
+			});
+		const failingLater: Behaviour = (sink) =>
+			Effect.sync(() => {
+				sink.sent();
+				throw new Error('unexpected after sending');
+			});
+		const fixture = await start([failing, failingLater, answerWith(200, 'whole')], orders);
+		expect((await send(fixture.port)).status).toBe(503);
+		expect((await send(fixture.port)).status).toBe(502);
+		expect((await send(fixture.port)).body).toBe('whole');
+		expect(fixture.lines.filter(({ event }) => event === 'request-failed-unexpectedly')).toHaveLength(2);
+		expect(fixture.gateway.requestsInProgress).toBe(0);
+	});
+
+	test('before a request has a run are answered as not run', async () => {
+		const fixture = await start([answerWith(200, 'whole')], orders);
+		const headers = { 'request-id': 'request-1', 'x-unreadable': 'true' };
+		expect((await send(fixture.port, { headers })).status).toBe(503);
+		expect((await send(fixture.port)).body).toBe('whole');
+		expect(fixture.attempts).toHaveLength(1);
+	});
+});
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -17,6 +17,7 @@
 import { RouteTable } from '../../routing/common/routeTable.js';
 import { FleetShares } from '../../shares/common/fleetShares.js';
 import { CrashWatch } from '../common/crashWatch.js';
+import type { HeaderFields } from '../../base/common/headerFields.js';
 import type { IHeaderCodec } from '../common/ingress.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { GatewayMetrics } from '../node/gatewayMetrics.js';
@@ -110,10 +111,19 @@
 	};
 }
 
+/** Stands for an error of the router's own in the reading of a request. */
+function failIfAsked(headers: HeaderFields): object {
+	if (headers['x-unreadable'] !== undefined) {
+		throw new Error('unexpected in the header');
+	}
+	return {};
+}
+
 /** Header names of the product's tests; the platform has its own. */
 export const testCodec: IHeaderCodec = {
 	requestIdHeader: 'request-id',
 	decode: (headers) => ({
+		...failIfAsked(headers),
 		id: String(headers['request-id'] ?? ''),
 		key: typeof headers.authorization === 'string' ? headers.authorization : undefined,
 		deadlineMs: headers.deadline === undefined ? undefined : Number(headers.deadline),
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -144,7 +144,7 @@
 			if (before.size > 0 && [...before.keys()].some((key) => !this.entries.has(key))) {
 				this.lastChange = snapshot.revision;
 			}
-			this.changeEmitter.fire(this.entries);
+			this.fireChange();
 		}
 		return true;
 	}
@@ -222,7 +222,20 @@
 		}
 		this.knownRevision = Math.max(this.knownRevision ?? 0, revision);
 		if (changes.length > 0) {
+			this.fireChange();
+		}
+	}
+
+	/** An entry that somebody cannot deal with must not end the following of all others. */
+	private fireChange(): void {
+		try {
 			this.changeEmitter.fire(this.entries);
+		} catch (error) {
+			this.log.write('change-not-applied', {
+				prefix: this.prefix,
+				revision: this.lastChange,
+				reason: error instanceof Error ? error.stack : String(error),
+			});
 		}
 	}
 
--- a/src/store/test/prefixFollower.test.ts
+++ b/src/store/test/prefixFollower.test.ts
@@ -187,4 +187,23 @@
 		);
 		expect(later.snapshot()?.revision).toBe(5);
 	});
+
+	// An entry that a listener could not deal with ended the following, and the router never heard of changes again.
+	test('goes on when a listener fails', async () => {
+		const store = storeWith(
+			[Effect.succeed({ entries: [entry('servers/a', 3)], revision: 5 })],
+			[Effect.succeed({ changes: [entry('servers/b', 6)], revision: 6 })],
+		);
+		const lines: string[] = [];
+		const log = { write: (event: string) => void lines.push(event) };
+		const follower = PrefixFollower.create('servers/', store, systemClock, log);
+		follower.onDidChange(() => {
+			throw new Error('unexpected');
+		});
+		const fiber = Effect.runFork(follower.run());
+		await new Promise((resolve) => setTimeout(resolve, 60));
+		await Effect.runPromise(Fiber.interrupt(fiber));
+		expect(store.watchedAfter).toEqual([5, 6]);
+		expect(lines.filter((line) => line === 'change-not-applied')).toHaveLength(2);
+	});
 });
