Send what waited for all routers once the fleet is known to be large

Cause, found in review: placements of a router that did not know yet that the fleet is large waited for all routers. In a large fleet only crash notices were sent to all, so the rest stayed, and the router sent to its relays every 10 ms for good. Routers that are started again under load are in this state.

Change: what waits is sent to all routers once.

--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -294,7 +294,8 @@
 			const bytes = this.encode({ withUsage }, broadcast);
 			announcements.forEach(({ to }) => this.sendTo(to, bytes));
 		} else {
-			if (broadcast.hasCrashes) {
+			// What was placed before the fleet was known to be large waits here for all routers too.
+			if (broadcast.hasCrashes || broadcast.hasEvents) {
 				this.sendTo(
 					this.peers.filter(isServing).map(({ instance }) => instance),
 					this.encode({}, broadcast),
--- a/src/fleet/test/largeFleet.test.ts
+++ b/src/fleet/test/largeFleet.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { systemClock } from '../../base/common/clock.js';
-import { disposeRouters, LARGE_FLEET_ROUTERS, startLargeFleet as startOn, until } from './fleetFixture.js';
+import { disposeRouters, LARGE_FLEET_ROUTERS, startLargeFleet as startOn, startRouter, until } from './fleetFixture.js';
 import type { FixtureRouter } from './fleetFixture.js';
 
 const ACCOUNT = 77;
@@ -61,4 +61,25 @@
 		leaver?.exchange.leave();
 		await until(() => others.every(({ exchange }) => exchange.routerCount === LARGE_FLEET_ROUTERS - 1), 2_000);
 	});
+
+	// What waited for all routers was never taken out, and the router sent to its relays every 10 ms for good.
+	test('a router that has placed requests before it met the others does not go on sending', async () => {
+		const routers = await startLargeFleet();
+		const newcomer = await startRouter('router-new', '127.0.209');
+		const now = systemClock.now();
+		const work = { parts: [], promptTokens: 600, tokensPerEvent: 5, pauseAimMs: Infinity };
+		for (let request = 0; request < 100; request++) {
+			const [option] = newcomer.engines.options('drafts', work, new Set(), now);
+			if (option === undefined) {
+				throw new Error('no engine');
+			}
+			newcomer.engines.place(option, work, now);
+		}
+		routers.slice(0, 3).forEach((seed) => newcomer.exchange.introduce(seed.datagramAddress));
+		await until(() => newcomer.exchange.routerCount === LARGE_FLEET_ROUTERS + 1);
+		await new Promise((resolve) => setTimeout(resolve, 1_000));
+		const before = newcomer.exchange.sentCount;
+		await new Promise((resolve) => setTimeout(resolve, 1_000));
+		expect(newcomer.exchange.sentCount - before).toBeLessThan(200);
+	});
 });
