Split the exchange into writing, taking over and deciding who hears what

The writer of datagrams, what is taken over from peers and the interfaces are files of their own now; behaviour is the same.

--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -1,28 +1,22 @@
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
-import { randomInt } from 'node:crypto';
-import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
 import type { IClock } from '../../base/common/clock.js';
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
-import { shortKey } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { EngineFleet } from '../../engines/common/engineFleet.js';
 import type { ReservationRequest } from '../../engines/common/placementMessages.js';
-import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
+import type { SocketAddress } from '../../settings/common/settings.js';
 import { readAddress } from '../../settings/node/values.js';
-import type { FleetShares } from '../../shares/common/fleetShares.js';
-import type { FleetDuties } from '../common/fleetDuties.js';
+import type { ExchangedState, FleetIdentity } from '../common/exchangedState.js';
 import { type Announcement, FleetMembership, TICK_INTERVAL_MS } from '../common/fleetMembership.js';
 import {
 	decodeMember,
 	decodeSender,
-	encodeContact,
 	encodeMember,
 	encodeToldReports,
 	hasUsableNumbers,
 	type AddressReader,
 } from '../common/fleetMessages.js';
-import { decodeOutcome, decodeReservation, encodeReports, FleetOutbox } from '../common/fleetOutbox.js';
+import { decodeReservation, encodeReports, FleetOutbox } from '../common/fleetOutbox.js';
 import { type FleetPeer, isServing } from '../common/fleetPeer.js';
 import {
 	FLUSH_DELAY_PER_PEER_MS,
@@ -35,57 +29,21 @@
 	NEWS_DELAY_MS,
 	USAGE_INTERVAL_PER_PEER_MS,
 } from '../common/fleetTiming.js';
-import {
-	type EngineReport,
-	type Member,
-	type ReservationAnswer,
-	RouterState,
-	type UsageSum,
-} from '../common/generated/masticloom/fleet/v1/fleet.js';
+import { type ReservationAnswer, RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
 import { ReportBoard } from '../common/reportBoard.js';
 import type { MemberNews } from '../common/routerMembers.js';
-
-/** Largest number that a random incarnation can have. */
-const INCARNATION_LIMIT = 2 ** 47;
-
-/** What a datagram holds beside its sender. */
-interface DatagramContent {
-	readonly replyRequested?: boolean;
-	readonly withUsage?: boolean;
-	readonly members?: readonly Member[];
-	readonly reports?: readonly EngineReport[];
-	readonly usageSum?: UsageSum;
-}
-
-/** What a router tells its peers about itself. */
-export interface FleetIdentity {
-	readonly instance: string;
-	readonly failureDomain: string;
-	readonly peerAddress: SocketAddress;
-	readonly datagramAddress: SocketAddress;
-}
-
-/** Parts of the router whose state is exchanged. */
-export interface ExchangedState {
-	readonly engines: EngineFleet;
-	readonly shares: FleetShares;
-	/** Newest change that is known, by followed prefix. */
-	readonly followedRevisions: () => readonly number[];
-	readonly suspects: CrashSuspects;
-	/** Which router keeps the queue of a server. */
-	readonly duties: FleetDuties;
-	/** Monotonic milliseconds since which this router has read the registrations; undefined while it cannot. */
-	readonly contactSince: () => number | undefined;
-}
+import { type DatagramContent, DatagramWriter } from './datagramWriter.js';
+import { ReceivedState } from './receivedState.js';
 
 /**
  * Exchanges the state of routers by datagrams. All of it is soft: a later datagram replaces what an earlier one said, so
  * nothing is sent again when it is lost, and a peer that cannot be reached holds nothing up.
  */
 export class FleetExchange extends Disposable {
-	private readonly incarnation = randomInt(INCARNATION_LIMIT);
+	private readonly writer: DatagramWriter;
 	private readonly membership: FleetMembership;
 	private readonly reports = ReportBoard.create();
+	private readonly received: ReceivedState;
 	private readonly changeEmitter = this.register(Emitter.create<FleetPeer>());
 	private readonly socket: Socket = createSocket('udp4');
 	private readonly answerEmitter = this.register(Emitter.create<ReservationAnswer>());
@@ -96,8 +54,6 @@
 	private lastLostSendAt = 0;
 	private wasRelay = false;
 	private wasLarge = false;
-	private sequence = 0;
-	private leaving = false;
 	private sent = 0;
 
 	/** Fires at each datagram of a peer, and when a peer is lost. */
@@ -112,7 +68,10 @@
 		private readonly log: IDecisionLog,
 	) {
 		super();
+		this.writer = DatagramWriter.create(identity, state, clock);
 		this.membership = FleetMembership.create(identity.instance, identity.failureDomain);
+		const isRelay = (): boolean => this.isRelay;
+		this.received = ReceivedState.create(state, identity.failureDomain, isRelay, this.reports, log);
 		this.register(
 			toDisposable(() => {
 				this.broadcast.cancel();
@@ -210,7 +169,7 @@
 		if (isKnown || (address.host === own.host && address.port === own.port)) {
 			return;
 		}
-		this.send(this.encode({ replyRequested: true, withUsage: !this.state.duties.isLargeFleet }), address);
+		this.send(this.writer.write({ replyRequested: true, withUsage: !this.state.duties.isLargeFleet }), address);
 	}
 
 	/** Whether some other router reads the registrations now. */
@@ -247,7 +206,7 @@
 
 	/** Tells peers that this router leaves. */
 	public leave(): void {
-		this.leaving = true;
+		this.writer.leave();
 		this.flushToAll();
 	}
 
@@ -274,7 +233,7 @@
 
 	private flushTo(name: string, outbox: FleetOutbox): void {
 		outbox.cancel();
-		const bytes = this.encode({}, outbox);
+		const bytes = this.writer.write({}, outbox);
 		this.sendTo([name], bytes);
 		if (outbox.hasEvents) {
 			outbox.schedule(KEEPER_NOTICE_DELAY_MS);
@@ -291,14 +250,14 @@
 		const announcements = membership.announcements();
 		if (!duties.isLargeFleet) {
 			const withUsage = this.isUsageDue(now);
-			const bytes = this.encode({ withUsage }, broadcast);
+			const bytes = this.writer.write({ withUsage }, broadcast);
 			announcements.forEach(({ to }) => this.sendTo(to, bytes));
 		} else {
 			// What was placed before the fleet was known to be large waits here for all routers too.
 			if (broadcast.hasCrashes || broadcast.hasEvents) {
 				this.sendTo(
 					this.peers.filter(isServing).map(({ instance }) => instance),
-					this.encode({}, broadcast),
+					this.writer.write({}, broadcast),
 				);
 			}
 			if (membership.isRelay) {
@@ -339,7 +298,7 @@
 		}
 		for (let start = 0; start === 0 || start < members.length; start += MEMBERS_PER_DATAGRAM) {
 			const part = members.slice(start, start + MEMBERS_PER_DATAGRAM).map((peer) => encodeMember(peer, now));
-			this.sendTo(to, this.encode({ ...(start === 0 ? content : {}), members: part }));
+			this.sendTo(to, this.writer.write({ ...(start === 0 ? content : {}), members: part }));
 		}
 	}
 
@@ -360,7 +319,7 @@
 		this.lastLostSendAt = now;
 		const names = this.membership.outOfReach();
 		if (names.length > 0) {
-			this.sendTo(names, this.encode({ replyRequested: true }));
+			this.sendTo(names, this.writer.write({ replyRequested: true }));
 		}
 	}
 
@@ -373,41 +332,6 @@
 		}
 	}
 
-	private encode(content: DatagramContent, outbox?: FleetOutbox): Uint8Array {
-		const now = this.clock.now();
-		const { engines, shares, duties } = this.state;
-		const state = RouterState.create({
-			storeContactMs: encodeContact(this.state.contactSince(), now),
-			instance: this.identity.instance,
-			incarnation: this.incarnation,
-			sequence: ++this.sequence,
-			failureDomain: this.identity.failureDomain,
-			peerAddress: formatAddress(this.identity.peerAddress),
-			datagramAddress: formatAddress(this.identity.datagramAddress),
-			leaving: this.leaving,
-			replyRequested: content.replyRequested,
-			followedRevisions: [...this.state.followedRevisions()],
-			members: [...(content.members ?? [])],
-			reports: [...(content.reports ?? [])],
-			usageSum: content.usageSum,
-		});
-		outbox?.moveTo(state, (server) => engines.ownInProgressAt(server), now);
-		if (content.withUsage === true) {
-			const usage = shares.ownUsage(now);
-			state.hasUsage = true;
-			state.usage = [...usage];
-			if (duties.isLargeFleet) {
-				shares.noteTold(usage);
-			} else {
-				state.hasAllStreams = true;
-				state.streams = [...engines.ownInProgress()]
-					.filter(([, requests]) => requests > 0)
-					.map(([server, requests]) => ({ engine: shortKey(server), requests }));
-			}
-		}
-		return RouterState.encode(state).finish();
-	}
-
 	private send(bytes: Uint8Array, { host, port }: SocketAddress): void {
 		this.sent++;
 		// An unreachable peer is noticed by its silence.
@@ -442,7 +366,9 @@
 		const told = state.members.flatMap((member) => decodeMember(member, now, readOptionalAddress) ?? []);
 		const news = [...(direct === undefined ? [] : [direct]), ...this.membership.recordTold(told, now)];
 		this.noteNews(news, sender.instance, now);
-		this.apply(state, now);
+		this.received.apply(state, now);
+		this.answerReservations(state, now);
+		state.answers.forEach((answer) => this.answerEmitter.fire(answer));
 		this.changeEmitter.fire(sender);
 		const isTakenForLost = told.some(({ instance, lost }) => lost && instance === this.identity.instance);
 		const isNewcomer = !isMet && this.membership.isRelay && sender.failureDomain === this.identity.failureDomain;
@@ -459,59 +385,6 @@
 		this.sendSplit([instance], this.membership.introductions(), {}, now);
 	}
 
-	private apply(state: RouterState, now: number): void {
-		const { engines, shares, suspects, duties } = this.state;
-		const isNear = state.failureDomain === this.identity.failureDomain;
-		for (const placement of state.placements) {
-			engines.applyPlacement(state.instance, { ...placement, server: placement.engine }, now);
-		}
-		for (const firstEvent of state.firstEvents) {
-			engines.applyFirstEvent(state.instance, { ...firstEvent, server: firstEvent.engine }, now);
-		}
-		for (const { fingerprint, deaths, quarantineMs } of state.crashes) {
-			const name = Buffer.from(fingerprint).toString('hex');
-			this.log.write('crash-suspect-heard', { peer: state.instance, fingerprint: name, deaths, quarantineMs });
-			suspects.applyNotice(state.instance, { fingerprint: name, deaths, quarantineMs, claimMs: 0 });
-		}
-		for (const { engine, ageMs, ...report } of state.reports) {
-			const toldAt = now - ageMs;
-			engines.applyReport(engine, report, toldAt);
-			if (this.membership.isRelay) {
-				this.reports.add({ engine, report, toldAt, isNear });
-			}
-		}
-		for (const { engine, outcome } of state.outcomes) {
-			const decoded = decodeOutcome(outcome);
-			if (decoded !== undefined) {
-				engines.applyOutcome(engine, decoded, now);
-			}
-		}
-		if (state.hasUsage && (!duties.isLargeFleet || (this.membership.isRelay && isNear))) {
-			shares.applyPeer(state.instance, state.usage, now);
-		}
-		if (state.usageSum !== undefined) {
-			this.applyUsageSum(state.usageSum, now);
-		}
-		if (state.hasAllStreams || state.streams.length > 0) {
-			const streams = new Map(state.streams.map(({ engine, requests }) => [engine, requests]));
-			engines.applyInProgress(state.instance, streams, state.hasAllStreams);
-		}
-		this.answerReservations(state, now);
-		state.answers.forEach((answer) => this.answerEmitter.fire(answer));
-	}
-
-	/** Relays sum up their domain themselves and hear the sums of the others; all others hear the sum of the fleet. */
-	private applyUsageSum({ failureDomain, usage }: UsageSum, now: number): void {
-		if (!this.state.duties.isLargeFleet) {
-			return;
-		}
-		if (failureDomain === '' && !this.membership.isRelay) {
-			this.state.shares.applyFleetSum(usage, now);
-		} else if (failureDomain !== '' && this.membership.isRelay && failureDomain !== this.identity.failureDomain) {
-			this.state.shares.applyDomainSum(failureDomain, usage, now);
-		}
-	}
-
 	private answerReservations({ instance, failureDomain, reservations }: RouterState, now: number): void {
 		if (reservations.length === 0) {
 			return;
