Test that a router that wakes from a freeze keeps its view

The harness lets a stopped router go on with what it knew. Nothing had to be mended: a late timer already moves the time from which silence counts.

--- a/src/fleet/test/fleetMembership.test.ts
+++ b/src/fleet/test/fleetMembership.test.ts
@@ -81,6 +81,21 @@
 		}
 	});
 
+	// A router that wakes from a freeze has heard nobody for seconds, which says nothing about the others.
+	test('a router that was frozen keeps its view, and is met again', () => {
+		const fleet = fleetOf(60, 6);
+		fleet.run(4_000);
+		const [frozen = ''] = fleet.running;
+		fleet.stop([frozen]);
+		fleet.run(5_000);
+		expect(fleet.disagreeing).toEqual([]);
+		fleet.wake(frozen);
+		fleet.run(100);
+		expect(fleet.servingSeenBy(frozen)).toHaveLength(60);
+		fleet.run(2_500);
+		expect(fleet.disagreeing).toEqual([]);
+	});
+
 	test('views converge after any mix of kills, restarts, cuts and loss', () => {
 		const event = fc.record({
 			kind: fc.constantFrom('stop', 'start', 'cut-domain', 'cut-router'),
--- a/src/fleet/test/membershipHarness.ts
+++ b/src/fleet/test/membershipHarness.ts
@@ -99,6 +99,13 @@
 		}
 	}
 
+	/** @param name of a stopped router that goes on with what it knew, as one that was frozen */
+	public wake(name: string): void {
+		const node = this.node(name);
+		node.isRunning = true;
+		node.nextTickAt = this.time;
+	}
+
 	/** @param names of stopped routers that start again without memory */
 	public start(names: readonly string[]): void {
 		for (const name of names) {
