--- a/tools/platformFleet/platformFleet.ts
+++ b/tools/platformFleet/platformFleet.ts
@@ -127,6 +127,19 @@
 		return Number(value);
 	}
 
+	/**
+	 * @param router a running router
+	 * @param reason for which it refused requests, as its metrics name it
+	 * @returns number of these requests since its start
+	 */
+	public async countedRefusals({ host }: PlatformRouterProcess, reason: string): Promise<number> {
+		const { text } = await getText(host, '/metrics');
+		const counts = text.matchAll(
+			new RegExp(`^masticloom_gateway_requests_total\\{.*reason="${reason}".*\\} (.+)$`, 'gm'),
+		);
+		return [...counts].reduce((sum, [, count]) => sum + Number(count), 0);
+	}
+
 	private hostOf(index: number): string {
 		return `127.0.${this.network}.${index}`;
 	}
