Say whose requests an exhausted router refuses

Change: the route is found before the guard is asked, so that the line and the metric name account and service. The test failed before.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -182,7 +182,6 @@
 		const { codec, clock } = this.context;
 		const arrivedAt = clock.now();
 		const fields = codec.decode(request.headers);
-		const admits = this.overload.tryAdmit(arrivedAt);
 		const answer = GatewayAnswer.create(
 			response,
 			codec.requestIdHeader,
@@ -198,11 +197,6 @@
 			request.resume();
 			return;
 		}
-		if (!admits) {
-			this.refuse(answer, fields, 503, 'overloaded', OVERLOADED_RETRY_MS);
-			request.resume();
-			return;
-		}
 		const { limits } = table.configuration;
 		if (headerBytes(request.rawHeaders) > limits.maximumHeaderBytes) {
 			this.refuse(answer, fields, 431, 'header-too-large');
@@ -215,6 +209,11 @@
 			request.resume();
 			return;
 		}
+		if (!this.overload.tryAdmit(arrivedAt)) {
+			this.refuse(answer, fields, 503, 'overloaded', OVERLOADED_RETRY_MS, routing);
+			request.resume();
+			return;
+		}
 		readBody(request, limits.maximumBodyBytes, (body) => {
 			if (body === 'too-large') {
 				this.refuse(answer, fields, 413, 'body-too-large');
@@ -300,10 +299,17 @@
 		status: number,
 		code: string,
 		retryAfterMs?: number,
+		routing?: RoutingResult,
 	): void {
-		const version = this.table()?.configuration.version;
-		this.context.log.write('refused', { id: fields.id, status, reason: code, configuration: version });
-		this.context.metrics.countRequest('', status, code, 0);
+		this.context.log.write('refused', {
+			id: fields.id,
+			status,
+			reason: code,
+			account: routing?.account?.name,
+			service: routing?.service,
+			configuration: this.table()?.configuration.version,
+		});
+		this.context.metrics.countRequest(routing?.service ?? '', status, code, 0);
 		answer.sendOwn({ status, code, verdict: 'not-run', retryAfterMs });
 	}
 
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -270,7 +270,24 @@
 	});
 });
 
+/** Blocks the event loop, as a processor does that is exhausted. */
+function exhaust(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 describe('an overloaded router', () => {
+	// Whose requests an exhausted router had refused could not be told from its log.
+	test('names the account and the service of a request that it refuses', async () => {
+		const fixture = await start([answerWith(200, 'done')], orders);
+		exhaust(400);
+		// The guard learns of the lateness at its next timer.
+		await new Promise((resolve) => setTimeout(resolve, 60));
+		const answers = await Promise.all(Array.from({ length: 10 }, () => send(fixture.port)));
+		expect(answers.map(({ status }) => status)).toContain(503);
+		const refused = fixture.lines.find(({ event }) => event === 'refused');
+		expect(refused?.fields).toMatchObject({ reason: 'overloaded', account: 'harbour', service: 'desk' });
+	});
+
 	// The end of the connection was read one turn of the event loop after the request, which had been sent on by then.
 	test('does not send on a request whose caller had left before it was read', async () => {
 		const fixture = await start([stayQuiet()], orders);
