Hand requests of an exhausted router over to its neighbours

Cause: shares decide at the engines, but a router whose processor is exhausted refuses before that, whoever asks. Its refusals feed on themselves: a refused request comes back after 50 ms on a new connection to the same router, since the balancer goes by a hash of the caller. Class: a resource that is not shared out by account stands before the one that is, and refusing costs nearly as much as doing.

Ruled out: full engines (one busy refusal in all logs), late or wrong shares (all routers logged the same share within 0.1).

Change: an exhausted router hands requests over to routers of its failure domain that serve, for which it needs 1.3 ms each; they run them under the usual rules, and not with an older configuration. What is beyond that is still refused. It leaves the balancer's rotation until it has had room for 3 s, closes the connections of those that it refuses, and tells them to return when the balancer has noticed. At most a quarter of a failure domain does so at a time.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import { Effect } from 'effect';
-import { CONNECTION_HEADERS } from '../../base/common/headerFields.js';
+import { CONNECTION_HEADERS, NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
 import type { IDisposable } from '../../base/common/lifecycle.js';
 import type {
 	BackendFailure,
@@ -29,9 +29,6 @@
 
 const CONFLICT = 409;
 
-/** Header with which a backend server says that it did not start the request. */
-const NOT_STARTED_HEADER = 'masticloom-not-started';
-
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, NOT_STARTED_HEADER]);
 
 /** The protocol of masticloom's own deployments. */
--- a/src/base/common/headerFields.ts
+++ b/src/base/common/headerFields.ts
@@ -13,12 +13,22 @@
 	'upgrade',
 ] as const;
 
+/**
+ * Marks a request that another router has handed over, with the milliseconds for which that router had it. Such a request
+ * is not handed over again.
+ */
+export const HANDED_OVER_HEADER = 'masticloom-handed-over';
+
+/** Says in an answer that the request was not started. */
+export const NOT_STARTED_HEADER = 'masticloom-not-started';
+
 /** Headers of a request that a router does not pass on: those of one connection, and those it answers or sets itself. */
 export const REQUEST_HEADERS_NOT_FORWARDED = [
 	...CONNECTION_HEADERS,
 	'authorization',
 	'content-length',
 	'expect',
+	HANDED_OVER_HEADER,
 	'host',
 	'proxy-authorization',
 ] as const;
--- a/src/fleet/common/exchangedState.ts
+++ b/src/fleet/common/exchangedState.ts
@@ -21,6 +21,8 @@
 	readonly suspects: CrashSuspects;
 	/** Which router keeps the queue of a server. */
 	readonly duties: FleetDuties;
+	/** Whether this router has left the balancer's rotation because it gets more than it can handle. */
+	readonly isRelieved: () => boolean;
 	/** Monotonic milliseconds since which this router has read the registrations; undefined while it cannot. */
 	readonly contactSince: () => number | undefined;
 }
--- a/src/fleet/common/fleetPeer.ts
+++ b/src/fleet/common/fleetPeer.ts
@@ -9,6 +9,8 @@
 	readonly peerAddress: SocketAddress;
 	readonly datagramAddress: SocketAddress;
 	readonly leaving: boolean;
+	/** Whether it has left the balancer's rotation because it gets more than it can handle. */
+	readonly isRelieved: boolean;
 	/** Monotonic milliseconds of its last datagram, to this router or to the one that tells of it. */
 	readonly heardAt: number;
 	/** Newest change that the peer knows, by followed prefix; empty when a third router tells of it. */
--- a/src/fleet/common/routerMembers.ts
+++ b/src/fleet/common/routerMembers.ts
@@ -8,7 +8,7 @@
 const REFRESH_MS = 1_000;
 
 /** What has become of a peer. */
-export type PeerChange = 'found' | 'restarted' | 'regained' | 'leaving' | 'lost' | 'contact';
+export type PeerChange = 'found' | 'restarted' | 'regained' | 'leaving' | 'lost' | 'contact' | 'rotation';
 
 /** A peer and what is new about it. */
 export interface MemberNews {
@@ -227,9 +227,17 @@
 	if (isServing(before) !== isServing(peer)) {
 		return 'leaving';
 	}
+	if (before.isRelieved !== peer.isRelieved) {
+		return 'rotation';
+	}
 	return isDifferent(before, peer) ? 'contact' : undefined;
 }
 
 function isDifferent(one: FleetPeer, other: FleetPeer): boolean {
-	return one.leaving !== other.leaving || (one.contactSince === undefined) !== (other.contactSince === undefined);
+	const isRotationSame = one.isRelieved === other.isRelieved;
+	return (
+		!isRotationSame ||
+		one.leaving !== other.leaving ||
+		(one.contactSince === undefined) !== (other.contactSince === undefined)
+	);
 }
--- a/src/fleet/node/datagramWriter.ts
+++ b/src/fleet/node/datagramWriter.ts
@@ -68,6 +68,7 @@
 			peerAddress: formatAddress(this.identity.peerAddress),
 			datagramAddress: formatAddress(this.identity.datagramAddress),
 			leaving: this.leaving,
+			relieved: this.state.isRelieved(),
 			replyRequested: content.replyRequested,
 			followedRevisions: [...this.state.followedRevisions()],
 			members: [...(content.members ?? [])],
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -423,7 +423,7 @@
 			}
 		}
 		this.logNews(news, source);
-		if (news.some(({ change }) => change !== 'contact')) {
+		if (news.some(({ change }) => change !== 'contact' && change !== 'rotation')) {
 			this.updateKeepers(now);
 		}
 		if (this.state.duties.isLargeFleet && this.membership.members.hasNews) {
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -102,6 +102,7 @@
 				shares,
 				suspects,
 				duties,
+				isRelieved: () => false,
 				contactSince: () => contact.since,
 				followedRevisions: () => [follower.lastChangeRevision],
 			},
--- a/src/fleet/test/membershipHarness.ts
+++ b/src/fleet/test/membershipHarness.ts
@@ -222,6 +222,7 @@
 			peerAddress: address,
 			datagramAddress: address,
 			leaving: false,
+			isRelieved: false,
 			heardAt: this.time,
 			followedRevisions: [],
 			lost: false,
--- /dev/null
+++ b/src/gateway/common/handoverMark.ts
@@ -0,0 +1,24 @@
+/** What the router that hands a request over tells the one that runs it. */
+export interface HandoverMark {
+	/** Milliseconds since the request arrived there. */
+	readonly elapsedMs: number;
+	/** Version of the configuration there. A router with an older one must not run the request. */
+	readonly configurationVersion: number;
+}
+
+/**
+ * @param mark of a request that is handed over
+ * @returns value of its header
+ */
+export function encodeHandoverMark({ elapsedMs, configurationVersion }: HandoverMark): string {
+	return `${Math.max(0, Math.round(elapsedMs))};${configurationVersion}`;
+}
+
+/**
+ * @param text value of the header, as it arrived
+ * @returns the mark; undefined when there is none or it cannot be read
+ */
+export function decodeHandoverMark(text: unknown): HandoverMark | undefined {
+	const parts = typeof text === 'string' ? /^(\d{1,9});(\d{1,15})$/.exec(text) : null;
+	return parts === null ? undefined : { elapsedMs: Number(parts[1]), configurationVersion: Number(parts[2]) };
+}
--- a/src/gateway/common/overloadGuard.ts
+++ b/src/gateway/common/overloadGuard.ts
@@ -26,6 +26,9 @@
 /** A limit that is this many times what arrives has no effect and is dropped. */
 const IDLE_LIMIT = 3;
 
+/** Processor time to pass a request and its answer to another router and back, as a part of the time to run the request. */
+const HANDOVER_WORK = 0.5;
+
 const RATE_WINDOW_MS = 1_000;
 
 /** Requests that may arrive at once, as the time in which the limit allows them. */
@@ -33,9 +36,13 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** What becomes of a request that has arrived. */
+export type LoadDecision = 'take' | 'hand-over' | 'refuse';
+
 /**
- * Limits the requests that a router takes to what its processor can do. The others are refused while that is cheap, so
- * that callers can ask another router at once, and those that are taken do not wait in sockets.
+ * Limits the work that a router takes to what its processor can do. An exhausted router hands requests over to others,
+ * which takes it less time than to run them. What is beyond that is refused while it is cheap, so that callers can ask
+ * another router at once, and those that are taken do not wait in sockets.
  *
  * Load pattern: one caller sends most requests of a failure domain, and the balancer gives all its connections to one
  * router, which gets ten times what it can do while the others are idle.
@@ -55,11 +62,16 @@
 		return new OverloadGuard();
 	}
 
-	/** Requests per second that are taken; infinite while the processor is not exhausted. */
+	/** Requests per second that are taken, or twice as many handed over; infinite while the processor is not exhausted. */
 	public get requestsPerSecond(): number {
 		return this.limit;
 	}
 
+	/** Whether work is limited. */
+	public get isLimiting(): boolean {
+		return this.limit !== Infinity;
+	}
+
 	/** Mean milliseconds by which timers are late. */
 	public get meanLatenessMs(): number {
 		return this.latenessMs;
@@ -92,20 +104,25 @@
 
 	/**
 	 * @param now monotonic milliseconds
-	 * @returns whether the request that has arrived is taken
+	 * @param mayHandOver tells whether another router can run the request that has arrived
+	 * @returns what becomes of the request
 	 */
-	public tryAdmit(now: number): boolean {
-		if (this.limit !== Infinity) {
-			const burst = Math.max(1, (this.limit * BURST_MS) / MILLISECONDS_PER_SECOND);
-			const earned = ((now - this.creditAt) * this.limit) / MILLISECONDS_PER_SECOND;
-			this.credit = Math.min(burst, this.credit + earned);
-			this.creditAt = now;
-			if (this.credit < 1) {
-				return false;
-			}
-			this.credit--;
+	public decide(now: number, mayHandOver: () => boolean): LoadDecision {
+		if (this.limit === Infinity) {
+			this.admitted.add(1, now);
+			return 'take';
+		}
+		const burst = Math.max(1, (this.limit * BURST_MS) / MILLISECONDS_PER_SECOND);
+		const earned = ((now - this.creditAt) * this.limit) / MILLISECONDS_PER_SECOND;
+		this.credit = Math.min(burst, this.credit + earned);
+		this.creditAt = now;
+		const handsOver = mayHandOver();
+		const work = handsOver ? HANDOVER_WORK : 1;
+		if (this.credit < work) {
+			return 'refuse';
 		}
-		this.admitted.add(1, now);
-		return true;
+		this.credit -= work;
+		this.admitted.add(work, now);
+		return handsOver ? 'hand-over' : 'take';
 	}
 }
--- a/src/gateway/node/gatewayAnswer.ts
+++ b/src/gateway/node/gatewayAnswer.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type { BackendHead, IAnswerSink } from '../../backends/common/backendClient.js';
+import { NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
 import type { Verdict } from '../../base/common/verdict.js';
 
 /** An answer of the router itself. */
@@ -10,6 +11,10 @@
 	readonly verdict: Verdict;
 	/** Milliseconds after which the caller may come back. */
 	readonly retryAfterMs?: number | undefined;
+	/** Tells a router that handed the request over that it may ask another one. */
+	readonly notStarted?: boolean;
+	/** Closes the connection, so that the caller connects to another router. */
+	readonly closesConnection?: boolean;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -111,7 +116,10 @@
 		if (answer.retryAfterMs !== undefined) {
 			headers['retry-after'] = (Math.max(1, answer.retryAfterMs) / MILLISECONDS_PER_SECOND).toFixed(3);
 		}
-		if (this.closesConnection()) {
+		if (answer.notStarted === true) {
+			headers[NOT_STARTED_HEADER] = 'true';
+		}
+		if (answer.closesConnection === true || this.closesConnection()) {
 			headers.connection = 'close';
 		}
 		this.response.writeHead(answer.status, headers);
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -19,6 +19,12 @@
 		labelNames: ['service'],
 		registers: [this.registry],
 	});
+	private readonly handovers = new Counter({
+		name: 'masticloom_gateway_handovers_total',
+		help: 'Requests that were handed over to another router, by service and the reason why its answer was not passed on.',
+		labelNames: ['service', 'reason'],
+		registers: [this.registry],
+	});
 	private readonly firstEvent = new Histogram({
 		name: 'masticloom_gateway_first_event_seconds',
 		help: 'Time from the arrival of a request to the first bytes of its answer, by service.',
@@ -92,6 +98,14 @@
 		this.retries.inc({ service });
 	}
 
+	/**
+	 * @param service of the request that was handed over
+	 * @param reason why the answer of the other router was not passed on; empty when it was
+	 */
+	public countHandover(service: string, reason: string): void {
+		this.handovers.inc({ service, reason });
+	}
+
 	/**
 	 * @param service of the request
 	 * @param observedMs time to the first bytes
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -1,6 +1,8 @@
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
 import { Effect } from 'effect';
+import { Emitter } from '../../base/common/event.js';
+import { HANDED_OVER_HEADER } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { afterNextPoll } from '../../base/node/eventLoop.js';
 import { listenOn } from '../../base/node/listen.js';
@@ -10,8 +12,13 @@
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
 import type { IngressFields } from '../common/ingress.js';
 import { CallerElapsed } from '../common/callerElapsed.js';
+import type { AcceptedRequest } from '../common/acceptedRequest.js';
+import { decodeHandoverMark } from '../common/handoverMark.js';
 import { LATENESS_INTERVAL_MS, OverloadGuard } from '../common/overloadGuard.js';
-import { GatewayAnswer } from './gatewayAnswer.js';
+import { RotationRelief } from '../common/rotationRelief.js';
+import { GatewayAnswer, type OwnAnswer } from './gatewayAnswer.js';
+import type { IGatewayRun } from './gatewayRun.js';
+import { type HandoverContext, HandoverRun } from './handoverRun.js';
 import { RequestRun, type RunContext } from './requestRun.js';
 
 /** Header fields beyond the limit of the configuration are read up to this size, so that they get a proper answer. */
@@ -23,8 +30,8 @@
 /** Longest time for a whole request to arrive; bodies are small, and slow callers hold memory. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
-/** Asked while the processor is exhausted: callers come back through another router, which is likely to have room. */
-const OVERLOADED_RETRY_MS = 50;
+/** Two questions of a balancer that asks once a second. */
+const DEFAULT_BALANCER_DELAY_MS = 2_000;
 
 /** Part of the largest number of connections from which each is closed after its answer. */
 const CROWDED_PART = 0.75;
@@ -53,18 +60,26 @@
 	private readonly elapsed = CallerElapsed.create();
 	private readonly busySockets = new Set<Socket>();
 	private readonly overload = OverloadGuard.create();
+	private readonly relief: RotationRelief;
+	private readonly rotationEmitter = this.register(Emitter.create<boolean>());
 	private openConnections = 0;
 	private droppedConnections = 0;
 	private droppedLoggedAt = -Infinity;
 	private closing = false;
 	private refusing = false;
 
+	/** Fires when this router leaves the balancer's rotation for relief, with true, or comes back. */
+	public readonly onDidChangeRotation = this.rotationEmitter.event;
+
 	private constructor(
 		private readonly context: RunContext,
 		private readonly table: () => RouteTable | undefined,
+		private readonly handover: Pick<HandoverContext, 'client' | 'neighbours'>,
 		private readonly maximumConnections: number,
+		balancerDelayMs: number,
 	) {
 		super();
+		this.relief = RotationRelief.create(balancerDelayMs);
 		this.server = http.createServer(
 			{ maxHeaderSize: LARGEST_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
 			(request, response) => this.guard(response, () => this.handle(request, response)),
@@ -77,6 +92,7 @@
 		const timer = setInterval(() => {
 			const now = context.clock.now();
 			this.overload.recordLateness(Math.max(0, now - expectedAt), now);
+			this.updateRelief(now);
 			expectedAt = now + LATENESS_INTERVAL_MS;
 		}, LATENESS_INTERVAL_MS);
 		this.register(
@@ -91,15 +107,19 @@
 	/**
 	 * @param context parts that run requests
 	 * @param table routes in force; undefined before there is a configuration
+	 * @param handover other routers, and what calls them
 	 * @param maximumConnections of callers; the process needs descriptors for other connections too
+	 * @param balancerDelayMs longest time in milliseconds in which the balancer notices that a router is not ready
 	 * @returns a server that does not listen yet
 	 */
 	public static create(
 		context: RunContext,
 		table: () => RouteTable | undefined,
+		handover: Pick<HandoverContext, 'client' | 'neighbours'>,
 		maximumConnections = Infinity,
+		balancerDelayMs = DEFAULT_BALANCER_DELAY_MS,
 	): GatewayServer {
-		return new GatewayServer(context, table, maximumConnections);
+		return new GatewayServer(context, table, handover, maximumConnections, balancerDelayMs);
 	}
 
 	/** Open connections of callers. */
@@ -112,6 +132,11 @@
 		return this.overload.meanLatenessMs;
 	}
 
+	/** Whether this router is out of the balancer's rotation, because it gets more than it can handle. */
+	public get isRelieved(): boolean {
+		return this.relief.isRelieved;
+	}
+
 	/** Requests whose answer is not complete. */
 	public get requestsInProgress(): number {
 		return this.open.size;
@@ -188,40 +213,75 @@
 			fields.id,
 			() => this.closing || this.isCrowded,
 		);
+		const mark = decodeHandoverMark(request.headers[HANDED_OVER_HEADER]);
+		const notStarted = mark !== undefined;
 		this.open.add(response);
 		this.busySockets.add(request.socket);
 		response.once('close', () => this.busySockets.delete(request.socket));
 		const table = this.table();
 		if (table === undefined || this.refusing) {
-			this.refuse(answer, fields, 503, table === undefined ? 'no-configuration' : 'shutting-down', NOT_READY_RETRY_MS);
+			const code = table === undefined ? 'no-configuration' : 'shutting-down';
+			this.refuse(answer, fields, { status: 503, code, retryAfterMs: NOT_READY_RETRY_MS, notStarted });
+			request.resume();
+			return;
+		}
+		const { limits, version } = table.configuration;
+		if (mark !== undefined && mark.configurationVersion > version) {
+			this.refuse(answer, fields, {
+				status: 503,
+				code: 'old-configuration',
+				retryAfterMs: NOT_READY_RETRY_MS,
+				notStarted,
+			});
 			request.resume();
 			return;
 		}
-		const { limits } = table.configuration;
 		if (headerBytes(request.rawHeaders) > limits.maximumHeaderBytes) {
-			this.refuse(answer, fields, 431, 'header-too-large');
+			this.refuse(answer, fields, { status: 431, code: 'header-too-large' });
 			request.resume();
 			return;
 		}
 		const routing = findRouting(table, request, fields);
 		if (typeof routing === 'string') {
-			this.refuse(answer, fields, routing === 'unknown-route' ? 404 : 401, routing);
+			this.refuse(answer, fields, { status: routing === 'unknown-route' ? 404 : 401, code: routing });
 			request.resume();
 			return;
 		}
-		if (!this.overload.tryAdmit(arrivedAt)) {
-			this.refuse(answer, fields, 503, 'overloaded', OVERLOADED_RETRY_MS, routing);
-			request.resume();
+		const mayHandOver = (): boolean => mark === undefined && this.handover.neighbours.hasAny(arrivedAt);
+		const decision = this.overload.decide(arrivedAt, mayHandOver);
+		if (decision === 'refuse') {
+			const { isRelieved } = this.relief;
+			const retryAfterMs = this.relief.returnMs(arrivedAt, Math.random());
+			const code = 'overloaded';
+			const refusal = { status: 503, code, retryAfterMs, notStarted, closesConnection: isRelieved };
+			const refuse = (): void => this.refuse(answer, fields, refusal, routing);
+			if (isRelieved) {
+				// A connection that is closed before its request was read is reset, and its caller loses the answer.
+				readBody(request, limits.maximumBodyBytes, refuse);
+			} else {
+				refuse();
+				request.resume();
+			}
 			return;
 		}
 		readBody(request, limits.maximumBodyBytes, (body) => {
 			if (body === 'too-large') {
-				this.refuse(answer, fields, 413, 'body-too-large');
+				this.refuse(answer, fields, { status: 413, code: 'body-too-large' });
 				request.resume();
 			} else if (body !== 'incomplete') {
 				// Under overload a request is often read after its caller has left.
-				const accepted = { fields, routing, table, body, arrivedAt };
-				afterNextPoll(() => this.guard(response, () => this.run(request, response, answer, accepted)));
+				const accepted = acceptedRequest(request, table, {
+					fields,
+					routing,
+					body,
+					arrivedAt: arrivedAt - (mark?.elapsedMs ?? 0),
+					elapsedBeforeMs: this.elapsed.elapsedMs(routing.route.name, fields.deadlineMs),
+				});
+				const run =
+					decision === 'hand-over'
+						? HandoverRun.create({ ...this.context, ...this.handover }, accepted, answer)
+						: RequestRun.create(this.context, accepted, answer);
+				afterNextPoll(() => this.guard(response, () => this.run(request, response, accepted, run)));
 			}
 		});
 	}
@@ -229,39 +289,15 @@
 	private run(
 		request: http.IncomingMessage,
 		response: http.ServerResponse,
-		answer: GatewayAnswer,
-		accepted: {
-			readonly fields: IngressFields;
-			readonly routing: RoutingResult;
-			readonly table: RouteTable;
-			readonly body: Buffer;
-			readonly arrivedAt: number;
-		},
+		{ fields, routing, arrivedAt }: AcceptedRequest,
+		run: IGatewayRun,
 	): void {
-		const { fields, routing, table, body, arrivedAt } = accepted;
 		if (request.socket.readableEnded || request.socket.destroyed) {
 			this.context.log.write('request-end', { id: fields.id, reason: 'caller-left', verdict: 'not-run', attempts: 0 });
 			this.context.metrics.countRequest(routing.service, 0, 'caller-left', this.context.clock.now() - arrivedAt);
 			response.destroy();
 			return;
 		}
-		const run = RequestRun.create(
-			this.context,
-			{
-				fields,
-				routing,
-				body,
-				arrivedAt,
-				configurationVersion: table.configuration.version,
-				engine: table.service(routing.service)?.engine,
-				method: request.method ?? 'GET',
-				target: request.url ?? '/',
-				host: request.headers.host ?? '',
-				headers: request.headers,
-				elapsedBeforeMs: this.elapsed.elapsedMs(routing.route.name, fields.deadlineMs),
-			},
-			answer,
-		);
 		const fiber = Effect.runFork(run.run());
 		this.open.setEnd(response, () => {
 			run.endEarly();
@@ -274,6 +310,15 @@
 		});
 	}
 
+	private updateRelief(now: number): void {
+		if (this.relief.update(this.overload.isLimiting, () => this.handover.neighbours.areRelieved(), now)) {
+			const { isRelieved } = this.relief;
+			const limit = this.overload.isLimiting ? Math.round(this.overload.requestsPerSecond) : undefined;
+			this.context.log.write('rotation-changed', { isRelieved, limit });
+			this.rotationEmitter.fire(isRelieved);
+		}
+	}
+
 	private get isCrowded(): boolean {
 		return this.openConnections > this.maximumConnections * CROWDED_PART;
 	}
@@ -296,11 +341,10 @@
 	private refuse(
 		answer: GatewayAnswer,
 		fields: IngressFields,
-		status: number,
-		code: string,
-		retryAfterMs?: number,
+		refusal: Omit<OwnAnswer, 'verdict'>,
 		routing?: RoutingResult,
 	): void {
+		const { status, code } = refusal;
 		this.context.log.write('refused', {
 			id: fields.id,
 			status,
@@ -310,7 +354,7 @@
 			configuration: this.table()?.configuration.version,
 		});
 		this.context.metrics.countRequest(routing?.service ?? '', status, code, 0);
-		answer.sendOwn({ status, code, verdict: 'not-run', retryAfterMs });
+		answer.sendOwn({ ...refusal, verdict: 'not-run' });
 	}
 
 	private answerBadInput(error: NodeJS.ErrnoException, socket: Socket): void {
@@ -326,6 +370,22 @@
 	}
 }
 
+function acceptedRequest(
+	{ method = 'GET', url = '/', headers }: http.IncomingMessage,
+	table: RouteTable,
+	parts: Pick<AcceptedRequest, 'fields' | 'routing' | 'body' | 'arrivedAt' | 'elapsedBeforeMs'>,
+): AcceptedRequest {
+	return {
+		...parts,
+		configurationVersion: table.configuration.version,
+		engine: table.service(parts.routing.service)?.engine,
+		method,
+		target: url,
+		host: headers.host ?? '',
+		headers,
+	};
+}
+
 function findRouting(
 	table: RouteTable,
 	request: http.IncomingMessage,
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -8,7 +8,6 @@
 	IBackendClient,
 } from '../../backends/common/backendClient.js';
 import type { IClock } from '../../base/common/clock.js';
-import type { HeaderFields } from '../../base/common/headerFields.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
@@ -19,14 +18,14 @@
 import type { Reservation } from '../../engines/common/placementMessages.js';
 import type { IQueueReservations, ReservationResult } from '../../engines/common/queueReservations.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
-import type { EngineSize } from '../../routing/common/model.js';
-import type { RoutingResult } from '../../routing/common/routeTable.js';
 import type { FleetShares, Standing } from '../../shares/common/fleetShares.js';
+import type { AcceptedRequest } from '../common/acceptedRequest.js';
 import type { CrashWatch } from '../common/crashWatch.js';
-import type { IHeaderCodec, IngressFields } from '../common/ingress.js';
+import type { IHeaderCodec } from '../common/ingress.js';
 import type { RetryAllowance } from '../common/retryAllowance.js';
 import type { GatewayAnswer, OwnAnswer } from './gatewayAnswer.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
+import type { IGatewayRun } from './gatewayRun.js';
 
 /** What runs need. */
 export interface RunContext {
@@ -42,26 +41,6 @@
 	readonly metrics: GatewayMetrics;
 }
 
-/** A request that was read and has a route. */
-export interface AcceptedRequest {
-	readonly fields: IngressFields;
-	readonly routing: RoutingResult;
-	/** Version of the configuration that gave the route. */
-	readonly configurationVersion: number;
-	/** Undefined for plain services. */
-	readonly engine: EngineSize | undefined;
-	readonly method: string;
-	/** Path and query as they arrived. */
-	readonly target: string;
-	readonly host: string;
-	readonly headers: HeaderFields;
-	readonly body: Uint8Array;
-	/** Monotonic milliseconds. */
-	readonly arrivedAt: number;
-	/** Milliseconds since the caller's first attempt at this request. */
-	readonly elapsedBeforeMs: number;
-}
-
 /** A generated token takes as long as two that are read. */
 const GENERATED_TOKEN_COST = 2;
 
@@ -95,7 +74,7 @@
 }
 
 /** Runs one request until its answer has ended. */
-export class RequestRun {
+export class RequestRun implements IGatewayRun {
 	private readonly tried = new Set<string>();
 	private readonly work: PromptWork;
 	private readonly cost: number;
@@ -140,7 +119,6 @@
 		return new RequestRun(context, request, answer);
 	}
 
-	/** @returns ends when the answer has; interruption cancels the request at its backend server */
 	public run(): Effect.Effect<void> {
 		const { routing, fields } = this.request;
 		const limitMs = Math.min(fields.deadlineMs ?? Infinity, routing.route.timeoutMs);
@@ -156,7 +134,6 @@
 		);
 	}
 
-	/** Ends the request early because the router shuts down. */
 	public endEarly(): void {
 		this.sendUnfinished('shutting-down', BAD_GATEWAY);
 	}
--- a/src/gateway/test/balancedRouters.ts
+++ b/src/gateway/test/balancedRouters.ts
@@ -1,25 +1,17 @@
-import { rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
-import { LATENESS_INTERVAL_MS } from '../common/overloadGuard.js';
+import { heaviest, rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
+import { LATENESS_INTERVAL_MS, type LoadDecision } from '../common/overloadGuard.js';
 
-/** Load of a router since its last timer. */
-export interface MeasuredLoad {
-	/** Milliseconds by which the timer was late. */
-	readonly lateMs: number;
-	/** Part of the time for which the processor worked, from 0 to 1. */
-	readonly utilization: number;
-}
-
-/** What a router does when it gets more requests than its processor can handle. */
+/** What a router decides about requests that arrive. */
 export interface ILoadDecisions {
-	/** Called at each timer, with the number of its neighbours that are out of the rotation. */
-	record(load: MeasuredLoad, now: number, relievedNeighbours: number): void;
-	/** Whether a request is taken. */
-	takes(now: number): boolean;
-	/** Answer to the balancer. */
+	/** Called at each timer, with the milliseconds by which it was late, and whether its neighbours are not ready. */
+	record(lateMs: number, now: number, neighbours: readonly boolean[]): void;
+	/** Decides about a request; one that was handed over is not handed over again. */
+	decide(now: number, isHandedOver: boolean): LoadDecision;
+	/** Answers the balancer. */
 	isReady(): boolean;
-	/** Whether the connection of a refused request is closed. */
+	/** Whether the connection of a request that is refused now is closed. */
 	closesRefused(): boolean;
-	/** Milliseconds after which the caller of a refused request may return. */
+	/** Milliseconds after which the caller of a request that is refused now may return. */
 	returnMs(now: number): number;
 }
 
@@ -30,28 +22,22 @@
 	readonly perSecond: (now: number) => number;
 }
 
-/** A first attempt, and when the request was taken. */
+/** A request, and when it was taken by some router. */
 export interface ReplayedRequest {
 	readonly caller: string;
 	readonly sentAt: number;
 	takenAt: number | undefined;
 }
 
-interface Connection {
-	readonly router: Router;
-	readonly caller: string;
-}
-
 interface Work {
 	/** Returns the milliseconds that it takes. */
 	readonly start: (now: number) => number;
 	readonly done: (now: number) => void;
 }
 
-/** Time that a processor of a third of a core needs, in milliseconds: 4 ms of work and 0.8 ms. */
-const TAKEN_MS = 12;
-const REFUSED_MS = 2.5;
-const ACCEPT_MS = 1;
+/** Processor time of a router with a third of a core, in milliseconds: 2.3, 1.3 and 0.6 ms of work, and 0.3 to accept. */
+const WORK_MS: Readonly<Record<LoadDecision, number>> = { take: 7, 'hand-over': 4, refuse: 1.8 };
+const ACCEPT_MS = 0.8;
 
 /** Time for which a stream holds its connection. */
 const STREAM_MS = 800;
@@ -64,20 +50,15 @@
 const LEAST_ROTATION_PART = 0.5;
 
 class Router {
-	public readonly key: number;
-	public inRotation = true;
 	public misses = 0;
 	private readonly queue: Work[] = [];
 	private isBusy = false;
-	private busyMs = 0;
 
 	public constructor(
-		name: string,
+		public readonly name: string,
 		public readonly decisions: ILoadDecisions,
 		private readonly schedule: (at: number, run: (now: number) => void) => void,
-	) {
-		this.key = shortKey(name);
-	}
+	) {}
 
 	public add(work: Work, now: number): void {
 		this.queue.push(work);
@@ -86,20 +67,11 @@
 		}
 	}
 
-	/** @returns part of the time since the last call for which the processor worked */
-	public takeUtilization(elapsedMs: number): number {
-		const utilization = Math.min(1, this.busyMs / elapsedMs);
-		this.busyMs = 0;
-		return utilization;
-	}
-
 	private next(now: number): void {
 		const work = this.queue.shift();
 		this.isBusy = work !== undefined;
 		if (work !== undefined) {
-			const costMs = work.start(now);
-			this.busyMs += costMs;
-			this.schedule(now + costMs, (at) => {
+			this.schedule(now + work.start(now), (at) => {
 				work.done(at);
 				this.next(at);
 			});
@@ -108,12 +80,13 @@
 }
 
 /**
- * Replays callers of one failure domain in virtual time. The balancer chooses a router by a hash of the caller, an open
- * connection stays with its router, and a caller that was refused returns once, on a new connection.
+ * Replays callers of one failure domain in virtual time. The balancer chooses a router by a hash of the caller, and an
+ * open connection stays with its router. A caller whose request was refused returns once, on a new connection.
  *
  * @param callers that send requests
  * @param routerCount routers of the failure domain
  * @param createDecisions of one router
+ * @param random numbers from 0 to 1, by which the router is chosen that a request is handed over to
  * @param endMs when the replay ends, in milliseconds
  * @returns the requests, in the order of their first attempts
  */
@@ -121,6 +94,7 @@
 	callers: readonly Caller[],
 	routerCount: number,
 	createDecisions: () => ILoadDecisions,
+	random: () => number,
 	endMs: number,
 ): readonly ReplayedRequest[] {
 	const events: { readonly at: number; readonly run: (now: number) => void }[] = [];
@@ -131,45 +105,58 @@
 		}
 		events.splice(index, 0, { at, run });
 	};
-	const routers = Array.from(
-		{ length: routerCount },
-		(_, index) => new Router(`router-${index}`, createDecisions(), schedule),
-	);
-	const idle = new Map<string, Connection[]>(callers.map(({ name }) => [name, []]));
+	const names = Array.from({ length: routerCount }, (_, index) => `router-${index}`);
+	const routers = new Map(names.map((name) => [name, new Router(name, createDecisions(), schedule)]));
+	const idle = new Map<string, Router[]>(callers.map(({ name }) => [name, []]));
 	const requests: ReplayedRequest[] = [];
 
-	const connect = (caller: string, now: number): Connection => {
-		const rotation = routers.filter(({ inRotation }) => inRotation);
-		const used = rotation.length < routers.length * LEAST_ROTATION_PART ? routers : rotation;
-		const weight = ({ key }: Router): number => rendezvousWeight(shortKey(caller), key);
-		const router = used.reduce((best, other) => (weight(other) > weight(best) ? other : best));
+	const connect = (caller: string, now: number): Router => {
+		const rotation = names.filter((name) => (routers.get(name)?.misses ?? 0) < MISSES);
+		const used = rotation.length < names.length * LEAST_ROTATION_PART ? names : rotation;
+		const chosen = heaviest(used, (name) => rendezvousWeight(shortKey(caller), shortKey(name))) ?? '';
+		const router = routers.get(chosen);
+		if (router === undefined) {
+			throw new Error('no routers');
+		}
 		router.add({ start: () => ACCEPT_MS, done: () => undefined }, now);
-		return { router, caller };
+		return router;
 	};
-	const send = (connection: Connection, request: ReplayedRequest, isReturn: boolean, now: number): void => {
-		const { decisions } = connection.router;
-		let isTaken = false;
-		const release = (): void => {
-			idle.get(connection.caller)?.push(connection);
-		};
-		const start = (at: number): number => {
-			isTaken = decisions.takes(at);
-			return isTaken ? TAKEN_MS : REFUSED_MS;
-		};
-		const done = (at: number): void => {
-			if (isTaken) {
-				request.takenAt = at;
-				schedule(at + STREAM_MS, release);
-				return;
-			}
+	const release = (request: ReplayedRequest, router: Router): void => {
+		idle.get(request.caller)?.push(router);
+	};
+	const run = (
+		router: Router,
+		isHandedOver: boolean,
+		now: number,
+		ended: (decision: LoadDecision, at: number) => void,
+	): void => {
+		let decision: LoadDecision = 'refuse';
+		const start = (at: number): number => WORK_MS[(decision = router.decisions.decide(at, isHandedOver))];
+		router.add({ start, done: (at) => ended(decision, at) }, now);
+	};
+	const send = (router: Router, request: ReplayedRequest, isReturn: boolean, now: number): void => {
+		const refused = (at: number): void => {
+			const { decisions } = router;
 			if (!decisions.closesRefused()) {
-				release();
+				release(request, router);
 			}
 			if (!isReturn) {
-				schedule(at + decisions.returnMs(at), (later) => send(connect(connection.caller, later), request, true, later));
+				schedule(at + decisions.returnMs(at), (later) => send(connect(request.caller, later), request, true, later));
 			}
 		};
-		connection.router.add({ start, done }, now);
+		const taken = (at: number): void => {
+			request.takenAt = at;
+			schedule(at + STREAM_MS, () => release(request, router));
+		};
+		run(router, false, now, (decision, at) => {
+			if (decision === 'hand-over') {
+				const others = [...routers.values()].filter((other) => other !== router);
+				const other = others[Math.floor(random() * others.length)] ?? router;
+				run(other, true, at, (second, later) => (second === 'take' ? taken(later) : refused(later)));
+			} else {
+				(decision === 'take' ? taken : refused)(at);
+			}
+		});
 	};
 
 	for (const { name, perSecond } of callers) {
@@ -181,14 +168,12 @@
 		};
 		schedule(1_000 / perSecond(0), attempt);
 	}
-	routers.forEach((router, index) => {
-		let tickedAt = 0;
+	for (const router of routers.values()) {
 		const tick = (due: number): void => {
 			const start = (now: number): number => {
-				const relieved = routers.filter((other) => other !== router && !other.decisions.isReady()).length;
-				const load = { lateMs: now - due, utilization: router.takeUtilization(now - tickedAt) };
-				tickedAt = now;
-				router.decisions.record(load, now, relieved);
+				const others = [...routers.values()].filter((other) => other !== router);
+				const areRelieved = others.map(({ decisions }) => !decisions.isReady());
+				router.decisions.record(now - due, now, areRelieved);
 				return 0;
 			};
 			router.add({ start, done: (now) => schedule(now + LATENESS_INTERVAL_MS, tick) }, due);
@@ -196,11 +181,10 @@
 		schedule(LATENESS_INTERVAL_MS, tick);
 		const probe = (now: number): void => {
 			router.misses = router.decisions.isReady() ? 0 : router.misses + 1;
-			router.inRotation = router.misses < MISSES;
 			schedule(now + PROBE_INTERVAL_MS, probe);
 		};
-		schedule((PROBE_INTERVAL_MS * index) / routerCount, probe);
-	});
+		schedule(PROBE_INTERVAL_MS * random(), probe);
+	}
 	for (let event = events.pop(); event !== undefined && event.at < endMs; event = events.pop()) {
 		event.run(event.at);
 	}
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -8,6 +8,7 @@
 	IBackendClient,
 } from '../../backends/common/backendClient.js';
 import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
 import { systemClock } from '../../base/common/clock.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
 import type { RegisteredServer } from '../../engines/common/directory.js';
@@ -19,6 +20,7 @@
 import { CrashWatch } from '../common/crashWatch.js';
 import type { HeaderFields } from '../../base/common/headerFields.js';
 import type { IHeaderCodec } from '../common/ingress.js';
+import { type Neighbour, Neighbours } from '../common/neighbours.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { GatewayMetrics } from '../node/gatewayMetrics.js';
 import { GatewayServer } from '../node/gatewayServer.js';
@@ -155,6 +157,7 @@
  * @param configuration in force
  * @param servers that may get requests
  * @param maximumConnections of callers
+ * @param neighbours that requests can be handed over to
  * @returns the running gateway
  */
 export async function startGateway(
@@ -162,6 +165,7 @@
 	configuration: RoutingConfiguration,
 	servers: readonly RegisteredServer[] = [serverOf('desk', 'desk-1'), serverOf('scribes', 'scribe-1')],
 	maximumConnections = 1_000,
+	neighbours: readonly Neighbour[] = [],
 ): Promise<GatewayFixture> {
 	const attempts: SeenAttempt[] = [];
 	const lines: { readonly event: string; readonly fields: LogFields }[] = [];
@@ -175,6 +179,7 @@
 			);
 		},
 	};
+	const handoverClient = HttpBackendClient.create();
 	const fleet = EngineFleet.create('router-1', 'a');
 	fleet.setServers(servers, systemClock.now());
 	let table: RouteTable | undefined = RouteTable.create(configuration);
@@ -192,6 +197,7 @@
 			metrics: GatewayMetrics.create(),
 		},
 		() => table,
+		{ client: handoverClient, neighbours: Neighbours.create(() => neighbours) },
 		maximumConnections,
 	);
 	const port = await gateway.listen('127.0.0.1', 0);
@@ -202,7 +208,10 @@
 		attempts,
 		lines,
 		setConfiguration: (next) => (table = next && RouteTable.create(next)),
-		dispose: () => gateway.dispose(),
+		dispose: () => {
+			gateway.dispose();
+			handoverClient.dispose();
+		},
 	};
 }
 
--- a/src/gateway/test/overloadGuard.test.ts
+++ b/src/gateway/test/overloadGuard.test.ts
@@ -32,7 +32,7 @@
 			guard?.recordLateness(lateMs, nextTick + lateMs);
 		}
 		const readAt = Math.max(freeAt, arrival);
-		const admits = guard?.tryAdmit(readAt) ?? true;
+		const admits = guard === undefined || guard.decide(readAt, () => false) === 'take';
 		freeAt = readAt + (admits ? TAKEN_MS : REFUSED_MS);
 		if (arrival >= lastSecond) {
 			taken += admits ? 1 : 0;
@@ -62,7 +62,7 @@
 		expect(guard.requestsPerSecond).toBeLessThan(130);
 		for (let now = 5_000; now < 12_000; now += LATENESS_INTERVAL_MS) {
 			guard.recordLateness(0, now);
-			guard.tryAdmit(now);
+			guard.decide(now, () => false);
 		}
 		expect(guard.requestsPerSecond).toBe(Infinity);
 	});
@@ -70,7 +70,7 @@
 	test('a single pause limits nothing for long', () => {
 		const guard = OverloadGuard.create();
 		for (let now = 0; now < 1_000; now += 10) {
-			guard.tryAdmit(now);
+			guard.decide(now, () => false);
 		}
 		guard.recordLateness(60, 1_060);
 		expect(guard.requestsPerSecond).toBe(Infinity);
--- a/src/gateway/test/rotationRelief.test.ts
+++ b/src/gateway/test/rotationRelief.test.ts
@@ -1,38 +1,60 @@
 import { describe, expect, test } from '@jest/globals';
-import { OverloadGuard } from '../common/overloadGuard.js';
-import { type Caller, type ILoadDecisions, replayBalancedRouters } from './balancedRouters.js';
+import { LATENESS_INTERVAL_MS } from '../common/overloadGuard.js';
+import { RotationRelief } from '../common/rotationRelief.js';
 
-const ROUTERS = 13;
-const RISE_MS = 4_000;
-const WINDOW_MS = 6_000;
+const BALANCER_DELAY_MS = 2_000;
 
-/** An exhausted router refuses what it cannot do, and stays in the rotation. */
-function guardOnly(): ILoadDecisions {
-	const guard = OverloadGuard.create();
-	return {
-		record: ({ lateMs }, now) => guard.recordLateness(lateMs, now),
-		takes: (now) => guard.tryAdmit(now),
-		isReady: () => true,
-		closesRefused: () => false,
-		returnMs: () => 50,
-	};
+function neighboursWith(relieved: number): () => readonly boolean[] {
+	return () => Array.from({ length: 11 }, (_, index) => index < relieved);
 }
 
-/** One caller of an account that sends three times its usual from {@link RISE_MS} on, and small ones of others. */
-function oneLargeCaller(): readonly Caller[] {
-	const small = Array.from({ length: 30 }, (_, index) => ({ name: `small-${index}`, perSecond: () => 5 }));
-	return [{ name: 'large', perSecond: (now) => (now < RISE_MS ? 60 : 180) }, ...small];
+/** Updates at each timer from one time to another. */
+function updateFor(
+	relief: RotationRelief,
+	isExhausted: boolean,
+	[from, to]: readonly [number, number],
+	relievedNeighbours = 0,
+): void {
+	for (let now = from; now < to; now += LATENESS_INTERVAL_MS) {
+		relief.update(isExhausted, neighboursWith(relievedNeighbours), now);
+	}
 }
 
-describe('routers behind a balancer', () => {
-	// The balancer gave all connections of an account to one router, which refused four in five of its requests for want
-	// of a processor while its neighbours were idle.
-	test('an account whose caller exhausts one router gets at least half of what it asks', () => {
-		const requests = replayBalancedRouters(oneLargeCaller(), ROUTERS, guardOnly, RISE_MS + WINDOW_MS + 2_000);
-		const asked = requests.filter(
-			({ caller, sentAt }) => caller === 'large' && sentAt >= RISE_MS && sentAt < RISE_MS + WINDOW_MS,
-		);
-		const taken = asked.filter(({ takenAt }) => takenAt !== undefined && takenAt < RISE_MS + WINDOW_MS);
-		expect(taken.length / asked.length).toBeGreaterThanOrEqual(0.5);
+describe('RotationRelief', () => {
+	test('a router that stays exhausted leaves the rotation, and comes back when it has room', () => {
+		const relief = RotationRelief.create(BALANCER_DELAY_MS);
+		updateFor(relief, true, [0, 1_000]);
+		expect(relief.isRelieved).toBe(true);
+		updateFor(relief, false, [1_000, 3_000]);
+		expect(relief.isRelieved).toBe(true);
+		updateFor(relief, false, [3_000, 5_000]);
+		expect(relief.isRelieved).toBe(false);
+	});
+
+	test('a short peak changes nothing', () => {
+		const relief = RotationRelief.create(BALANCER_DELAY_MS);
+		updateFor(relief, true, [0, 150]);
+		updateFor(relief, false, [150, 300]);
+		updateFor(relief, true, [300, 450]);
+		expect(relief.isRelieved).toBe(false);
+	});
+
+	// With all routers out of the rotation, the balancer would use all of them again.
+	test('a router stays in the rotation when a quarter of its failure domain has left it', () => {
+		const relief = RotationRelief.create(BALANCER_DELAY_MS);
+		updateFor(relief, true, [0, 5_000], 3);
+		expect(relief.isRelieved).toBe(false);
+		updateFor(relief, true, [5_000, 5_100], 2);
+		expect(relief.isRelieved).toBe(true);
+	});
+
+	// A refused caller that came back at once met the same router, whose load it doubled.
+	test('callers return when the balancer has noticed, and not together', () => {
+		const relief = RotationRelief.create(BALANCER_DELAY_MS);
+		updateFor(relief, true, [0, 250]);
+		const returns = [0, 0.5, 1].map((random) => 250 + relief.returnMs(250, random));
+		expect(Math.min(...returns)).toBeGreaterThanOrEqual(200 + BALANCER_DELAY_MS);
+		expect(new Set(returns).size).toBe(3);
+		expect(relief.returnMs(200 + BALANCER_DELAY_MS, 0)).toBeLessThan(100);
 	});
 });
