--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -15,6 +15,8 @@
 	readonly aimLeftMs: number;
 	/** Milliseconds until the caller gives up. */
 	readonly deadlineLeftMs: number;
+	/** Number from 0 to 1 that keeps callers from returning together. */
+	readonly spread: number;
 }
 
 /** Why a request is refused. */
@@ -73,9 +75,12 @@
 /** Callers return at the latest after this part of the time that they have left. */
 const LATEST_RETURN_OF_DEADLINE = 0.33;
 
-/** Asked when no server of the service can be used; a crashed one is back after some seconds. */
+/** Asked when it is not known when a server of the service can be used; a crashed one is back after some seconds. */
 const NO_SERVER_RETRY_MS = 500;
 
+/** Time over which callers return that wait for the same server. */
+const RETURN_SPREAD_MS = 250;
+
 /**
  * Decides whether a request to a model engine is sent now, and to which engine, or is refused at once.
  *
@@ -89,14 +94,10 @@
  */
 export function decideAdmission(inputs: AdmissionInputs): AdmissionDecision {
 	const usable = inputs.options.filter(({ health }) => health.usable);
-	const [best] = usable.length > 0 ? usable : inputs.options;
+	const [best] = usable;
 	if (best === undefined) {
-		return {
-			kind: 'refuse',
-			reason: 'no-server',
-			retryAfterMs: clampReturn(NO_SERVER_RETRY_MS, inputs),
-			limitMs: 0,
-		};
+		const returnMs = firstUsableMs(inputs) + inputs.spread * RETURN_SPREAD_MS;
+		return { kind: 'refuse', reason: 'no-server', retryAfterMs: clampReturn(returnMs, inputs), limitMs: 0 };
 	}
 	const overShare = inputs.standing.usedShare >= SPARE_ONLY_SHARE;
 	const terms: PlacementTerms = overShare
@@ -107,7 +108,7 @@
 		return { kind: 'place', option: accepted, ...terms };
 	}
 	const { limitMs } = terms;
-	const shortestWaitMs = Math.min(...inputs.options.map(({ waitMs }) => waitMs));
+	const shortestWaitMs = Math.min(...usable.map(({ waitMs }) => waitMs));
 	const retryAfterMs = overShare ? inputs.aimMs * RETURN_OF_AIM : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
 	return {
 		kind: 'refuse',
@@ -117,6 +118,12 @@
 	};
 }
 
+/** When the first server of the service is expected to be usable. */
+function firstUsableMs({ options }: AdmissionInputs): number {
+	const firstMs = Math.min(Infinity, ...options.map(({ health }) => health.unusableMs));
+	return Number.isFinite(firstMs) ? Math.max(SHORTEST_RETRY_MS, firstMs) : NO_SERVER_RETRY_MS;
+}
+
 function waitLimitMs(inputs: AdmissionInputs, readMs: number): number {
 	const { aimMs, aimLeftMs } = inputs;
 	const leftMs = aimLeftMs - readMs - FIRST_EVENT_OVERHEAD_MS;
--- a/src/admission/test/admission.test.ts
+++ b/src/admission/test/admission.test.ts
@@ -14,7 +14,7 @@
 		inProgress: 5,
 		load: 0.3,
 		cost: 0,
-		health: { usable: true, failureRate: 0 },
+		health: { usable: true, failureRate: 0, unusableMs: 0 },
 		...overrides,
 	};
 }
@@ -27,6 +27,7 @@
 		aimMs: 500,
 		aimLeftMs: 500,
 		deadlineLeftMs: 15_000,
+		spread: 0,
 		...overrides,
 	};
 }
@@ -74,8 +75,22 @@
 		expect(decision.kind === 'refuse' && decision.retryAfterMs).toBeLessThanOrEqual(200);
 	});
 
+	// Callers were told the usual time, came back before any engine could take them, and all at once.
+	test('when no engine takes requests the caller is told when the first one will', () => {
+		const closed = (unusableMs: number): EngineOption =>
+			optionWith({ health: { usable: false, failureRate: 0, unusableMs } });
+		const returnsAt = (spread: number, options = [closed(3_000), closed(1_200), closed(Infinity)]): number => {
+			const decision = decideAdmission(inputsWith({ options, spread }));
+			expect(decision).toMatchObject({ kind: 'refuse', reason: 'no-server' });
+			return decision.kind === 'refuse' ? decision.retryAfterMs : 0;
+		};
+		expect(returnsAt(0)).toBe(1_200);
+		expect(returnsAt(1)).toBeGreaterThan(1_200);
+		expect(returnsAt(0, [closed(Infinity)])).toBeLessThan(1_000);
+	});
+
 	test('an engine that cannot be reached is not chosen while another can', () => {
-		const dead = optionWith({ health: { usable: false, failureRate: 1 } });
+		const dead = optionWith({ health: { usable: false, failureRate: 1, unusableMs: 400 } });
 		const sound = optionWith({ cost: 900, waitMs: 10 });
 		expect(decideAdmission(inputsWith({ options: [dead, sound] }))).toMatchObject({ option: sound });
 	});
--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -37,8 +37,20 @@
 	write(chunk: Uint8Array, resume: () => void): boolean;
 }
 
+/** What a server says of itself in the head of an answer. */
+export interface ServerNotice {
+	/** Whether the server leaves. */
+	readonly isLeaving: boolean;
+	/** Milliseconds for which the server wants no requests of this router; undefined when it names none. */
+	readonly restMs: number | undefined;
+	/** A time that could not be read, for the log. */
+	readonly unreadableTime: string | undefined;
+}
+
 /** Follows one attempt at a backend server. */
 export interface IAttemptSink extends IAnswerSink {
+	/** @param notice of the server, before anything else of its answer */
+	notice?(notice: ServerNotice): void;
 	/** Called before the first byte goes to the backend server, after which the request may run. */
 	sent(): void;
 	/**
@@ -53,12 +65,13 @@
  * Why an attempt brought no whole answer.
  *
  * - `unreachable`: no connection was made.
+ * - `withdrawn`: the server wants no requests any more, so nothing was sent.
  * - `refused`: the server said that it did not start the request.
  * - `fenced`: the server has seen a higher fencing number, so another attempt has replaced this one.
  * - `broken`: the connection died while the request was in progress.
  * - `silent`: nothing was heard of the request for too long, so the router gave it up.
  */
-export type BackendFailureKind = 'unreachable' | 'refused' | 'fenced' | 'broken' | 'silent';
+export type BackendFailureKind = 'unreachable' | 'withdrawn' | 'refused' | 'fenced' | 'broken' | 'silent';
 
 /** An attempt that brought no whole answer. */
 export interface BackendFailure {
@@ -84,6 +97,15 @@
 	 * @returns false when the answer belongs to another request
 	 */
 	readonly isAnswerTo: (request: BackendRequest, head: BackendHead) => boolean;
+	/**
+	 * Reads what a server says of itself.
+	 *
+	 * @param request what was sent
+	 * @param head status and headers of its answer
+	 * @param unixMs time of day
+	 * @returns the notice; undefined when the answer has none, or may be that of another server
+	 */
+	readonly noticeOf: (request: BackendRequest, head: BackendHead, unixMs: number) => ServerNotice | undefined;
 	/** Whether an answer without a length is whole when its connection is closed without a reset. */
 	readonly endsWithConnection: boolean;
 }
--- a/src/backends/node/guardedAgent.ts
+++ b/src/backends/node/guardedAgent.ts
@@ -23,6 +23,16 @@
 		return this.freeSockets[this.getName({ host, port })] !== undefined;
 	}
 
+	/**
+	 * Closes the connections to a server that no request uses.
+	 *
+	 * @param host of the server
+	 * @param port of the server
+	 */
+	public closeIdle(host: string, port: string): void {
+		[...(this.freeSockets[this.getName({ host, port })] ?? [])].forEach((socket) => socket.destroy());
+	}
+
 	public override createConnection(
 		options: http.ClientRequestArgs,
 		callback?: (error: Error | null, stream: Duplex) => void,
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -40,6 +40,7 @@
 		return status === CONFLICT ? 'fenced' : 'refused';
 	},
 	isAnswerTo: () => true,
+	noticeOf: () => undefined,
 	endsWithConnection: false,
 };
 
@@ -88,6 +89,16 @@
 		return this.agent.hasIdle(host, port);
 	}
 
+	/**
+	 * Closes the connections to a server that no request uses.
+	 *
+	 * @param url of the server
+	 */
+	public closeIdleConnections(url: string): void {
+		const { host, port } = this.endpointOf(url);
+		this.agent.closeIdle(host, port);
+	}
+
 	/** Closes all connections. */
 	public dispose(): void {
 		clearInterval(this.silenceTimer);
@@ -210,6 +221,10 @@
 			this.outgoing?.destroy();
 			return;
 		}
+		const notice = this.protocol.noticeOf(this.request, received, Date.now());
+		if (notice !== undefined) {
+			this.sink.notice?.(notice);
+		}
 		const refusal = this.protocol.refusalOf(received);
 		if (refusal !== undefined) {
 			this.fail(refusal, `refused with status ${status}`);
--- a/src/backends/test/endlessBytes.test.ts
+++ b/src/backends/test/endlessBytes.test.ts
@@ -9,6 +9,7 @@
 const protocol: BackendProtocol = {
 	refusalOf: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
 	isAnswerTo: () => true,
+	noticeOf: () => undefined,
 	endsWithConnection: true,
 };
 
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -2,12 +2,14 @@
 import type { AddressInfo } from 'node:net';
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect, type Result } from 'effect';
-import type { BackendFailure, BackendProtocol, BackendRequest } from '../common/backendClient.js';
+import type { BackendFailure, BackendProtocol, BackendRequest, ServerNotice } from '../common/backendClient.js';
 import { HttpBackendClient } from '../node/httpBackendClient.js';
 
 const protocol: BackendProtocol = {
 	refusalOf: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
 	isAnswerTo: (request, { headers }) => headers.id === undefined || headers.id === request.headers.id,
+	noticeOf: (_request, { headers }) =>
+		headers.leaving === undefined ? undefined : { isLeaving: true, restMs: undefined, unreadableTime: undefined },
 	endsWithConnection: true,
 };
 
@@ -155,4 +157,59 @@
 		const called = await call(clientWith(), 'http://127.0.0.1:9', '1');
 		expect(called.result).toMatchObject({ failure: { kind: 'unreachable', verdict: 'not-run' } });
 	});
+
+	// A stream of minutes would tell only at its end that its server leaves.
+	test('tells what a server says of itself as soon as the head of its answer is there', async () => {
+		const url = await startRawServer((socket) => {
+			socket.write('HTTP/1.1 200 OK\r\nid: 1\r\nleaving: 1\r\ncontent-length: 10\r\n\r\nhalf');
+		});
+		const request: BackendRequest = { method: 'GET', path: '/', headers: { id: '1' }, body: Buffer.alloc(0) };
+		const isLeaving = await new Promise<boolean>((resolve) => {
+			const sink = {
+				sent: () => undefined,
+				notice: (notice: ServerNotice) => resolve(notice.isLeaving),
+				head: () => undefined,
+				write: () => true,
+			};
+			Effect.runFork(Effect.result(clientWith().call({ id: 'server', url }, request, sink)));
+		});
+		expect(isLeaving).toBe(true);
+	});
+
+	test('the answer to another request tells nothing of the server', async () => {
+		const url = await startRawServer((socket) => {
+			socket.write('HTTP/1.1 200 OK\r\nid: 2\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n');
+		});
+		const request: BackendRequest = { method: 'GET', path: '/', headers: { id: '1' }, body: Buffer.alloc(0) };
+		const notices: ServerNotice[] = [];
+		const sink = {
+			sent: () => undefined,
+			notice: (notice: ServerNotice) => void notices.push(notice),
+			head: () => undefined,
+			write: () => true,
+		};
+		await Effect.runPromise(Effect.result(clientWith().call({ id: 'server', url }, request, sink)));
+		expect(notices).toEqual([]);
+	});
+
+	test('closes idle connections to a server, and those in use go on', async () => {
+		const sockets: net.Socket[] = [];
+		const url = await startRawServer((socket, count) => {
+			sockets.push(socket);
+			socket.write(count === 1 ? framed('1', 'whole') : 'HTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 5\r\n\r\nwh');
+		});
+		const client = clientWith();
+		await call(client, url, '1');
+		expect(client.hasIdleConnection(url)).toBe(true);
+		client.closeIdleConnections(url);
+		await pause(20);
+		expect(client.hasIdleConnection(url)).toBe(false);
+		const inUse = call(client, url, '2');
+		while (sockets.length < 2) {
+			await pause(5);
+		}
+		client.closeIdleConnections(url);
+		sockets[1]?.write('ole');
+		expect((await inUse).body).toBe('whole');
+	});
 });
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -68,6 +68,8 @@
 	private readonly placeEmitter = Emitter.create<PlacementNotice>();
 	private readonly firstEventEmitter = Emitter.create<FirstEventNotice>();
 	private readonly endEmitter = Emitter.create<EndNotice>();
+	private readonly leaveEmitter = Emitter.create<string>();
+	private readonly hearLeavingEmitter = Emitter.create<string>();
 	private byId = new Map<string, KnownServer>();
 	private byService = new Map<string, KnownServer[]>();
 	private nameByKey = new Map<number, string>();
@@ -77,6 +79,10 @@
 	public readonly onDidPlace: Event<PlacementNotice> = this.placeEmitter.event;
 	public readonly onDidReachFirstEvent: Event<FirstEventNotice> = this.firstEventEmitter.event;
 	public readonly onDidEnd: Event<EndNotice> = this.endEmitter.event;
+	/** Fires with the identifier of a server when this router learns from its answers, or from a peer, that it leaves. */
+	public readonly onDidLeave: Event<string> = this.leaveEmitter.event;
+	/** Fires with the identifier of a server that has told this router that it leaves. */
+	public readonly onDidHearLeaving: Event<string> = this.hearLeavingEmitter.event;
 
 	/** This router. */
 	private readonly sender: Sender;
@@ -154,7 +160,73 @@
 		now: number,
 	): readonly EngineOption[] {
 		const known = (this.byService.get(service) ?? []).filter(({ server }) => !excluded.has(server.id));
-		return this.optionsOf(known, work, this.sender, now);
+		return this.optionsOf(known, work, this.sender, now).map((option) => this.withNotices(option, now));
+	}
+
+	/**
+	 * @param server identifier of a server
+	 * @param now monotonic milliseconds
+	 * @returns whether the server takes requests of this router, by what it has told it
+	 */
+	public allowsRequest(server: string, now: number): boolean {
+		const state = this.states.get(server);
+		return state === undefined || state.notices.allowsRequest(now, Math.max(0, state.ownInProgress - 1));
+	}
+
+	/**
+	 * Lists the servers that want no requests of this router, for those who choose servers for it.
+	 *
+	 * @param server identifier of a server
+	 * @param now monotonic milliseconds
+	 * @returns identifiers of servers of the same group
+	 */
+	public closedInGroupOf(server: string, now: number): readonly string[] {
+		const group = this.queues.groupOf(server);
+		return [...this.states]
+			.filter(([id, { notices, ownInProgress }]) => {
+				return !notices.allowsRequest(now, ownInProgress) && this.queues.groupOf(id) === group;
+			})
+			.map(([id]) => id);
+	}
+
+	/** Identifiers of servers that have said that they leave. */
+	public get leaving(): readonly string[] {
+		return [...this.states].filter(([, { notices }]) => notices.isLeaving).map(([id]) => id);
+	}
+
+	/**
+	 * Notes that a server has told this router that it leaves.
+	 *
+	 * @param server its identifier
+	 */
+	public recordLeaving(server: string): void {
+		if (this.states.get(server)?.notices.markLeaving() === true) {
+			this.hearLeavingEmitter.fire(server);
+			this.leaveEmitter.fire(server);
+		}
+	}
+
+	/**
+	 * Notes that a server has told this router that it wants no requests of it.
+	 *
+	 * @param server its identifier
+	 * @param milliseconds for which it wants none
+	 * @param now monotonic milliseconds
+	 */
+	public recordRest(server: string, milliseconds: number, now: number): void {
+		this.states.get(server)?.notices.rest(milliseconds, now, Math.random());
+	}
+
+	/**
+	 * Takes over that a server has told a peer that it leaves.
+	 *
+	 * @param server short key of the server
+	 */
+	public applyLeaving(server: number): void {
+		const id = this.nameByKey.get(server);
+		if (id !== undefined && this.states.get(id)?.notices.markLeaving() === true) {
+			this.leaveEmitter.fire(id);
+		}
 	}
 
 	/**
@@ -513,6 +585,15 @@
 		});
 	}
 
+	private withNotices(option: EngineOption, now: number): EngineOption {
+		const state = this.states.get(option.server.id);
+		if (state === undefined || state.notices.allowsRequest(now, state.ownInProgress)) {
+			return option;
+		}
+		const unusableMs = Math.max(option.health.unusableMs, state.notices.closedMs(now));
+		return { ...option, health: { ...option.health, usable: false, unusableMs } };
+	}
+
 	private forgetUnregistered(now: number): void {
 		for (const id of this.states.keys()) {
 			if (this.byId.has(id)) {
--- a/src/engines/common/engineState.ts
+++ b/src/engines/common/engineState.ts
@@ -1,5 +1,6 @@
 import type { RegisteredServer } from './directory.js';
 import { EngineQueue } from './engineQueue.js';
+import { ServerNotices } from './serverNotices.js';
 import { type EngineHealth, ServerOutcomes } from './serverOutcomes.js';
 
 /** What the router that keeps the queue of a server tells of it. */
@@ -46,6 +47,9 @@
 /** A stalled engine is left out until the next report but one. */
 const STALL_REPORTED_MS = 1_000;
 
+/** An engine that leaves is left out for as long as its keeper goes on to report it. */
+const LEAVING_REPORTED_MS = 60_000;
+
 interface ReceivedReport extends EngineReport {
 	readonly receivedAt: number;
 }
@@ -54,6 +58,7 @@
 export class EngineState {
 	public readonly queue = EngineQueue.create();
 	public readonly outcomes = ServerOutcomes.create();
+	public readonly notices = ServerNotices.create();
 	private own = 0;
 	private readonly peers = new Map<string, number>();
 	/** Sum of {@link peers}, which is asked for several times with each request. */
@@ -86,17 +91,22 @@
 		const report = keeps ? undefined : this.validReport(now);
 		if (report === undefined) {
 			const { delayMs, waitMs } = this.queue.turn(now, prompt.workMs, prompt.longestBurstMs * this.queue.pace);
-			const isStalled = keeps && this.queue.isStalled(now);
+			const unusableMs = Math.max(
+				health.unusableMs,
+				keeps && this.queue.isStalled(now) ? STALL_REPORTED_MS : 0,
+				this.notices.isLeaving ? Infinity : 0,
+			);
 			return {
 				delayMs,
 				waitMs,
 				pace: this.queue.pace,
 				load: this.queue.load(now),
 				inProgress: this.own + (keeps ? this.peersInProgress : 0),
-				health: { failureRate: health.failureRate, usable: health.usable && !isStalled },
+				health: { failureRate: health.failureRate, usable: unusableMs === 0, unusableMs },
 			};
 		}
 		const ageMs = now - report.receivedAt;
+		const unusableMs = Math.max(health.unusableMs, report.suspendedMs - ageMs, this.notices.isLeaving ? Infinity : 0);
 		return {
 			delayMs: 0,
 			waitMs: Math.max(0, report.waitMs - ageMs, this.queue.waitMs(now)),
@@ -104,8 +114,9 @@
 			load: report.load,
 			inProgress: Math.max(this.own, report.inProgress),
 			health: {
-				usable: health.usable && ageMs >= report.suspendedMs,
+				usable: unusableMs <= 0,
 				failureRate: Math.max(health.failureRate, report.failureRate),
+				unusableMs: Math.max(0, unusableMs),
 			},
 		};
 	}
@@ -122,7 +133,7 @@
 			load,
 			inProgress,
 			failureRate: health.failureRate,
-			suspendedMs: this.queue.isStalled(now) ? STALL_REPORTED_MS : this.outcomes.suspendedMs(now),
+			suspendedMs: Math.min(LEAVING_REPORTED_MS, health.unusableMs),
 		};
 	}
 
--- a/src/engines/common/serverOutcomes.ts
+++ b/src/engines/common/serverOutcomes.ts
@@ -7,6 +7,8 @@
 	readonly usable: boolean;
 	/** Part of recent requests that failed, from 0 to 1. */
 	readonly failureRate: number;
+	/** Milliseconds until the server may be usable again; 0 while it is, infinite when it leaves. */
+	readonly unusableMs: number;
 }
 
 /** Weight of one request in the failure rate. */
@@ -76,7 +78,8 @@
 	 */
 	public health(now: number): EngineHealth {
 		this.decay(now);
-		return { usable: now >= this.suspendedUntil, failureRate: this.failureRate };
+		const unusableMs = this.suspendedMs(now);
+		return { usable: unusableMs === 0, failureRate: this.failureRate, unusableMs };
 	}
 
 	/**
--- /dev/null
+++ b/src/engines/test/serverNotices.test.ts
@@ -0,0 +1,134 @@
+import { describe, expect, test } from '@jest/globals';
+import fc from 'fast-check';
+import { shortKey } from '../../base/common/shortKey.js';
+import { EngineFleet } from '../common/engineFleet.js';
+import { ServerNotices } from '../common/serverNotices.js';
+import { engineWith, SERVICE } from './engineFixture.js';
+
+const WORK = { parts: [], promptTokens: 1_000, tokensPerEvent: 5, pauseAimMs: 500 };
+const NOBODY: ReadonlySet<string> = new Set();
+
+function fleetWith(...ids: readonly string[]): EngineFleet {
+	const fleet = EngineFleet.create('router-1', 'a');
+	fleet.setServers(
+		ids.map((id) => engineWith(id)),
+		0,
+	);
+	return fleet;
+}
+
+function usableAt(fleet: EngineFleet, now: number): readonly string[] {
+	return fleet
+		.options(SERVICE, WORK, NOBODY, now)
+		.filter(({ health }) => health.usable)
+		.map(({ server }) => server.id)
+		.sort();
+}
+
+describe('ServerNotices', () => {
+	test('the longest time without requests counts', () => {
+		fc.assert(
+			fc.property(fc.array(fc.nat(10_000), { minLength: 1 }), (times) => {
+				const notices = ServerNotices.create();
+				times.forEach((milliseconds) => notices.rest(milliseconds, 0, 0));
+				expect(notices.closedMs(0)).toBe(Math.max(...times));
+			}),
+		);
+	});
+
+	// All requests that had waited would arrive in the same millisecond.
+	test('a server gets one request at a time when its time is over', () => {
+		const notices = ServerNotices.create();
+		notices.rest(3_000, 0, 0);
+		expect(notices.allowsRequest(2_999, 0)).toBe(false);
+		expect(notices.allowsRequest(3_000, 0)).toBe(true);
+		expect(notices.allowsRequest(3_000, 1)).toBe(false);
+		expect(notices.allowsRequest(4_000, 1)).toBe(true);
+	});
+
+	test('routers come back at different times', () => {
+		const returns = [0, 0.5, 1].map((random) => {
+			const notices = ServerNotices.create();
+			notices.rest(3_000, 0, random);
+			return notices.closedMs(0);
+		});
+		expect(new Set(returns).size).toBe(3);
+		expect(Math.min(...returns)).toBe(3_000);
+	});
+});
+
+describe('a server that leaves', () => {
+	// Its registration said nothing of it, and it went on to get requests until it had gone.
+	test('gets no further request', () => {
+		const fleet = fleetWith('engine-1', 'engine-2');
+		fleet.recordLeaving('engine-1');
+		expect(usableAt(fleet, 0)).toEqual(['engine-2']);
+		expect(usableAt(fleet, 60_000)).toEqual(['engine-2']);
+		expect(fleet.allowsRequest('engine-1', 0)).toBe(false);
+	});
+
+	test('is told to peers once', () => {
+		const fleet = fleetWith('engine-1');
+		const told: string[] = [];
+		fleet.onDidHearLeaving((server) => told.push(server));
+		fleet.recordLeaving('engine-1');
+		fleet.recordLeaving('engine-1');
+		fleet.applyLeaving(shortKey('engine-1'));
+		expect(told).toEqual(['engine-1']);
+	});
+
+	test('is not offered by the router that keeps its queue', () => {
+		const fleet = fleetWith('engine-1', 'engine-2');
+		fleet.applyLeaving(shortKey('engine-1'));
+		const request = {
+			service: shortKey(SERVICE),
+			excluded: [],
+			connected: [shortKey('engine-1')],
+			failureDomain: 'a',
+			sequence: 1,
+			work: WORK,
+			limitMs: 1_000,
+			maximumLoad: 1,
+			maximumRereadTokens: Infinity,
+		};
+		expect(fleet.reserve('router-2', request, 0)?.server).toBe('engine-2');
+		expect(fleet.keptReports(0).get(shortKey('engine-1'))?.suspendedMs).toBeGreaterThan(10_000);
+		expect(fleet.keptReports(0).get(shortKey('engine-2'))?.suspendedMs).toBe(0);
+	});
+
+	test('is used again when another incarnation of it is registered, and not before', () => {
+		const fleet = fleetWith('engine-1');
+		fleet.recordLeaving('engine-1');
+		fleet.setServers([], 1_000);
+		fleet.setServers([engineWith('engine-1')], 2_000);
+		expect(usableAt(fleet, 2_000)).toEqual([]);
+		fleet.setServers([engineWith('engine-1', { startedAt: 2 })], 3_000);
+		expect(usableAt(fleet, 3_000)).toEqual(['engine-1']);
+	});
+});
+
+describe('a server that wants no requests for a while', () => {
+	// It went on to get requests after 60 ms.
+	test('gets none of this router until then', () => {
+		const fleet = fleetWith('engine-1', 'engine-2');
+		fleet.recordRest('engine-1', 3_000, 0);
+		expect(usableAt(fleet, 2_999)).toEqual(['engine-2']);
+		expect(usableAt(fleet, 5_000)).toEqual(['engine-1', 'engine-2']);
+		expect(fleet.closedInGroupOf('engine-1', 2_999)).toEqual(['engine-1']);
+	});
+
+	// Each router has its own time: the server may have room for others.
+	test('is offered to others by the router that keeps its queue', () => {
+		const fleet = fleetWith('engine-1');
+		fleet.recordRest('engine-1', 3_000, 0);
+		expect(fleet.keptReports(0).get(shortKey('engine-1'))?.suspendedMs).toBe(0);
+	});
+
+	test('is expected back at its time', () => {
+		const fleet = fleetWith('engine-1');
+		fleet.recordRest('engine-1', 3_000, 0);
+		const [option] = fleet.options(SERVICE, WORK, NOBODY, 1_000);
+		expect(option?.health.unusableMs).toBeGreaterThanOrEqual(2_000);
+		expect(option?.health.unusableMs).toBeLessThanOrEqual(2_200);
+	});
+});
--- a/src/engines/test/serverOutcomes.test.ts
+++ b/src/engines/test/serverOutcomes.test.ts
@@ -16,6 +16,6 @@
 	test('a server that has not failed is not mistrusted', () => {
 		const outcomes = ServerOutcomes.create();
 		outcomes.record('answered', 0);
-		expect(outcomes.health(1)).toEqual({ usable: true, failureRate: 0 });
+		expect(outcomes.health(1)).toEqual({ usable: true, failureRate: 0, unusableMs: 0 });
 	});
 });
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -80,6 +80,11 @@
 		}
 	}
 
+	/** @param server identifier of a server that has said that it leaves */
+	public addLeaving(server: string): void {
+		this.outcomes.push({ engine: shortKey(server), outcome: wire.Outcome.OUTCOME_LEAVING });
+	}
+
 	/** @param notice a request that ends servers */
 	public addCrash(notice: wire.CrashNotice): void {
 		this.crashes.push(notice);
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -94,6 +94,7 @@
 				}
 			}),
 		);
+		this.register(engines.onDidHearLeaving((server) => this.tell(server, (outbox) => outbox.addLeaving(server))));
 		this.register(
 			suspects.onDidLearn(({ fingerprint, deaths, quarantineMs }) => {
 				const notice = { fingerprint: Buffer.from(fingerprint, 'hex'), deaths, quarantineMs: Math.round(quarantineMs) };
@@ -450,6 +451,7 @@
 				this.tell(server, (outbox) => outbox.addEnd({ server, outcome: undefined }));
 			}
 		}
+		engines.leaving.forEach((server) => this.tell(server, (outbox) => outbox.addLeaving(server)));
 	}
 
 	private updateRelays(now: number): void {
--- a/src/fleet/node/queueReservations.ts
+++ b/src/fleet/node/queueReservations.ts
@@ -95,7 +95,7 @@
 			});
 			this.exchange.requestReservation(keeper, {
 				service: shortKey(option.server.service),
-				excluded: [...excluded].map(shortKey),
+				excluded: [...excluded, ...this.engines.closedInGroupOf(server, askedAt)].map(shortKey),
 				connected: this.engines.connectedInGroupOf(server),
 				failureDomain: this.engines.failureDomain,
 				sequence,
--- a/src/fleet/node/receivedState.ts
+++ b/src/fleet/node/receivedState.ts
@@ -1,7 +1,7 @@
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { ExchangedState } from '../common/exchangedState.js';
 import { decodeOutcome } from '../common/fleetOutbox.js';
-import type { RouterState, UsageSum } from '../common/generated/masticloom/fleet/v1/fleet.js';
+import { Outcome, type RouterState, type UsageSum } from '../common/generated/masticloom/fleet/v1/fleet.js';
 import type { ReportBoard } from '../common/reportBoard.js';
 
 /** Takes over what peers tell of engines, accounts and requests that end servers. */
@@ -59,7 +59,9 @@
 		}
 		for (const { engine, outcome } of state.outcomes) {
 			const decoded = decodeOutcome(outcome);
-			if (decoded !== undefined) {
+			if (outcome === Outcome.OUTCOME_LEAVING) {
+				engines.applyLeaving(engine);
+			} else if (decoded !== undefined) {
 				engines.applyOutcome(engine, decoded, now);
 			}
 		}
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -25,6 +25,12 @@
 		labelNames: ['service', 'reason'],
 		registers: [this.registry],
 	});
+	private readonly notices = new Counter({
+		name: 'masticloom_gateway_server_notices_total',
+		help: 'What backend servers said of themselves in answers, by service and kind.',
+		labelNames: ['service', 'kind'],
+		registers: [this.registry],
+	});
 	private readonly firstEvent = new Histogram({
 		name: 'masticloom_gateway_first_event_seconds',
 		help: 'Time from the arrival of a request to the first bytes of its answer, by service.',
@@ -98,6 +104,14 @@
 		this.retries.inc({ service });
 	}
 
+	/**
+	 * @param service of the server
+	 * @param kind of what it said of itself
+	 */
+	public countServerNotice(service: string, kind: 'leaving' | 'rest' | 'unreadable'): void {
+		this.notices.inc({ service, kind });
+	}
+
 	/**
 	 * @param service of the request that was handed over
 	 * @param reason why the answer of the other router was not passed on; empty when it was
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -6,6 +6,7 @@
 	BackendRequest,
 	IAttemptSink,
 	IBackendClient,
+	ServerNotice,
 } from '../../backends/common/backendClient.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
@@ -59,6 +60,8 @@
 /** Keepers that are asked for one request; where so many servers are full, the next one hardly has room. */
 const MAXIMUM_DECLINED = 5;
 
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
@@ -213,11 +216,11 @@
 	private decide(): Effect.Effect<Choice> {
 		const self = this;
 		return Effect.gen(function* () {
-			const declinedBy = new Set<string>();
+			const declinedBy = new Set(self.tried);
 			for (let declined = 0; ; declined++) {
 				const now = self.context.clock.now();
 				const { routing } = self.request;
-				const options = self.context.fleet.options(routing.service, self.work, self.tried, now);
+				const options = self.options(now);
 				const standing = self.context.shares.standing(self.accountKey(), now);
 				const elapsedMs = now - self.request.arrivedAt;
 				if (declined >= MAXIMUM_DECLINED) {
@@ -229,6 +232,7 @@
 					standing,
 					aimMs: routing.route.aimMs,
 					aimLeftMs: routing.route.aimMs - self.request.elapsedBeforeMs - elapsedMs,
+					spread: Math.random(),
 					deadlineLeftMs: (self.request.fields.deadlineMs ?? routing.route.timeoutMs) - elapsedMs,
 				});
 				if (decision.kind === 'refuse') {
@@ -253,6 +257,14 @@
 		});
 	}
 
+	/** Servers that were not tried; when all were, those that were tell when one may be asked again. */
+	private options(now: number): readonly EngineOption[] {
+		const { fleet } = this.context;
+		const { service } = this.request.routing;
+		const untried = fleet.options(service, this.work, this.tried, now);
+		return untried.length > 0 || this.tried.size === 0 ? untried : fleet.options(service, this.work, NO_SERVERS, now);
+	}
+
 	private logAdmission(
 		{ decision, reservation }: Choice,
 		options: readonly EngineOption[],
@@ -315,6 +327,7 @@
 		};
 		const sink: IAttemptSink = {
 			sent: () => (this.inProgress = true),
+			notice: (notice) => this.takeNotice(server.id, notice),
 			head: (head) => {
 				state.failed = head.status >= FIRST_ERROR_STATUS;
 				if (this.answer.hasHead && head.status !== this.status) {
@@ -354,7 +367,9 @@
 			body: request.body,
 		});
 		const call = Effect.suspend(() =>
-			client.call({ id: server.id, url: `http://${server.address}` }, outgoing(), sink),
+			fleet.allowsRequest(server.id, clock.now())
+				? client.call({ id: server.id, url: `http://${server.address}` }, outgoing(), sink)
+				: Effect.fail(withdrawn(server.id)),
 		);
 		const delayMs = Math.round(reservation?.delayMs ?? option.delayMs);
 		return (delayMs > 0 ? Effect.andThen(Effect.sleep(delayMs), call) : call).pipe(
@@ -372,6 +387,29 @@
 		);
 	}
 
+	private takeNotice(server: string, { isLeaving, restMs, unreadableTime }: ServerNotice): void {
+		const { fleet, clock, log, metrics } = this.context;
+		const { service } = this.request.routing;
+		if (isLeaving) {
+			fleet.recordLeaving(server);
+			metrics.countServerNotice(service, 'leaving');
+		}
+		if (restMs !== undefined) {
+			fleet.recordRest(server, restMs, clock.now());
+			metrics.countServerNotice(service, 'rest');
+		}
+		if (unreadableTime !== undefined) {
+			metrics.countServerNotice(service, 'unreadable');
+		}
+		log.write('server-notice', {
+			id: this.request.fields.id,
+			server,
+			isLeaving,
+			restMs: round(restMs),
+			unreadableTime,
+		});
+	}
+
 	private passHead(head: BackendHead): void {
 		if (!this.answer.hasHead) {
 			this.status = head.status;
@@ -412,6 +450,8 @@
 			return undefined; // The caller left, which says nothing about the server.
 		}
 		switch (reason.error.kind) {
+			case 'withdrawn':
+				return undefined; // Nothing was sent.
 			case 'refused':
 			case 'fenced':
 				return 'refused';
@@ -439,7 +479,8 @@
 			return false;
 		}
 		const { retries, clock, metrics } = this.context;
-		if (failure.kind !== 'unreachable' && !retries.tryRetry(routing.service, clock.now())) {
+		const wasSent = failure.kind !== 'unreachable' && failure.kind !== 'withdrawn';
+		if (wasSent && !retries.tryRetry(routing.service, clock.now())) {
 			return false;
 		}
 		metrics.countRetry(routing.service);
@@ -564,6 +605,10 @@
 	return { decision: { ...decision, option }, reservation };
 }
 
+function withdrawn(server: string): BackendFailure {
+	return { kind: 'withdrawn', verdict: 'not-run', message: `backend server ${server} wants no requests` };
+}
+
 function notResumed(status: number): BackendFailure {
 	return { kind: 'broken', verdict: 'may-have-run', message: `answered the resumed stream with status ${status}` };
 }
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -17,6 +17,7 @@
 	serverOf,
 	startGateway,
 	stayQuiet,
+	withNotice,
 } from './gatewayFixture.js';
 
 const fixtures: GatewayFixture[] = [];
@@ -247,6 +248,59 @@
 	});
 });
 
+describe('notices of servers', () => {
+	const targetsOf = ({ attempts }: GatewayFixture): readonly string[] => attempts.map(({ target }) => target.id);
+
+	// A server that left without its registration saying so got requests until it was gone.
+	test('a server that says in an answer that it leaves gets no further request', async () => {
+		const leaving = withNotice({ isLeaving: true }, answerWith(200, 'done'));
+		const fixture = await start([leaving, answerWith(200, 'done')], orders, twoDesks);
+		for (let index = 0; index < 6; index++) {
+			expect((await send(fixture.port)).status).toBe(200);
+		}
+		const [first, ...others] = targetsOf(fixture);
+		expect(others).not.toContain(first);
+	});
+
+	test('a server that turns a request away for a while gets none of the following ones', async () => {
+		const refusal = failWith({ kind: 'refused', verdict: 'not-run' });
+		const fixture = await start([withNotice({ restMs: 60_000 }, refusal), answerWith(200, 'done')], orders, twoDesks);
+		for (let index = 0; index < 6; index++) {
+			expect((await send(fixture.port)).status).toBe(200);
+		}
+		const [first, ...others] = targetsOf(fixture);
+		expect(others).toHaveLength(6);
+		expect(others).not.toContain(first);
+	});
+
+	// Callers were asked to return after half a second, when no server would take them.
+	test('when no server takes requests callers learn at once when the first one will', async () => {
+		const refusal = failWith({ kind: 'refused', verdict: 'not-run' });
+		const desk = [serverOf('desk', 'desk-1')];
+		const fixture = await start([withNotice({ restMs: 1_500 }, refusal)], orders, desk);
+		const sentAt = performance.now();
+		const answers = [
+			await send(fixture.port, { headers: { deadline: '9000' } }),
+			await send(fixture.port, { headers: { deadline: '9000' } }),
+		];
+		expect(performance.now() - sentAt).toBeLessThan(1_000);
+		for (const { status, headers } of answers) {
+			expect(status).toBe(503);
+			expect(Number(headers['retry-after'])).toBeGreaterThan(0.9);
+		}
+		expect(fixture.attempts).toHaveLength(1);
+	});
+
+	test('a time that cannot be read is logged and changes nothing', async () => {
+		const unreadable = withNotice({ unreadableTime: 'soon' }, answerWith(200, 'done'));
+		const fixture = await start([unreadable], orders, [serverOf('desk', 'desk-1')]);
+		expect((await send(fixture.port)).status).toBe(200);
+		expect((await send(fixture.port)).status).toBe(200);
+		const [line] = fixture.lines.filter(({ event }) => event === 'server-notice');
+		expect(line?.fields).toMatchObject({ server: 'desk-1', unreadableTime: 'soon' });
+	});
+});
+
 describe('shutdown', () => {
 	test('a request in progress is answered, and its connection is not used again', async () => {
 		const slow: Behaviour = (sink, request, target) =>
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -6,6 +6,7 @@
 	BackendTarget,
 	IAttemptSink,
 	IBackendClient,
+	ServerNotice,
 } from '../../backends/common/backendClient.js';
 import { CrashSuspects } from '../../backends/common/crashSuspects.js';
 import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
@@ -282,6 +283,19 @@
 		);
 }
 
+/**
+ * @param notice of the server
+ * @param next what the server does besides
+ * @returns a behaviour with a notice in the head of its answer
+ */
+export function withNotice(notice: Partial<ServerNotice>, next: Behaviour): Behaviour {
+	return (sink, request, target) =>
+		Effect.andThen(
+			Effect.sync(() => sink.notice?.({ isLeaving: false, restMs: undefined, unreadableTime: undefined, ...notice })),
+			next(sink, request, target),
+		);
+}
+
 /** @returns a behaviour that takes the request and never answers */
 export function stayQuiet(): Behaviour {
 	return (sink) =>
--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -4,6 +4,7 @@
 
 const MISDIRECTED = 421;
 const UNAVAILABLE = 503;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Size and pace of an engine or plain server. */
 export interface EngineShape {
@@ -35,7 +36,30 @@
 	readonly fail?: number;
 }
 
+/** What an engine says of itself in its answers. */
+export interface EngineNotices {
+	/** Says in each answer that it leaves. */
+	readonly leaving?: boolean;
+	/** Part of the requests that it turns away. */
+	readonly turnAway?: number;
+	/** Seconds for which it wants no requests of a router whose request it has turned away. */
+	readonly restSeconds?: number;
+}
+
+/** A request that arrived, and what the engine said of itself in its answer. */
+export interface EngineArrival {
+	readonly requestId: string;
+	readonly incarnation: number;
+	/** Monotonic milliseconds. */
+	readonly at: number;
+	/** Monotonic milliseconds of an answer that said that the engine leaves. */
+	saidLeavingAt: number | undefined;
+	/** Monotonic milliseconds until which the engine wanted no requests, by an answer at {@link at}. */
+	restUntil: number | undefined;
+}
+
 interface Waiting {
+	readonly arrival: EngineArrival;
 	readonly request: http.IncomingMessage;
 	readonly response: http.ServerResponse;
 	readonly path: string;
@@ -44,12 +68,15 @@
 /** Stand-in for a model engine or plain server of the users' platform. It reads prompts in the order of their arrival. */
 export class PromptEngine {
 	public readonly runs: EngineRun[] = [];
+	public readonly arrivals: EngineArrival[] = [];
 	private readonly held = new Set<string>();
 	private readonly listener = BackendListener.create((request, _body, response) => this.receive(request, response));
 	private readonly waiting: Waiting[] = [];
 	private running = 0;
 	private readUntil = 0;
 	private faults: EngineFaults = {};
+	private notices: EngineNotices = {};
+	private incarnation = 1;
 
 	private constructor(
 		public readonly shape: EngineShape,
@@ -75,6 +102,17 @@
 		this.faults = faults;
 	}
 
+	/** Begins another incarnation, which has said nothing. */
+	public replace(): void {
+		this.incarnation++;
+		this.notices = {};
+	}
+
+	/** @param notices what the engine says of itself from now on */
+	public setNotices(notices: EngineNotices): void {
+		this.notices = notices;
+	}
+
 	/**
 	 * Resets all connections and refuses new ones for a while; what was read is forgotten.
 	 *
@@ -97,16 +135,32 @@
 			sendJson(response, 200, {}, { 'X-Instance-Id': this.shape.id });
 			return;
 		}
+		const requestId = headerOf(request, 'x-request-id') ?? '';
+		const arrival: EngineArrival = {
+			requestId,
+			incarnation: this.incarnation,
+			at: performance.now(),
+			saidLeavingAt: undefined,
+			restUntil: undefined,
+		};
 		const target = headerOf(request, 'x-target-instance');
 		if (target !== undefined && target !== this.shape.id) {
 			sendJson(response, MISDIRECTED, {}, { 'X-Instance-Id': this.shape.id });
 			return;
 		}
+		this.arrivals.push(arrival);
 		if (this.waiting.length >= this.shape.slots) {
 			sendJson(response, UNAVAILABLE, {}, { 'X-Not-Executed': '1' });
 			return;
 		}
-		this.waiting.push({ request, response, path: request.url ?? '/' });
+		const { turnAway = 0, restSeconds = 0 } = this.notices;
+		if (turnAway > 0 && this.random() < turnAway) {
+			arrival.restUntil = performance.now() + restSeconds * MILLISECONDS_PER_SECOND;
+			const notices = { 'Retry-After': String(restSeconds), ...this.leavingHeader(arrival) };
+			sendJson(response, UNAVAILABLE, {}, { 'X-Not-Executed': '1', 'X-Request-Id': requestId, ...notices });
+			return;
+		}
+		this.waiting.push({ arrival, request, response, path: request.url ?? '/' });
 		this.startNext();
 	}
 
@@ -122,7 +176,15 @@
 		}
 	}
 
-	private run({ request, response, path }: Waiting): void {
+	private leavingHeader(arrival: EngineArrival): http.OutgoingHttpHeaders {
+		if (this.notices.leaving !== true) {
+			return {};
+		}
+		arrival.saidLeavingAt = performance.now();
+		return { 'Server-Leaving': '1' };
+	}
+
+	private run({ arrival, request, response, path }: Waiting): void {
 		const requestId = headerOf(request, 'x-request-id') ?? '';
 		const firstEvent = Number(headerOf(request, 'last-event-id') ?? '0') + 1;
 		const run: EngineRun = { requestId, path, firstEvent, account: headerOf(request, 'x-tenant'), end: 'running' };
@@ -140,13 +202,17 @@
 			request.socket.resetAndDestroy();
 			return;
 		}
-		const headers = { 'X-Request-Id': requestId, 'X-Signature': signatureOf(requestId, path) };
+		const headers = (): http.OutgoingHttpHeaders => ({
+			'X-Request-Id': requestId,
+			'X-Signature': signatureOf(requestId, path),
+			...this.leavingHeader(arrival),
+		});
 		if (this.random() < (this.faults.fail ?? 0)) {
-			sendJson(response, 500, {}, headers);
+			sendJson(response, 500, {}, headers());
 			return;
 		}
 		if (this.shape.tokensPerMs === undefined) {
-			setTimeout(() => sendJson(response, 200, { path }, headers), this.shape.stepMs);
+			setTimeout(() => sendJson(response, 200, { path }, headers()), this.shape.stepMs);
 			return;
 		}
 		this.stream(request, response, headers, firstEvent);
@@ -155,7 +221,7 @@
 	private stream(
 		request: http.IncomingMessage,
 		response: http.ServerResponse,
-		headers: http.OutgoingHttpHeaders,
+		headers: () => http.OutgoingHttpHeaders,
 		firstEvent: number,
 	): void {
 		const [promptTokens = 0, outputTokens = 1] = (headerOf(request, 'x-token-usage') ?? '').split(',').map(Number);
@@ -169,7 +235,7 @@
 				return;
 			}
 			if (!response.headersSent) {
-				response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+				response.writeHead(200, { ...headers(), 'content-type': 'text/event-stream' });
 			}
 			response.write(`id: ${event}\ndata: event ${event} of ${events}\n\n`);
 			event++;
--- a/standins/usersPlatform/usersPlatform.ts
+++ b/standins/usersPlatform/usersPlatform.ts
@@ -33,6 +33,9 @@
 /** Name of a kind of request. */
 export type RequestKind = keyof typeof ROUTES;
 
+/** Unix milliseconds at which the servers started. */
+const FIRST_START = 1_700_000_000_000;
+
 /** Numbers of servers. */
 export interface PlatformSize {
 	readonly engines: number;
@@ -41,7 +44,10 @@
 
 /** Stand-in for the users' platform: the store, its operator, model engines and plain servers. */
 export class UsersPlatform implements IDisposable {
-	private readonly registrations = new Map<string, { readonly engine: PromptEngine; address: string; state: string }>();
+	private readonly registrations = new Map<
+		string,
+		{ readonly engine: PromptEngine; address: string; state: string; startedAt: number }
+	>();
 	private readonly heartbeat = setInterval(() => this.register(), HEARTBEAT_MS);
 	private version = 0;
 	private extraRoutes: readonly object[] = [];
@@ -68,7 +74,8 @@
 					? { id: `engine-${index}`, slots: 32, tokensPerMs: 60, stepMs: 20, tokensPerEvent: 5 }
 					: { id: `plain-${index}`, slots: 6, tokensPerMs: undefined, stepMs: 15, tokensPerEvent: 1 };
 			const engine = PromptEngine.create(shape, random);
-			platform.registrations.set(shape.id, { engine, address: new URL(await engine.listen()).host, state: 'ready' });
+			const address = new URL(await engine.listen()).host;
+			platform.registrations.set(shape.id, { engine, address, state: 'ready', startedAt: FIRST_START });
 		}
 		platform.register();
 		platform.configure();
@@ -146,6 +153,20 @@
 		}
 	}
 
+	/**
+	 * Lets another incarnation of a server register in place of the present one.
+	 *
+	 * @param id of the server
+	 */
+	public replace(id: string): void {
+		const entry = this.registrations.get(id);
+		if (entry !== undefined) {
+			entry.engine.replace();
+			entry.startedAt++;
+			this.register();
+		}
+	}
+
 	/** @returns all runs of all servers */
 	public runs(): readonly PromptEngine['runs'][number][] {
 		return this.engines.flatMap(({ runs }) => runs);
@@ -160,7 +181,7 @@
 	private register(): void {
 		this.sequence++;
 		let index = 0;
-		for (const [id, { engine, address, state }] of this.registrations) {
+		for (const [id, { engine, address, state, startedAt }] of this.registrations) {
 			const registration = {
 				service: engine.shape.tokensPerMs === undefined ? PLAIN_SERVICE : MODEL_SERVICE,
 				address,
@@ -169,7 +190,7 @@
 				slots: engine.shape.slots,
 				state,
 				seq: this.sequence,
-				born: 1_700_000_000_000,
+				born: startedAt,
 			};
 			this.store.put(`servers/${id}`, state === 'gone' ? undefined : registration);
 		}
--- a/tools/platformFleet/caller.ts
+++ b/tools/platformFleet/caller.ts
@@ -21,6 +21,8 @@
 
 /** One request. */
 export interface CallOptions {
+	/** Identifier of the request; a random one by default. */
+	readonly id?: string;
 	readonly kind: RequestKind;
 	readonly account: string;
 	/** IP address and port of a router. */
@@ -49,7 +51,7 @@
  * @returns how it ended; never fails
  */
 export function callRouter(options: CallOptions): Promise<CallResult> {
-	const id = randomBytes(8).toString('hex');
+	const id = options.id ?? randomBytes(8).toString('hex');
 	const path = options.path ?? `${ROUTES[options.kind].prefix}${options.document ?? 0}`;
 	const isStream = ROUTES[options.kind].type === 'streaming';
 	const outputTokens = options.outputTokens ?? OUTPUT_TOKENS;
--- a/tools/platformFleet/platformFleet.ts
+++ b/tools/platformFleet/platformFleet.ts
@@ -127,17 +127,25 @@
 		return Number(value);
 	}
 
+	/**
+	 * @param router a running router
+	 * @param name of a metric with labels
+	 * @param label part of the labels of the values that count; all by default
+	 * @returns sum of the values since the router's start
+	 */
+	public async metricSum({ host }: PlatformRouterProcess, name: string, label = ''): Promise<number> {
+		const { text } = await getText(host, '/metrics');
+		const values = text.matchAll(new RegExp(`^${name}\\{.*${label}.*\\} (.+)$`, 'gm'));
+		return [...values].reduce((sum, [, value]) => sum + Number(value), 0);
+	}
+
 	/**
 	 * @param router a running router
 	 * @param reason for which it refused requests, as its metrics name it
 	 * @returns number of these requests since its start
 	 */
-	public async countedRefusals({ host }: PlatformRouterProcess, reason: string): Promise<number> {
-		const { text } = await getText(host, '/metrics');
-		const counts = text.matchAll(
-			new RegExp(`^masticloom_gateway_requests_total\\{.*reason="${reason}".*\\} (.+)$`, 'gm'),
-		);
-		return [...counts].reduce((sum, [, count]) => sum + Number(count), 0);
+	public countedRefusals(router: PlatformRouterProcess, reason: string): Promise<number> {
+		return this.metricSum(router, 'masticloom_gateway_requests_total', `reason="${reason}"`);
 	}
 
 	private hostOf(index: number): string {
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -1,7 +1,9 @@
+import { randomBytes } from 'node:crypto';
 import * as http from 'node:http';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { Relay } from '../../standins/relay/relay.js';
+import { judgeNotices, type SentRequest } from '../../standins/usersPlatform/noticeJudge.js';
 import { ACCOUNTS, type RequestKind, ROUTES, UsersPlatform } from '../../standins/usersPlatform/usersPlatform.js';
 import { ProcessGroup, sleep, until } from '../fleet/processes.js';
 import { callRouter, type CallResult } from '../platformFleet/caller.js';
@@ -19,6 +21,13 @@
 /** All routers serve again within this time after the last fault. */
 const RECOVERY_LIMIT_MS = 12_000;
 
+/** Time in which routers stop using a server that says that it leaves. */
+const DRAIN_MS = 2_000;
+
+/** Part of the requests that a server turns away, and the longest time for which it wants no others then. */
+const TURNED_AWAY = 0.3;
+const LONGEST_REST_SECONDS = 3;
+
 /** What a run found. */
 export interface SoakResult {
 	readonly seed: number;
@@ -74,6 +83,8 @@
 
 class SoakRun {
 	private readonly results: Promise<CallResult>[] = [];
+	private readonly sent = new Map<string, SentRequest>();
+	private readonly interruptions: { readonly router: string; readonly from: number; until: number }[] = [];
 	private readonly faults: string[] = [];
 	private readonly pending: Promise<void>[] = [];
 	private readonly down = new Set<string>();
@@ -100,7 +111,10 @@
 	public async finish(): Promise<Omit<SoakResult, 'seed'>> {
 		await Promise.all(this.pending);
 		this.platform.store.setFaults({ mode: 'up', delay_ms: 0, lose_answers: 0 });
-		this.platform.engines.forEach((engine) => engine.setFaults({}));
+		this.platform.engines.forEach((engine) => {
+			engine.setFaults({});
+			engine.setNotices({});
+		});
 		this.platform.configure();
 		const violations: string[] = [];
 		try {
@@ -109,7 +123,7 @@
 			violations.push(String(error));
 		}
 		const results = await Promise.all(this.results);
-		violations.push(...this.judge(results));
+		violations.push(...this.judge(results), ...(await this.judgeNotices()));
 		this.agents.forEach((agent) => agent.destroy());
 		const answered = results.filter(({ status, whole }) => status === 200 && whole).length;
 		return { calls: results.length, answered, faults: this.faults, violations };
@@ -119,8 +133,11 @@
 		const kinds = Object.keys(ROUTES) as readonly RequestKind[];
 		while (performance.now() < end) {
 			const router = this.pick(this.fleet.all);
+			const id = randomBytes(8).toString('hex');
+			this.sent.set(id, { router: router.name, at: performance.now() });
 			this.results.push(
 				callRouter({
+					id,
 					host: router.host,
 					port: router.port,
 					kind: this.pick(kinds),
@@ -139,13 +156,14 @@
 		const router = this.pick(this.fleet.all);
 		const engine = this.pick(this.platform.engines);
 		const choices: Readonly<Record<string, () => Promise<void>>> = {
-			kill: () => this.restart(router, 'SIGKILL'),
-			terminate: () => this.restart(router, 'SIGTERM'),
-			freeze: async () => {
-				router.program.process.kill('SIGSTOP');
-				await sleep(forMs);
-				router.program.process.kill('SIGCONT');
-			},
+			kill: () => this.interrupt(router, () => this.restart(router, 'SIGKILL')),
+			terminate: () => this.interrupt(router, () => this.restart(router, 'SIGTERM')),
+			freeze: () =>
+				this.interrupt(router, async () => {
+					router.program.process.kill('SIGSTOP');
+					await sleep(forMs);
+					router.program.process.kill('SIGCONT');
+				}),
 			'cut from the store': async () => {
 				this.cut.add(router.name);
 				this.applyCuts();
@@ -186,6 +204,16 @@
 				await sleep(forMs);
 				this.platform.setState(engine.shape.id, 'ready');
 			},
+			'server says that it leaves': async () => {
+				engine.setNotices({ leaving: true });
+				await sleep(DRAIN_MS + forMs);
+				this.platform.replace(engine.shape.id);
+			},
+			'server turns away': async () => {
+				engine.setNotices({ turnAway: TURNED_AWAY, restSeconds: 0.5 + this.random() * LONGEST_REST_SECONDS });
+				await sleep(forMs);
+				engine.setNotices({});
+			},
 			'configuration changes': () => {
 				this.platform.configure();
 				return Promise.resolve();
@@ -196,6 +224,14 @@
 		await choices[name]?.();
 	}
 
+	/** Notes for how long a router may forget or miss what servers have told it. */
+	private async interrupt(router: PlatformRouterProcess, fault: () => Promise<void>): Promise<void> {
+		const interruption = { router: router.name, from: performance.now(), until: Infinity };
+		this.interruptions.push(interruption);
+		await fault();
+		interruption.until = performance.now();
+	}
+
 	private applyCuts(): void {
 		const reaching = this.fleet.all.map(({ name }) => name).filter((name) => !this.cut.has(name));
 		this.relay.partition([['store', ...reaching], ...[...this.cut].map((name) => [name])]);
@@ -243,6 +279,26 @@
 		});
 	}
 
+	private async judgeNotices(): Promise<readonly string[]> {
+		// Servers cannot tell which router has sent what was handed over.
+		const handedOver = await Promise.all(
+			this.fleet.all.map((router) => this.fleet.metricSum(router, 'masticloom_gateway_handovers_total')),
+		);
+		if (handedOver.some((count) => count > 0)) {
+			this.faults.push('notices of servers not judged, since requests were handed over');
+			return [];
+		}
+		return this.platform.engines.flatMap(({ arrivals }) =>
+			judgeNotices({
+				arrivals,
+				drainMs: DRAIN_MS,
+				sentRequest: (requestId) => this.sent.get(requestId),
+				isExcused: (router, from, to) =>
+					this.interruptions.some((one) => one.router === router && one.from <= to && one.until >= from),
+			}),
+		);
+	}
+
 	private agentOf({ name }: PlatformRouterProcess): http.Agent {
 		let agent = this.agents.get(name);
 		if (agent === undefined) {
