Create runs where an unexpected error ends only their request

Cause: found in review. The change for handing over created the run in the callback of the body, outside the guard, so an error in it would have ended the process. Change: back inside the guard. No behaviour seen by callers differs.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -269,19 +269,18 @@
 				this.refuse(answer, fields, { status: 413, code: 'body-too-large' });
 				request.resume();
 			} else if (body !== 'incomplete') {
+				const parts = { fields, routing, body, arrivedAt: arrivedAt - (mark?.elapsedMs ?? 0) };
+				const begin = (): void => {
+					const elapsedBeforeMs = this.elapsed.elapsedMs(routing.route.name, fields.deadlineMs);
+					const accepted = acceptedRequest(request, table, { ...parts, elapsedBeforeMs });
+					const run =
+						decision === 'hand-over'
+							? HandoverRun.create({ ...this.context, ...this.handover }, accepted, answer)
+							: RequestRun.create(this.context, accepted, answer);
+					this.run(request, response, accepted, run);
+				};
 				// Under overload a request is often read after its caller has left.
-				const accepted = acceptedRequest(request, table, {
-					fields,
-					routing,
-					body,
-					arrivedAt: arrivedAt - (mark?.elapsedMs ?? 0),
-					elapsedBeforeMs: this.elapsed.elapsedMs(routing.route.name, fields.deadlineMs),
-				});
-				const run =
-					decision === 'hand-over'
-						? HandoverRun.create({ ...this.context, ...this.handover }, accepted, answer)
-						: RequestRun.create(this.context, accepted, answer);
-				afterNextPoll(() => this.guard(response, () => this.run(request, response, accepted, run)));
+				afterNextPoll(() => this.guard(response, begin));
 			}
 		});
 	}
