--- a/src/backends/common/retryAfter.ts
+++ b/src/backends/common/retryAfter.ts
@@ -3,7 +3,7 @@
 /** A server that asks for more is asked again after this time: its operators have replaced it, or the value is an error. */
 const LONGEST_MS = 600_000;
 
-const SECONDS = /^\d{1,12}(\.\d{1,12})?$/;
+const SECONDS = /^\d{1,12}(\.\d+)?$/;
 
 /** `Sun, 06 Nov 1994 08:49:37 GMT` (RFC 9110), the only form of a date that is sent today. */
 const DATE = /^[A-Z][a-z]{2}, \d{2} [A-Z][a-z]{2} \d{4} \d{2}:\d{2}:\d{2} GMT$/;
