Answer a handed-over request that an unexpected error ends

Cause: found in review. An error of the router's own while it hands a request over ended the fiber without an answer, so the caller waited until it gave up. Change: as in other runs, the request is ended with an answer that says whether it may have run.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -74,7 +74,7 @@
 	private constructor(
 		private readonly context: RunContext,
 		private readonly table: () => RouteTable | undefined,
-		private readonly handover: Pick<HandoverContext, 'client' | 'neighbours'>,
+		private readonly handover: HandoverContext,
 		private readonly maximumConnections: number,
 		balancerDelayMs: number,
 	) {
@@ -119,7 +119,7 @@
 		maximumConnections = Infinity,
 		balancerDelayMs = DEFAULT_BALANCER_DELAY_MS,
 	): GatewayServer {
-		return new GatewayServer(context, table, handover, maximumConnections, balancerDelayMs);
+		return new GatewayServer(context, table, { ...context, ...handover }, maximumConnections, balancerDelayMs);
 	}
 
 	/** Open connections of callers. */
@@ -275,7 +275,7 @@
 					const accepted = acceptedRequest(request, table, { ...parts, elapsedBeforeMs });
 					const run =
 						decision === 'hand-over'
-							? HandoverRun.create({ ...this.context, ...this.handover }, accepted, answer)
+							? HandoverRun.create(this.handover, accepted, answer)
 							: RequestRun.create(this.context, accepted, answer);
 					this.run(request, response, accepted, run);
 				};
--- a/src/gateway/node/handoverRun.ts
+++ b/src/gateway/node/handoverRun.ts
@@ -66,6 +66,7 @@
 		const { routing, fields, arrivedAt } = this.request;
 		const limitMs = Math.min(fields.deadlineMs ?? Infinity, routing.route.timeoutMs) + ANSWER_MARGIN_MS;
 		return this.askRouters().pipe(
+			Effect.catchDefect((defect) => Effect.sync(() => this.endUnexpectedly(defect))),
 			Effect.timeoutOption(limitMs - (this.context.clock.now() - arrivedAt)),
 			Effect.map((result) => {
 				if (result._tag === 'None') {
@@ -80,6 +81,15 @@
 		this.sendUnfinished('shutting-down', BAD_GATEWAY);
 	}
 
+	/** An error of the router's own ends the request that it belongs to. */
+	private endUnexpectedly(defect: unknown): void {
+		this.context.log.write('request-failed-unexpectedly', {
+			id: this.request.fields.id,
+			reason: defect instanceof Error ? defect.stack : String(defect),
+		});
+		this.sendUnfinished('internal-error', BAD_GATEWAY);
+	}
+
 	private askRouters(): Effect.Effect<void> {
 		const self = this;
 		const { neighbours, clock } = this.context;
--- a/src/gateway/test/handover.test.ts
+++ b/src/gateway/test/handover.test.ts
@@ -173,6 +173,14 @@
 		expect((await answer).body).toContain('"verdict":"may-have-run"');
 	});
 
+	// The caller would have waited until it gave up.
+	test('answers a request that an unexpected error ends', async () => {
+		const address = { host: 'no address', port: 80 };
+		const router = await startExhausted([{ instance: 'router-2', isRelieved: false, address }]);
+		expect((await send(router.port)).status).toBe(503);
+		expect(router.lines.map(({ event }) => event)).toContain('request-failed-unexpectedly');
+	});
+
 	test('passes on the end of a request whose time is over', async () => {
 		const { router } = await startPair(stayQuiet(), configurationWith([routeWith({ timeoutMs: 300 })]));
 		expect(await send(router.port, { headers: { deadline: '250' } })).toMatchObject({ status: 504 });
