Take back the division of what is left idle

With the flooding account got nothing for 4 s, and then 4.4 million tokens in one second: its window had passed, and all routers admitted it before they heard of each other. Ruled out: that the requests of the other account were refused by its router. Mending it needs a bound on what all routers admit within the age of what they know of each other.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -47,12 +47,6 @@
 /** Part of its fair share from which an account gets only what would be left idle. */
 const SPARE_ONLY_SHARE = 1.15;
 
-/**
- * Accounts beyond their share divide what would be left idle: one gets of it only while it has had at most this many times
- * what the least served of them has had that asks for more.
- */
-const SPARE_TOLERANCE = 1.25;
-
 /**
  * Load of an engine up to which it takes requests of accounts that have had their share. Each token of a stream takes as
  * long as the prompt chunk that is read with it, so streams end within their deadline only on engines that read prompts
@@ -105,12 +99,7 @@
 		const returnMs = firstUsableMs(inputs) + inputs.spread * RETURN_SPREAD_MS;
 		return { kind: 'refuse', reason: 'no-server', retryAfterMs: clampReturn(returnMs, inputs), limitMs: 0 };
 	}
-	const { usedShare, leastBeyondShare } = inputs.standing;
-	const overShare = usedShare >= SPARE_ONLY_SHARE;
-	if (overShare && usedShare > leastBeyondShare * SPARE_TOLERANCE) {
-		const retryAfterMs = clampReturn(inputs.aimMs * RETURN_OF_AIM, inputs);
-		return { kind: 'refuse', reason: 'over-share', retryAfterMs, limitMs: 0 };
-	}
+	const overShare = inputs.standing.usedShare >= SPARE_ONLY_SHARE;
 	const terms: PlacementTerms = overShare
 		? { limitMs: SPARE_WAIT_MS, maximumLoad: SPARE_LOAD, maximumRereadTokens: SPARE_REREAD_TOKENS }
 		: { limitMs: waitLimitMs(inputs, best.readMs), maximumLoad: 1, maximumRereadTokens: Infinity };
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -301,9 +301,6 @@
 			expectedTokens: fields.expectedOutputTokens,
 			deadlineMs: fields.deadlineMs,
 			usedShare: Number(standing.usedShare.toFixed(2)),
-			leastBeyondShare: Number.isFinite(standing.leastBeyondShare)
-				? Number(standing.leastBeyondShare.toFixed(2))
-				: undefined,
 			servers: options.length,
 			retryAfterMs: decision.kind === 'refuse' ? round(decision.retryAfterMs) : undefined,
 			plain: engine === undefined ? true : undefined,
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -28,11 +28,6 @@
 	/** Cost units that an account may use within the window; infinite when all demands fit. */
 	readonly level: number;
 	readonly admitted: number;
-	/**
-	 * Least work admitted for any account that has had its fair share and asks for more, relative to that share; infinite
-	 * when there is none.
-	 */
-	readonly leastBeyondShare: number;
 }
 
 /** Usage of a peer that was not heard of for longer is not counted. */
@@ -41,9 +36,6 @@
 /** Name of the sum over all failure domains, which no domain has. */
 const WHOLE_FLEET = '';
 
-/** An account asks for more than it gets when so much more of its work arrived than was admitted. */
-const UNSATISFIED_RATIO = 1.1;
-
 /** The level is computed again after this time. */
 const LEVEL_VALID_MS = 50;
 
@@ -62,7 +54,6 @@
 	private ownTold: ReadonlyMap<number, AccountUsage> = new Map();
 	private levelComputedAt = -Infinity;
 	private level = Infinity;
-	private leastBeyondShare = Infinity;
 
 	private constructor(
 		private readonly windowMs: number,
@@ -210,8 +201,7 @@
 		for (const { accounts } of [...this.valid(this.peers, now), ...this.valid(this.sums, now)]) {
 			admitted += accounts.get(account)?.admitted ?? 0;
 		}
-		const { level, leastBeyondShare } = this;
-		return { usedShare: level === Infinity ? 0 : admitted / level, level, admitted, leastBeyondShare };
+		return { usedShare: this.level === Infinity ? 0 : admitted / this.level, level: this.level, admitted };
 	}
 
 	private refreshLevel(now: number): void {
@@ -220,13 +210,12 @@
 		}
 		this.levelComputedAt = now;
 		const capacity = this.capacityPerWindow();
-		const usage = capacity === undefined ? [] : this.summedUsage('fleet', now);
-		const demands = usage.map(({ offered }) => offered);
-		this.level = capacity === undefined ? Infinity : fairLevel(demands, capacity);
-		const beyondShare = usage
-			.filter(({ offered, admitted }) => admitted >= this.level && offered > admitted * UNSATISFIED_RATIO)
-			.map(({ admitted }) => admitted / this.level);
-		this.leastBeyondShare = Math.min(Infinity, ...beyondShare);
+		if (capacity === undefined) {
+			this.level = Infinity;
+			return;
+		}
+		const demands = this.summedUsage('fleet', now).map(({ offered }) => offered);
+		this.level = fairLevel(demands, capacity);
 	}
 
 	private valid(usages: ReadonlyMap<string, PeerUsage>, now: number): readonly PeerUsage[] {
