Filter headers, refuse and set up tests in one place each

The time after which a refused caller returns elsewhere stood twice. Behaviour is the same: no bound, literal or assertion differs.

--- a/src/admission/test/admission.test.ts
+++ b/src/admission/test/admission.test.ts
@@ -1,23 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import type { EngineOption } from '../../engines/common/engineChoice.js';
 import { type AdmissionInputs, decideAdmission } from '../common/admission.js';
-import { engineWith } from '../../engines/test/engineFixture.js';
-
-function optionWith(overrides: Partial<EngineOption> = {}): EngineOption {
-	return {
-		server: engineWith('engine-1'),
-		waitMs: 0,
-		delayMs: 0,
-		readMs: 50,
-		workMs: 50,
-		rereadTokens: 0,
-		inProgress: 5,
-		load: 0.3,
-		cost: 0,
-		health: { usable: true, failureRate: 0, unusableMs: 0 },
-		...overrides,
-	};
-}
+import { optionWith } from '../../engines/test/engineFixture.js';
 
 function inputsWith(overrides: Partial<AdmissionInputs> = {}): AdmissionInputs {
 	return {
--- a/src/admission/test/spareCapacity.test.ts
+++ b/src/admission/test/spareCapacity.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { engineWith } from '../../engines/test/engineFixture.js';
+import { optionWith } from '../../engines/test/engineFixture.js';
 import { FleetShares } from '../../shares/common/fleetShares.js';
 import { decideAdmission } from '../common/admission.js';
 
@@ -45,20 +45,7 @@
 		const standing = shares.standing(account.key, at);
 		const hasSpare = spare >= account.tokens;
 		const decision = decideAdmission({
-			options: [
-				{
-					server: engineWith('engine-1'),
-					waitMs: 0,
-					delayMs: 0,
-					readMs: 50,
-					workMs: 50,
-					rereadTokens: 0,
-					inProgress: 5,
-					load: hasSpare ? 0.3 : 0.9,
-					cost: 0,
-					health: { usable: true, failureRate: 0, unusableMs: 0 },
-				},
-			],
+			options: [optionWith({ load: hasSpare ? 0.3 : 0.9 })],
 			declinedBy: new Set(),
 			standing,
 			aimMs: 500,
--- a/src/base/common/headerFields.ts
+++ b/src/base/common/headerFields.ts
@@ -39,9 +39,29 @@
  * @param headers of a request
  * @returns names that its header `connection` ties to the connection
  */
-export function connectionTokens({ connection }: HeaderFields): ReadonlySet<string> {
+function connectionTokens({ connection }: HeaderFields): ReadonlySet<string> {
 	if (typeof connection !== 'string' || connection === 'keep-alive' || connection === 'close') {
 		return NO_NAMES;
 	}
 	return new Set(connection.split(',').map((token) => token.trim().toLowerCase()));
 }
+
+/**
+ * @param headers of a request
+ * @param isDropped tells whether a header is not passed on
+ * @returns the other headers, without those that the request ties to its connection
+ */
+export function passedHeaders(
+	headers: HeaderFields,
+	isDropped: (name: string) => boolean,
+): Record<string, string | readonly string[]> {
+	const passed: Record<string, string | readonly string[]> = {};
+	const connectionNames = connectionTokens(headers);
+	for (const name in headers) {
+		const value = headers[name];
+		if (value !== undefined && !isDropped(name) && !connectionNames.has(name)) {
+			passed[name] = value;
+		}
+	}
+	return passed;
+}
--- a/src/callers/common/forwardedHeaders.ts
+++ b/src/callers/common/forwardedHeaders.ts
@@ -1,4 +1,4 @@
-import { connectionTokens, type HeaderFields, REQUEST_HEADERS_NOT_FORWARDED } from '../../base/common/headerFields.js';
+import { type HeaderFields, passedHeaders, REQUEST_HEADERS_NOT_FORWARDED } from '../../base/common/headerFields.js';
 
 const DROPPED: ReadonlySet<string> = new Set(REQUEST_HEADERS_NOT_FORWARDED);
 
@@ -15,15 +15,7 @@
 	requestId: string,
 	isModelEngine: boolean,
 ): Record<string, string | readonly string[]> {
-	const forwarded: Record<string, string | readonly string[]> = {};
-	const listed = connectionTokens(headers);
-	for (const name in headers) {
-		const value = headers[name];
-		if (value === undefined || DROPPED.has(name) || name.startsWith(OWN_PREFIX) || listed.has(name)) {
-			continue;
-		}
-		forwarded[name] = value;
-	}
+	const forwarded = passedHeaders(headers, (name) => DROPPED.has(name) || name.startsWith(OWN_PREFIX));
 	if (isModelEngine) {
 		delete forwarded['accept-encoding'];
 	}
--- a/src/engines/test/engineFixture.ts
+++ b/src/engines/test/engineFixture.ts
@@ -1,4 +1,5 @@
 import type { RegisteredServer } from '../common/directory.js';
+import type { EngineOption } from '../common/engineChoice.js';
 
 /** Service of the engines that {@link engineWith} registers. */
 export const SERVICE = 'drafts';
@@ -20,3 +21,23 @@
 		...overrides,
 	};
 }
+
+/**
+ * @param overrides fields that differ
+ * @returns an engine that could take a prompt at once
+ */
+export function optionWith(overrides: Partial<EngineOption> = {}): EngineOption {
+	return {
+		server: engineWith('engine-1'),
+		waitMs: 0,
+		delayMs: 0,
+		readMs: 50,
+		workMs: 50,
+		rereadTokens: 0,
+		inProgress: 5,
+		load: 0.3,
+		cost: 0,
+		health: { usable: true, failureRate: 0, unusableMs: 0 },
+		...overrides,
+	};
+}
--- a/src/gateway/common/rotationRelief.ts
+++ b/src/gateway/common/rotationRelief.ts
@@ -7,8 +7,8 @@
 /** Part of the routers of a failure domain that may be out of the rotation for relief, with this one. */
 const LARGEST_RELIEVED_PART = 0.25;
 
-/** Returns of refused callers that go to another router at once. */
-const RETURN_MS = 50;
+/** Time after which a refused caller may return that the balancer sends to another router. */
+export const RETURN_MS = 50;
 
 /** Time over which the returns of refused callers are spread, so that they do not meet the next router together. */
 const RETURN_SPREAD_MS = 400;
--- a/src/gateway/node/handoverRun.ts
+++ b/src/gateway/node/handoverRun.ts
@@ -1,13 +1,14 @@
 import { Effect } from 'effect';
 import type { BackendFailure, IAttemptSink, IBackendClient } from '../../backends/common/backendClient.js';
 import type { IClock } from '../../base/common/clock.js';
-import { CONNECTION_HEADERS, connectionTokens, HANDED_OVER_HEADER } from '../../base/common/headerFields.js';
+import { CONNECTION_HEADERS, HANDED_OVER_HEADER, passedHeaders } from '../../base/common/headerFields.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { formatAddress } from '../../settings/common/settings.js';
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
 import { encodeHandoverMark } from '../common/handoverMark.js';
 import type { Neighbour, Neighbours } from '../common/neighbours.js';
+import { RETURN_MS } from '../common/rotationRelief.js';
 import type { GatewayAnswer } from './gatewayAnswer.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { IGatewayRun } from './gatewayRun.js';
@@ -28,9 +29,6 @@
 /** Time for the answer of a router that ends a request at its limit to arrive. */
 const ANSWER_MARGIN_MS = 100;
 
-/** Time after which a caller may return that no router had room for. */
-const OVERLOADED_RETRY_MS = 50;
-
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
@@ -160,7 +158,7 @@
 		if (!this.answer.hasHead) {
 			this.status = status;
 		}
-		this.answer.sendOwn({ status, code, verdict, retryAfterMs: notRun ? OVERLOADED_RETRY_MS : undefined });
+		this.answer.sendOwn({ status, code, verdict, retryAfterMs: notRun ? RETURN_MS : undefined });
 	}
 
 	private finish(isInterrupted: boolean): void {
@@ -185,14 +183,7 @@
 	{ headers, configurationVersion }: AcceptedRequest,
 	elapsedMs: number,
 ): Record<string, string | readonly string[]> {
-	const passed: Record<string, string | readonly string[]> = {};
-	const connectionNames = connectionTokens(headers);
-	for (const name in headers) {
-		const value = headers[name];
-		if (value !== undefined && !NOT_HANDED_OVER.has(name) && !connectionNames.has(name)) {
-			passed[name] = value;
-		}
-	}
+	const passed = passedHeaders(headers, (name) => NOT_HANDED_OVER.has(name));
 	passed[HANDED_OVER_HEADER] = encodeHandoverMark({ elapsedMs, configurationVersion });
 	return passed;
 }
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -8,6 +8,7 @@
 	breakAfter,
 	type Behaviour,
 	configurationWith,
+	exhaustProcessor,
 	failWith,
 	type FixtureAnswer,
 	type GatewayFixture,
@@ -336,18 +337,11 @@
 	}
 }
 
-/** Blocks the event loop, as a processor does that is exhausted. */
-function exhaust(milliseconds: number): void {
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
-}
-
 describe('an overloaded router', () => {
 	// Whose requests an exhausted router had refused could not be told from its log.
 	test('names the account and the service of a request that it refuses', async () => {
 		const fixture = await start([answerWith(200, 'done')], orders);
-		exhaust(400);
-		// The guard learns of the lateness at its next timer.
-		await new Promise((resolve) => setTimeout(resolve, 60));
+		await exhaustProcessor();
 		const answers = await Promise.all(Array.from({ length: 10 }, () => send(fixture.port)));
 		expect(answers.map(({ status }) => status)).toContain(503);
 		const refused = fixture.lines.find(({ event }) => event === 'refused');
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -256,6 +256,13 @@
 	});
 }
 
+/** Blocks the event loop, as a processor does that is exhausted, until the guards of this process have noticed. */
+export async function exhaustProcessor(): Promise<void> {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 400);
+	// A guard learns of the lateness at its next timer.
+	await new Promise((resolve) => setTimeout(resolve, 60));
+}
+
 /** @returns a behaviour that answers with a whole body */
 export function answerWith(status: number, body: string): Behaviour {
 	return (sink) =>
--- a/src/gateway/test/handover.test.ts
+++ b/src/gateway/test/handover.test.ts
@@ -8,6 +8,7 @@
 	type Behaviour,
 	breakAfter,
 	configurationWith,
+	exhaustProcessor,
 	failWith,
 	type GatewayFixture,
 	HOST,
@@ -46,9 +47,7 @@
  */
 async function startExhausted(neighbours: readonly Neighbour[]): Promise<GatewayFixture> {
 	const router = await startRouter(answerWith(200, 'from itself'), neighbours);
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 400);
-	// The guard learns of the lateness at its next timer.
-	await new Promise((resolve) => setTimeout(resolve, 60));
+	await exhaustProcessor();
 	return router;
 }
 
