--- a/src/cli/node/commandLine.ts
+++ b/src/cli/node/commandLine.ts
@@ -9,6 +9,7 @@
 import { dump } from './dumpCommand.js';
 import { EXIT_FAILED, EXIT_OK, EXIT_USAGE, type Output, UsageError } from './exitCodes.js';
 import { explain } from './explainCommand.js';
+import { fairness } from './fairnessCommand.js';
 import type { RouterSource } from './fleetStatus.js';
 import { status } from './statusCommand.js';
 import { trace } from './traceCommand.js';
@@ -106,6 +107,12 @@
 		.action((request: string, file: string, values: Values & { readonly _?: readonly string[] }) =>
 			trace(request, [file, ...(values._ ?? [])], output),
 		);
+	program
+		.command('fairness <file>', 'Compare what accounts that waited got with the best served one, from saved logs.')
+		.example('fairness edge-1.log edge-2.log')
+		.action((file: string, values: Values & { readonly _?: readonly string[] }) =>
+			fairness([file, ...(values._ ?? [])], output),
+		);
 	defineRouterCommands(program, output);
 	return program;
 }
--- a/src/cli/node/traceCommand.ts
+++ b/src/cli/node/traceCommand.ts
@@ -1,6 +1,5 @@
-import { createReadStream } from 'node:fs';
-import { createInterface } from 'node:readline';
 import { EXIT_FAILED, EXIT_OK, type Output } from './exitCodes.js';
+import { type LogLine, readLogLines } from './logLines.js';
 
 /** Fields that are not repeated behind the time and the event. */
 const LEADING_FIELDS = new Set(['time', 'router', 'event', 'id', 'lines']);
@@ -8,16 +7,6 @@
 /** Events of what a router believes; those that concern the request's servers are shown with it. */
 const SERVER_EVENTS = new Set(['server-changed']);
 
-/** Decoded line of a router's log. */
-interface LogLine {
-	readonly time: string;
-	readonly router: string;
-	readonly event: string;
-	readonly id?: string;
-	readonly server?: string;
-	readonly [field: string]: unknown;
-}
-
 /**
  * Prints what routers decided on one request, in the order of time, from their saved logs, with the changes of the
  * servers that it met.
@@ -31,14 +20,11 @@
 export async function trace(id: string, files: readonly string[], output: Output): Promise<number> {
 	const found: LogLine[] = [];
 	const serverChanges: LogLine[] = [];
-	for (const file of files) {
-		for await (const text of createInterface({ input: createReadStream(file) })) {
-			const line = parseLine(text);
-			if (line?.id === id) {
-				found.push(line);
-			} else if (line !== undefined && SERVER_EVENTS.has(line.event)) {
-				serverChanges.push(line);
-			}
+	for await (const line of readLogLines(files)) {
+		if (line.id === id) {
+			found.push(line);
+		} else if (SERVER_EVENTS.has(line.event)) {
+			serverChanges.push(line);
 		}
 	}
 	if (found.length === 0) {
@@ -56,19 +42,6 @@
 	return EXIT_OK;
 }
 
-// Saved logs may carry a prefix of whatever collected them before the JSON object.
-function parseLine(text: string): LogLine | undefined {
-	const start = text.indexOf('{"time"');
-	if (start < 0) {
-		return undefined;
-	}
-	try {
-		return JSON.parse(text.slice(start)) as LogLine;
-	} catch {
-		return undefined; // The line was cut when the process ended.
-	}
-}
-
 function formatLine(line: LogLine): string {
 	const fields = Object.entries(line)
 		.filter(([name, value]) => !LEADING_FIELDS.has(name) && value !== '')
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -15,6 +15,7 @@
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
 import { decodeHandoverMark } from '../common/handoverMark.js';
 import { LATENESS_INTERVAL_MS, OverloadGuard } from '../common/overloadGuard.js';
+import { requestCost } from '../common/requestCost.js';
 import { RotationRelief } from '../common/rotationRelief.js';
 import { GatewayAnswer, type OwnAnswer } from './gatewayAnswer.js';
 import type { IGatewayRun } from './gatewayRun.js';
@@ -350,6 +351,7 @@
 			reason: code,
 			account: routing?.account?.name,
 			service: routing?.service,
+			cost: routing && Math.round(requestCost(fields)),
 			configuration: this.table()?.configuration.version,
 		});
 		this.context.metrics.countRequest(routing?.service ?? '', status, code, 0);
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -23,6 +23,7 @@
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
 import type { CrashWatch } from '../common/crashWatch.js';
 import type { IHeaderCodec } from '../common/ingress.js';
+import { requestCost } from '../common/requestCost.js';
 import type { RetryAllowance } from '../common/retryAllowance.js';
 import type { GatewayAnswer, OwnAnswer } from './gatewayAnswer.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -42,12 +43,6 @@
 	readonly metrics: GatewayMetrics;
 }
 
-/** A generated token takes as long as two that are read. */
-const GENERATED_TOKEN_COST = 2;
-
-/** Callers name the largest output; without an estimate, half of it is expected. */
-const EXPECTED_PART_OF_OUTPUT = 0.5;
-
 /** Time after which a refused caller may return when a server refused the request. */
 const REFUSED_RETRY_MS = 150;
 
@@ -106,9 +101,7 @@
 			tokensPerEvent: request.engine?.tokensPerEvent ?? 1,
 			pauseAimMs: routing.route.pauseAimMs ?? Infinity,
 		};
-		this.cost =
-			fields.promptTokens +
-			GENERATED_TOKEN_COST * (fields.expectedOutputTokens ?? fields.maximumOutputTokens * EXPECTED_PART_OF_OUTPUT);
+		this.cost = requestCost(fields);
 		this.events = routing.route.resumable ? EventStream.create(true) : undefined;
 	}
 
@@ -300,7 +293,9 @@
 			outputTokens: fields.maximumOutputTokens,
 			expectedTokens: fields.expectedOutputTokens,
 			deadlineMs: fields.deadlineMs,
+			cost: round(this.cost),
 			usedShare: Number(standing.usedShare.toFixed(2)),
+			level: Number.isFinite(standing.level) ? Math.round(standing.level) : undefined,
 			servers: options.length,
 			retryAfterMs: decision.kind === 'refuse' ? round(decision.retryAfterMs) : undefined,
 			plain: engine === undefined ? true : undefined,
