Divide what engines can give by one level, at the rate of the part that arrives

An account beyond its share got far less than another one beyond its share, or nothing for seconds and then many times its share. Cause: shares were a threshold on what was admitted in the last 4 s, which all routers read late: whoever was above it was refused by all at once until the window had moved on, also for what it had used while engines were idle. Class: a limit by hysteresis on a shared, late total, beside a resource that is not divided. Change: one level for all, of a capacity that is learned from what is admitted and the load of engines. An account beyond it is admitted at the rate of the level, at each router by the part that arrives there, from a credit of one second. Keepers of queues notice floods before routers have told each other. The refusal is sent from the head of the request. A change of relays keeps the level for a second.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -44,24 +44,11 @@
 /** Wait that is accepted for answers that can only be late, as a part of the aim. */
 const LATE_WAIT_OF_AIM = 0.25;
 
-/** Part of its fair share from which an account gets only what would be left idle. */
-const SPARE_ONLY_SHARE = 1.15;
-
-/**
- * Load of an engine up to which it takes requests of accounts that have had their share. Each token of a stream takes as
- * long as the prompt chunk that is read with it, so streams end within their deadline only on engines that read prompts
- * for less than two thirds of the time.
- */
-const SPARE_LOAD = 0.45;
-
-/** Longest wait for such requests: the engine is all but idle. */
-const SPARE_WAIT_MS = 15;
-
 /**
- * Shared tokens that such requests may make an engine read again: a system prompt. Reading a document again takes from
- * engines what others need soon, and throws out of their memory what others use.
+ * Part of the wait of others that is accepted for accounts that ask for more than their share, so that what they have
+ * waiting at an engine leaves room for the others.
  */
-const SPARE_REREAD_TOKENS = 1_000;
+const BOUNDED_WAIT = 0.4;
 
 /** Shortest time after which a refused caller is asked to return: an engine's queue changes little in less. */
 const SHORTEST_RETRY_MS = 80;
@@ -99,23 +86,29 @@
 		const returnMs = firstUsableMs(inputs) + inputs.spread * RETURN_SPREAD_MS;
 		return { kind: 'refuse', reason: 'no-server', retryAfterMs: clampReturn(returnMs, inputs), limitMs: 0 };
 	}
-	const overShare = inputs.standing.usedShare >= SPARE_ONLY_SHARE;
-	const terms: PlacementTerms = overShare
-		? { limitMs: SPARE_WAIT_MS, maximumLoad: SPARE_LOAD, maximumRereadTokens: SPARE_REREAD_TOKENS }
-		: { limitMs: waitLimitMs(inputs, best.readMs), maximumLoad: 1, maximumRereadTokens: Infinity };
+	const limitMs = waitLimitMs(inputs, best.readMs) * (inputs.standing.offeredShare > 1 ? BOUNDED_WAIT : 1);
+	const terms: PlacementTerms = { limitMs, maximumLoad: 1, maximumRereadTokens: Infinity };
 	const accepted = usable.find((option) => isAcceptable(option, terms) && !inputs.declinedBy.has(option.server.id));
 	if (accepted !== undefined) {
 		return { kind: 'place', option: accepted, ...terms };
 	}
-	const { limitMs } = terms;
 	const shortestWaitMs = Math.min(...usable.map(({ waitMs }) => waitMs));
-	const retryAfterMs = overShare ? inputs.aimMs * RETURN_OF_AIM : Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
-	return {
-		kind: 'refuse',
-		reason: overShare ? 'over-share' : 'busy',
-		retryAfterMs: clampReturn(retryAfterMs, inputs),
-		limitMs,
-	};
+	const retryAfterMs = Math.max(SHORTEST_RETRY_MS, shortestWaitMs - limitMs);
+	return { kind: 'refuse', reason: 'busy', retryAfterMs: clampReturn(retryAfterMs, inputs), limitMs };
+}
+
+/**
+ * Says when the caller of a request may return that is refused for the share of its account.
+ *
+ * @param refusedMs milliseconds until a request of the account is admitted
+ * @param inputs what the caller can wait
+ * @returns milliseconds
+ */
+export function returnOverShareMs(
+	refusedMs: number,
+	inputs: Pick<AdmissionInputs, 'aimMs' | 'deadlineLeftMs'>,
+): number {
+	return clampReturn(Math.max(refusedMs, inputs.aimMs * RETURN_OF_AIM), inputs);
 }
 
 /** When the first server of the service is expected to be usable. */
@@ -132,6 +125,6 @@
 		: Math.min(aimMs * LONGEST_WAIT_OF_AIM, Math.max(aimMs * SHORTEST_WAIT_OF_AIM, leftMs));
 }
 
-function clampReturn(milliseconds: number, { deadlineLeftMs }: AdmissionInputs): number {
+function clampReturn(milliseconds: number, { deadlineLeftMs }: Pick<AdmissionInputs, 'deadlineLeftMs'>): number {
 	return Math.min(milliseconds, Math.max(0, deadlineLeftMs) * LATEST_RETURN_OF_DEADLINE);
 }
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -348,6 +348,28 @@
 		return this.nameByKey.get(server);
 	}
 
+	/**
+	 * @param services names of services
+	 * @param now monotonic milliseconds
+	 * @returns mean part of the last second in which their usable servers read prompts; undefined when there is none
+	 */
+	public meanLoad(services: readonly string[], now: number): number | undefined {
+		const views = services
+			.flatMap((service) => this.byService.get(service) ?? [])
+			.flatMap(({ server }) => this.states.get(server.id)?.view(this.queues.keeps(server.id), now) ?? [])
+			.filter(({ health }) => health.usable);
+		return views.length === 0 ? undefined : views.reduce((sum, { load }) => sum + load, 0) / views.length;
+	}
+
+	/**
+	 * @param service short key of a service
+	 * @returns part of its servers whose queues this router keeps
+	 */
+	public partKept(service: number): number {
+		const known = this.knownOf(service);
+		return known.filter(({ server }) => this.queues.keeps(server.id)).length / Math.max(1, known.length);
+	}
+
 	/**
 	 * @param server identifier of a server
 	 * @returns requests of this router in progress there
@@ -406,8 +428,9 @@
 	public reserve(router: string, request: ReservationRequest, now: number): ReservationAnswer | undefined {
 		const { work, sequence } = request;
 		const excluded = new Set(request.excluded);
-		const service = [...this.byService].find(([name]) => shortKey(name) === request.service)?.[1] ?? [];
-		const kept = service.filter(({ server, key }) => this.queues.keeps(server.id) && !excluded.has(key));
+		const kept = this.knownOf(request.service).filter(
+			({ server, key }) => this.queues.keeps(server.id) && !excluded.has(key),
+		);
 		const connected = new Set(request.connected);
 		const isConnectedTo = ({ key }: KnownServer): boolean => connected.has(key);
 		const options = this.optionsOf(kept, work, { failureDomain: request.failureDomain, isConnectedTo }, now);
@@ -423,7 +446,14 @@
 			this.applyPlacement(router, { server, sequence, workMs, parts, delayMs }, now);
 		}
 		const { waitMs, delayMs, workMs } = accepted ?? first;
-		return { server: accepted?.server.id, waitMs, delayMs, workMs, reports: this.reportsOf(kept, now) };
+		return {
+			server: accepted?.server.id,
+			waitMs,
+			delayMs,
+			workMs,
+			isOverShare: false,
+			reports: this.reportsOf(kept, now),
+		};
 	}
 
 	/**
@@ -520,6 +550,10 @@
 		}
 	}
 
+	private knownOf(service: number): readonly KnownServer[] {
+		return [...this.byService].find(([name]) => shortKey(name) === service)?.[1] ?? [];
+	}
+
 	private reportsOf(known: readonly KnownServer[], now: number): ReadonlyMap<number, EngineReport> {
 		const reports = new Map<number, EngineReport>();
 		for (const { server, key } of known) {
--- a/src/engines/common/placementMessages.ts
+++ b/src/engines/common/placementMessages.ts
@@ -49,6 +49,15 @@
 	readonly failureDomain: string;
 	/** Servers to which the asking router has an idle connection, by short key. */
 	readonly connected: readonly number[];
+	readonly claim: ShareClaim;
+}
+
+/** Whose share of the engines' capacity a request takes. */
+export interface ShareClaim {
+	/** Short key of the account. */
+	readonly account: number;
+	/** Cost units; 0 when it uses no engine's capacity. */
+	readonly cost: number;
 }
 
 /** What the keeper of queues answers. */
@@ -61,6 +70,8 @@
 	readonly delayMs: number;
 	/** Nominal milliseconds to read what the server does not hold. */
 	readonly workMs: number;
+	/** Whether no place was given since the account has begun more than its share at these servers. */
+	readonly isOverShare: boolean;
 	/** State of the servers that could be chosen, with the placement, by short key. */
 	readonly reports: ReadonlyMap<number, EngineReport>;
 }
--- a/src/engines/test/queueReservation.test.ts
+++ b/src/engines/test/queueReservation.test.ts
@@ -152,6 +152,7 @@
 		service: shortKey(SERVICE),
 		excluded: [],
 		sequence: 1,
+		claim: { account: 0, cost: 0 },
 		limitMs: 100,
 		maximumLoad: 1,
 		maximumRereadTokens: Infinity,
--- a/src/engines/test/serverNotices.test.ts
+++ b/src/engines/test/serverNotices.test.ts
@@ -86,6 +86,7 @@
 			connected: [shortKey('engine-1')],
 			failureDomain: 'a',
 			sequence: 1,
+			claim: { account: 0, cost: 0 },
 			work: WORK,
 			limitMs: 1_000,
 			maximumLoad: 1,
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -106,6 +106,8 @@
 			maximumRereadTokens: Math.min(UNLIMITED_TOKENS, request.maximumRereadTokens),
 			excluded: [...request.excluded],
 			connected: [...request.connected],
+			account: request.claim.account,
+			cost: Math.round(request.claim.cost),
 		});
 	}
 
@@ -114,13 +116,14 @@
 	 * @param answer to the request for a place
 	 */
 	public addAnswer(sequence: number, answer: ReservationAnswer): void {
-		const { server, waitMs, delayMs, workMs, reports } = answer;
+		const { server, waitMs, delayMs, workMs, isOverShare, reports } = answer;
 		this.answers.push({
 			sequence,
 			engine: server === undefined ? 0 : shortKey(server),
 			waitMs: Math.round(waitMs),
 			delayMs: Math.round(delayMs),
 			workMs: Math.round(workMs),
+			overShare: isOverShare,
 			reports: encodeReports(reports),
 		});
 	}
@@ -177,6 +180,7 @@
 		service: request.service,
 		excluded: request.excluded,
 		connected: request.connected,
+		claim: { account: request.account, cost: request.cost },
 		failureDomain,
 		sequence: request.sequence,
 		work: {
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -3,7 +3,7 @@
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { ReservationRequest } from '../../engines/common/placementMessages.js';
+import type { ReservationAnswer as KeeperAnswer, ReservationRequest } from '../../engines/common/placementMessages.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import { readAddress } from '../../settings/node/values.js';
 import type { ExchangedState, FleetIdentity } from '../common/exchangedState.js';
@@ -29,6 +29,7 @@
 	NEWS_DELAY_MS,
 	USAGE_INTERVAL_PER_PEER_MS,
 } from '../common/fleetTiming.js';
+import { EXCEEDED_TERMS } from '../../shares/common/fleetShares.js';
 import { type ReservationAnswer, RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
 import { ReportBoard } from '../common/reportBoard.js';
 import type { MemberNews } from '../common/routerMembers.js';
@@ -393,7 +394,7 @@
 		const outbox = this.outboxOf(instance);
 		for (const encoded of reservations) {
 			const request = decodeReservation(encoded, failureDomain);
-			const answer = this.state.engines.reserve(instance, request, now);
+			const answer = this.answerOf(instance, request, now);
 			if (answer === undefined) {
 				continue; // The peer decides by itself when it gets no answer.
 			}
@@ -402,6 +403,7 @@
 				this.log.write('reservation-declined', {
 					peer: instance,
 					sequence,
+					isOverShare: answer.isOverShare,
 					waitMs: Math.round(answer.waitMs),
 					limitMs: Math.round(request.limitMs),
 					maximumLoad: request.maximumLoad,
@@ -413,6 +415,20 @@
 		this.flushTo(instance, outbox);
 	}
 
+	private answerOf(instance: string, request: ReservationRequest, now: number): KeeperAnswer | undefined {
+		const { engines, shares } = this.state;
+		const { account, cost } = request.claim;
+		if (cost === 0) {
+			return engines.reserve(instance, request, now);
+		}
+		const isExceeded = shares.isExceededAtKeeper(account, engines.partKept(request.service), now);
+		const answer = engines.reserve(instance, isExceeded ? { ...request, ...EXCEEDED_TERMS } : request, now);
+		if (answer?.server !== undefined) {
+			shares.recordKept(account, cost, now);
+		}
+		return answer && { ...answer, isOverShare: isExceeded && answer.server === undefined };
+	}
+
 	private noteNews(news: readonly MemberNews[], source: string, now: number): void {
 		if (news.length === 0) {
 			return;
@@ -464,7 +480,7 @@
 		}
 		this.wasRelay = isRelay;
 		this.wasLarge = isLargeFleet;
-		state.shares.forgetOthers();
+		state.shares.forgetOthers(now);
 		this.reports.take();
 		this.log.write('relay-role', { isRelay, isLargeFleet, relays: membership.roles.ownRelays.join(' ') });
 	}
--- a/src/fleet/node/queueReservations.ts
+++ b/src/fleet/node/queueReservations.ts
@@ -9,6 +9,8 @@
 import { RESERVATION_TIMEOUT_MS } from '../common/fleetTiming.js';
 import type { ReservationAnswer } from '../common/generated/masticloom/fleet/v1/fleet.js';
 import type { FleetDuties } from '../common/fleetDuties.js';
+import type { ShareClaim } from '../../engines/common/placementMessages.js';
+import { EXCEEDED_TERMS, type FleetShares } from '../../shares/common/fleetShares.js';
 import type { FleetExchange } from './fleetExchange.js';
 
 type Settle = (server: string | undefined, answer: ReservationAnswer) => void;
@@ -27,6 +29,7 @@
 	private constructor(
 		private readonly duties: FleetDuties,
 		private readonly engines: EngineFleet,
+		private readonly shares: FleetShares,
 		private readonly exchange: FleetExchange,
 		private readonly clock: IClock,
 		private readonly log: IDecisionLog,
@@ -39,6 +42,7 @@
 	/**
 	 * @param duties which router keeps the queue of a server
 	 * @param engines learns what keepers tell
+	 * @param shares bound what an account begins at servers whose queues this router keeps
 	 * @param exchange carries requests and answers
 	 * @param clock stamps what keepers tell
 	 * @param log receives requests that were not answered
@@ -48,12 +52,13 @@
 	public static create(
 		duties: FleetDuties,
 		engines: EngineFleet,
+		shares: FleetShares,
 		exchange: FleetExchange,
 		clock: IClock,
 		log: IDecisionLog,
 		timeoutMs = RESERVATION_TIMEOUT_MS,
 	): QueueReservations {
-		return new QueueReservations(duties, engines, exchange, clock, log, timeoutMs);
+		return new QueueReservations(duties, engines, shares, exchange, clock, log, timeoutMs);
 	}
 
 	public reserve(
@@ -61,12 +66,16 @@
 		work: PromptWork,
 		excluded: ReadonlySet<string>,
 		terms: PlacementTerms,
+		claim: ShareClaim,
 	): Effect.Effect<ReservationResult> {
 		const server = option.server.id;
 		const keeper = this.duties.keeperOf(server);
-		if (keeper === undefined || this.duties.keeps(server)) {
+		if (keeper === undefined) {
 			return Effect.succeed({ kind: 'kept-here' });
 		}
+		if (this.duties.keeps(server)) {
+			return Effect.succeed({ kind: this.mayBeginHere(option, claim) ? 'kept-here' : 'over-share' });
+		}
 		const sequence = this.engines.nextSequence();
 		const askedAt = this.clock.now();
 		const unconfirmed: ReservationResult = {
@@ -80,12 +89,12 @@
 				this.log.write('reservation-unanswered', { keeper, server, sequence, waitedMs });
 				resume(Effect.succeed(unconfirmed));
 			}, this.timeoutMs);
-			this.pending.set(sequence, (chosen, { waitMs, delayMs, workMs }) => {
+			this.pending.set(sequence, (chosen, { waitMs, delayMs, workMs, overShare }) => {
 				clearTimeout(timer);
 				resume(
 					Effect.succeed(
 						chosen === undefined
-							? { kind: 'declined' }
+							? { kind: overShare ? 'over-share' : 'declined' }
 							: {
 									kind: 'reserved',
 									reservation: { server: chosen, sequence, confirmed: true, waitMs, delayMs, workMs },
@@ -100,6 +109,7 @@
 				failureDomain: this.engines.failureDomain,
 				sequence,
 				work,
+				claim,
 				...terms,
 			});
 			return Effect.sync(() => {
@@ -109,6 +119,21 @@
 		});
 	}
 
+	/** Decides about an own request as {@link FleetExchange} does about those of peers. */
+	private mayBeginHere({ server, waitMs, load }: EngineOption, { account, cost }: ShareClaim): boolean {
+		if (cost === 0) {
+			return true;
+		}
+		const now = this.clock.now();
+		const part = this.engines.partKept(shortKey(server.service));
+		const isIdle = waitMs <= EXCEEDED_TERMS.limitMs && load <= EXCEEDED_TERMS.maximumLoad;
+		if (!isIdle && this.shares.isExceededAtKeeper(account, part, now)) {
+			return false;
+		}
+		this.shares.recordKept(account, cost, now);
+		return true;
+	}
+
 	private receive(answer: ReservationAnswer): void {
 		const { sequence } = answer;
 		const now = this.clock.now();
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -1,9 +1,11 @@
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
 import { Effect } from 'effect';
+import { returnOverShareMs } from '../../admission/common/admission.js';
 import { Emitter } from '../../base/common/event.js';
 import { HANDED_OVER_HEADER } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { shortKey } from '../../base/common/shortKey.js';
 import { afterNextPoll } from '../../base/node/eventLoop.js';
 import { listenOn } from '../../base/node/listen.js';
 import { OpenRequests } from '../../callers/node/openRequests.js';
@@ -43,6 +45,7 @@
 /** Asked while the router has no configuration yet. */
 const NOT_READY_RETRY_MS = 500;
 
+const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
 
 /** The separator and line end of each header field. */
@@ -248,6 +251,14 @@
 			request.resume();
 			return;
 		}
+		if (mark === undefined && table.service(routing.service)?.engine !== undefined) {
+			const refusal = this.decideShare(fields, routing, arrivedAt);
+			if (refusal !== undefined) {
+				this.refuse(answer, fields, refusal, routing);
+				request.resume();
+				return;
+			}
+		}
 		const mayHandOver = (): boolean => mark === undefined && this.handover.neighbours.hasAny(arrivedAt);
 		const decision = this.overload.decide(arrivedAt, mayHandOver, () => !this.relief.isNoticed(arrivedAt));
 		if (decision === 'refuse') {
@@ -286,6 +297,31 @@
 		});
 	}
 
+	/**
+	 * Decides from its head whether a request is within what this router may admit of its account. A router to which it is
+	 * handed over does not decide again.
+	 *
+	 * @returns the refusal; undefined when the request is admitted
+	 */
+	private decideShare(
+		fields: IngressFields,
+		{ account, route }: RoutingResult,
+		now: number,
+	): Omit<OwnAnswer, 'verdict'> | undefined {
+		const { shares } = this.context;
+		const key = shortKey(account?.name ?? '');
+		const cost = requestCost(fields);
+		shares.recordOffered(key, cost, now);
+		const { refusedMs } = shares.standing(key, now);
+		if (refusedMs === 0) {
+			shares.spend(key, cost, now);
+			return undefined;
+		}
+		const deadlineLeftMs = fields.deadlineMs ?? route.timeoutMs;
+		const retryAfterMs = returnOverShareMs(refusedMs, { aimMs: route.aimMs, deadlineLeftMs });
+		return { status: TOO_MANY_REQUESTS, code: 'over-share', retryAfterMs };
+	}
+
 	private run(
 		request: http.IncomingMessage,
 		response: http.ServerResponse,
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -1,5 +1,5 @@
 import { Effect, type Exit } from 'effect';
-import { decideAdmission, type AdmissionDecision } from '../../admission/common/admission.js';
+import { decideAdmission, returnOverShareMs, type AdmissionDecision } from '../../admission/common/admission.js';
 import type {
 	BackendFailure,
 	BackendHead,
@@ -155,7 +155,7 @@
 			if (self.isQuarantined()) {
 				return;
 			}
-			self.recordOffered();
+			self.countRequest();
 			for (;;) {
 				const { decision, reservation } = yield* self.decide();
 				if (decision.kind === 'refuse') {
@@ -196,13 +196,9 @@
 		return true;
 	}
 
-	private recordOffered(): void {
-		const { shares, clock, retries } = this.context;
-		const now = clock.now();
-		if (this.request.engine !== undefined) {
-			shares.recordOffered(this.accountKey(), this.cost, now);
-		}
-		retries.countRequest(this.request.routing.service, now);
+	private countRequest(): void {
+		const { clock, retries } = this.context;
+		retries.countRequest(this.request.routing.service, clock.now());
 	}
 
 	/** Chooses a server, asks the router that keeps its queue, and chooses again when that declines. */
@@ -237,7 +233,13 @@
 					self.work,
 					self.tried,
 					reservationTerms(decision, declined),
+					{ account: self.accountKey(), cost: self.cost },
 				);
+				if (result.kind === 'over-share') {
+					const refusal = self.overShare(decision);
+					self.logAdmission({ decision: refusal, reservation: undefined }, options, standing, declined);
+					return { decision: refusal, reservation: undefined };
+				}
 				if (result.kind !== 'declined') {
 					const choice = choiceOf(decision, result, options);
 					self.logAdmission(choice, options, standing, declined);
@@ -250,6 +252,15 @@
 		});
 	}
 
+	/** The keeper of a queue has found that the account has begun more than its share there. */
+	private overShare({ limitMs }: PlaceDecision): AdmissionDecision & { readonly kind: 'refuse' } {
+		const { routing, fields, arrivedAt } = this.request;
+		const elapsedMs = this.context.clock.now() - arrivedAt;
+		const deadlineLeftMs = (fields.deadlineMs ?? routing.route.timeoutMs) - elapsedMs;
+		const retryAfterMs = returnOverShareMs(0, { aimMs: routing.route.aimMs, deadlineLeftMs });
+		return { kind: 'refuse', reason: 'over-share', retryAfterMs, limitMs };
+	}
+
 	/** Servers that were not tried; when all were, those that were tell when one may be asked again. */
 	private options(now: number): readonly EngineOption[] {
 		const { fleet } = this.context;
@@ -294,6 +305,7 @@
 			expectedTokens: fields.expectedOutputTokens,
 			deadlineMs: fields.deadlineMs,
 			cost: round(this.cost),
+			offeredShare: Number(standing.offeredShare.toFixed(2)),
 			usedShare: Number(standing.usedShare.toFixed(2)),
 			level: Number.isFinite(standing.level) ? Math.round(standing.level) : undefined,
 			servers: options.length,
@@ -312,7 +324,9 @@
 		this.tried.add(server.id);
 		const sequence = fleet.place(option, this.work, now, reservation);
 		if (request.engine !== undefined) {
-			shares.recordAdmitted(this.accountKey(), this.cost, now);
+			if (this.attempts === 1) {
+				shares.recordAdmitted(this.accountKey(), this.cost, now);
+			}
 			this.predictedMs = now - request.arrivedAt + (reservation?.waitMs ?? option.waitMs) + option.readMs;
 		}
 		const state = {
@@ -492,6 +506,9 @@
 	}
 
 	private refuse(decision: AdmissionDecision & { readonly kind: 'refuse' }): void {
+		if (this.attempts === 0 && this.request.engine !== undefined) {
+			this.context.shares.refund(this.accountKey(), this.cost, this.context.clock.now());
+		}
 		if (this.verdict !== 'not-run') {
 			this.sendOwn({ status: BAD_GATEWAY, code: decision.reason, verdict: this.verdict });
 			return;
@@ -589,7 +606,7 @@
 /** The keeper of the preferred server's queue may have given a place at another one that it keeps. */
 function choiceOf(
 	decision: PlaceDecision,
-	result: Exclude<ReservationResult, { readonly kind: 'declined' }>,
+	result: Extract<ReservationResult, { readonly kind: 'kept-here' | 'reserved' }>,
 	options: readonly EngineOption[],
 ): Choice {
 	if (result.kind === 'kept-here') {
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -1,4 +1,6 @@
 import { fairLevel } from './fairLevel.js';
+import { LearnedCapacity } from './learnedCapacity.js';
+import { ShareCredit } from './shareCredit.js';
 import { SlidingSum } from './slidingSum.js';
 
 /** What one router saw of one account within the share window, in cost units. */
@@ -14,6 +16,13 @@
 interface OwnUsage {
 	readonly offered: SlidingSum;
 	readonly admitted: SlidingSum;
+	readonly credit: ShareCredit;
+}
+
+/** What an account began at engines whose queues this router keeps. */
+interface KeptUsage {
+	readonly requests: SlidingSum;
+	readonly admitted: SlidingSum;
 }
 
 interface PeerUsage {
@@ -21,27 +30,78 @@
 	readonly accounts: ReadonlyMap<number, AccountUsage>;
 }
 
+/** What is known of the engines that accounts share. */
+export interface SharedEngines {
+	/** Cost units a second that all engines are said to produce; undefined when not known. */
+	readonly statedPerSecond: () => number | undefined;
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns mean part of the time for which engines read prompts, from 0 to 1; undefined when no engine is known
+	 */
+	readonly load: (now: number) => number | undefined;
+}
+
 /** How an account stands against its fair share. */
 export interface Standing {
+	/** Work that arrived at all routers within the window, relative to the fair share; 0 when all demands fit. */
+	readonly offeredShare: number;
 	/** Work admitted within the window, relative to the fair share; 0 when all demands fit. */
 	readonly usedShare: number;
-	/** Cost units that an account may use within the window; infinite when all demands fit. */
+	/** Cost units a second that an account may use; infinite when all demands fit. */
 	readonly level: number;
+	/** Work admitted within the window. */
 	readonly admitted: number;
+	/** Milliseconds until this router may admit a request of the account; 0 when it may do so now. */
+	readonly refusedMs: number;
 }
 
+/** Rates of accounts are counted over this time. Twice the age of what routers know of each other. */
+const SHARE_WINDOW_MS = 1_000;
+
 /** Usage of a peer that was not heard of for longer is not counted. */
 const PEER_USAGE_VALID_MS = 2_000;
 
 /** Name of the sum over all failure domains, which no domain has. */
 const WHOLE_FLEET = '';
 
+/** An account is bounded when it asks for more than this many times its share; rates within a second vary as much. */
+const BOUNDED_FROM = 1.15;
+
+/** Requests of an account are not spread evenly over the engines. */
+const KEEPER_TOLERANCE = 1.5;
+
+/** Longest wait and highest load of an engine for an account that has begun more than its share there: it is nearly idle. */
+export const EXCEEDED_TERMS = { limitMs: 15, maximumLoad: 0.45 };
+
+/** Fewer requests within the share window say nothing about the rate of an account, since they differ in size by 100 to 1. */
+const LEAST_KEPT_REQUESTS = 8;
+
+/** A router at which an account has just arrived admits at least this part of its share. */
+const LEAST_PART = 0.02;
+
 /** The level is computed again after this time. */
 const LEVEL_VALID_MS = 50;
 
 /**
- * Knows what each client account asked for and received over the whole fleet within the share window, and what its
- * max-min fair share is.
+ * What others have told is this old at the mean. The part of an account's work that arrives here is taken from what was
+ * known here at that time, so that the parts of all routers add up to one while an account begins to send more.
+ */
+const TOLD_AGE_MS = 500;
+
+/** Time in which new sources have told of all accounts: two intervals of routers and relays. */
+const SOURCE_CHANGE_MS = 1_000;
+
+const SECOND_MS = 1_000;
+
+interface OwnSnapshot {
+	readonly at: number;
+	readonly offered: ReadonlyMap<number, number>;
+}
+
+/**
+ * Knows what each client account asks and receives over the whole fleet, and divides what the engines can give by
+ * max-min fairness. An account that asks for more than its share is admitted at the rate of its share, each router
+ * admitting the part of it that arrives there.
  *
  * Load pattern: one account sends many times its usual work through all routers, then the next one.
  */
@@ -52,21 +112,29 @@
 	private readonly sums = new Map<string, PeerUsage>();
 	/** Own usage that the sum of the whole fleet contains. */
 	private ownTold: ReadonlyMap<number, AccountUsage> = new Map();
+	private readonly capacity = LearnedCapacity.create();
+	private snapshots: readonly OwnSnapshot[] = [];
+	private totals: ReadonlyMap<number, AccountUsage> = new Map();
 	private levelComputedAt = -Infinity;
+	private heldUntil = -Infinity;
 	private level = Infinity;
+	/** The level if one more account asked for more than its share. */
+	private nextLevel = Infinity;
+	/** What accounts began at engines whose queues this router keeps. */
+	private readonly kept = new Map<number, KeptUsage>();
 
 	private constructor(
+		private readonly engines: SharedEngines,
 		private readonly windowMs: number,
-		private readonly capacityPerWindow: () => number | undefined,
 	) {}
 
 	/**
-	 * @param windowMs length of the window in which shares are counted
-	 * @param capacityPerWindow cost units that all engines can deliver within the window; undefined when not known
+	 * @param engines that accounts share
+	 * @param windowMs time over which rates of accounts are counted, in milliseconds
 	 * @returns shares without usage
 	 */
-	public static create(windowMs: number, capacityPerWindow: () => number | undefined): FleetShares {
-		return new FleetShares(windowMs, capacityPerWindow);
+	public static create(engines: SharedEngines, windowMs = SHARE_WINDOW_MS): FleetShares {
+		return new FleetShares(engines, windowMs);
 	}
 
 	/**
@@ -87,6 +155,28 @@
 		this.usageOf(account).admitted.add(cost, now);
 	}
 
+	/**
+	 * Takes a request that arrived here and is to be served from what this router may admit of its account.
+	 *
+	 * @param account short key of the account
+	 * @param cost of the request
+	 * @param now monotonic milliseconds
+	 */
+	public spend(account: number, cost: number, now: number): void {
+		this.usageOf(account).credit.spend(cost, this.rateOf(account, now), now);
+	}
+
+	/**
+	 * Gives back what {@link spend} took for a request that was refused.
+	 *
+	 * @param account short key of the account
+	 * @param cost of the request
+	 * @param now monotonic milliseconds
+	 */
+	public refund(account: number, cost: number, now: number): void {
+		this.usageOf(account).credit.refund(cost, this.rateOf(account, now), now);
+	}
+
 	/**
 	 * Takes over what a peer has seen.
 	 *
@@ -141,10 +231,16 @@
 		this.peers.delete(router);
 	}
 
-	/** Forgets what was heard of others, when it is to come from other sources than before. */
-	public forgetOthers(): void {
+	/**
+	 * Forgets what was heard of others, when it is to come from other sources than before. The level stays as it is until
+	 * these had time to tell.
+	 *
+	 * @param now monotonic milliseconds
+	 */
+	public forgetOthers(now: number): void {
 		this.peers.clear();
 		this.sums.clear();
+		this.heldUntil = now + SOURCE_CHANGE_MS;
 	}
 
 	/**
@@ -197,11 +293,70 @@
 	 */
 	public standing(account: number, now: number): Standing {
 		this.refreshLevel(now);
-		let admitted = this.own.get(account)?.admitted.sum(now) ?? 0;
-		for (const { accounts } of [...this.valid(this.peers, now), ...this.valid(this.sums, now)]) {
-			admitted += accounts.get(account)?.admitted ?? 0;
+		const { level } = this;
+		const total = this.totals.get(account);
+		if (level === Infinity) {
+			return { offeredShare: 0, usedShare: 0, level, admitted: total?.admitted ?? 0, refusedMs: 0 };
+		}
+		const share = (level * this.windowMs) / SECOND_MS;
+		const offeredShare = (total?.offered ?? 0) / share;
+		const rate = this.rateOf(account, now);
+		return {
+			offeredShare,
+			usedShare: (total?.admitted ?? 0) / share,
+			level,
+			admitted: total?.admitted ?? 0,
+			refusedMs: offeredShare <= BOUNDED_FROM ? 0 : this.usageOf(account).credit.refusedMs(rate, now),
+		};
+	}
+
+	/**
+	 * Tells as keeper of a group of engines whether an account has begun more there than its share allows. A keeper hears
+	 * of all requests to its engines at once, so an account that begins to send many times its usual work is noticed before
+	 * routers have told each other.
+	 *
+	 * @param account short key of the account
+	 * @param partOfEngines part of all engines whose queues this router keeps
+	 * @param now monotonic milliseconds
+	 * @returns whether it has begun more
+	 */
+	public isExceededAtKeeper(account: number, partOfEngines: number, now: number): boolean {
+		this.refreshLevel(now);
+		const usage = this.kept.get(account);
+		if (usage === undefined || usage.requests.sum(now) < LEAST_KEPT_REQUESTS) {
+			return false;
 		}
-		return { usedShare: this.level === Infinity ? 0 : admitted / this.level, level: this.level, admitted };
+		const known = this.level === Infinity ? (this.totals.get(account)?.admitted ?? 0) : 0;
+		const share = Math.max((this.nextLevel * this.windowMs) / SECOND_MS, known);
+		return usage.admitted.sum(now) > KEEPER_TOLERANCE * partOfEngines * share;
+	}
+
+	/**
+	 * Notes a request that was given a place at engines whose queues this router keeps.
+	 *
+	 * @param account short key of the account
+	 * @param cost of the request
+	 * @param now monotonic milliseconds
+	 */
+	public recordKept(account: number, cost: number, now: number): void {
+		const { requests, admitted } = this.keptUsageOf(account);
+		requests.add(1, now);
+		admitted.add(cost, now);
+	}
+
+	/** Cost units a second of an account that this router may admit; infinite when all demands fit. */
+	private rateOf(account: number, now: number): number {
+		this.refreshLevel(now);
+		return this.level === Infinity ? Infinity : this.level * this.partOf(account);
+	}
+
+	/** Part of an account's work that arrives at this router. */
+	private partOf(account: number): number {
+		const own = this.snapshots[0]?.offered.get(account) ?? 0;
+		const total = this.totals.get(account)?.offered ?? 0;
+		const present = this.own.get(account)?.offered.sum(this.levelComputedAt) ?? 0;
+		const others = Math.max(0, total - present);
+		return own + others === 0 ? 1 : Math.max(LEAST_PART, own / (own + others));
 	}
 
 	private refreshLevel(now: number): void {
@@ -209,23 +364,52 @@
 			return;
 		}
 		this.levelComputedAt = now;
-		const capacity = this.capacityPerWindow();
-		if (capacity === undefined) {
-			this.level = Infinity;
+		if (now < this.heldUntil) {
 			return;
 		}
-		const demands = this.summedUsage('fleet', now).map(({ offered }) => offered);
+		const usage = this.summedUsage('fleet', now);
+		this.totals = new Map(usage.map((item) => [item.account, item]));
+		this.takeSnapshot(now);
+		const perSecond = SECOND_MS / this.windowMs;
+		const admittedPerSecond = usage.reduce((sum, { admitted }) => sum + admitted, 0) * perSecond;
+		this.capacity.learn({ admittedPerSecond, load: this.engines.load(now) }, now);
+		const stated = this.engines.statedPerSecond();
+		const demands = usage.map(({ offered }) => offered * perSecond);
+		const capacity = stated === undefined ? Infinity : this.capacity.perSecond(stated);
 		this.level = fairLevel(demands, capacity);
+		this.nextLevel = capacity === Infinity ? Infinity : fairLevel([...demands, Infinity], capacity);
+	}
+
+	/** Keeps what is known here now for the time at which others know of it. */
+	private takeSnapshot(now: number): void {
+		const offered = new Map(this.ownUsage(now).map((item) => [item.account, item.offered]));
+		const kept = this.snapshots.filter(({ at }, index) => {
+			return now - at <= TOLD_AGE_MS || (this.snapshots[index + 1]?.at ?? Infinity) > now - TOLD_AGE_MS;
+		});
+		this.snapshots = [...kept, { at: now, offered }];
 	}
 
 	private valid(usages: ReadonlyMap<string, PeerUsage>, now: number): readonly PeerUsage[] {
 		return [...usages.values()].filter(({ receivedAt }) => now - receivedAt <= PEER_USAGE_VALID_MS);
 	}
 
+	private keptUsageOf(account: number): KeptUsage {
+		let usage = this.kept.get(account);
+		if (usage === undefined) {
+			usage = { requests: SlidingSum.create(this.windowMs), admitted: SlidingSum.create(this.windowMs) };
+			this.kept.set(account, usage);
+		}
+		return usage;
+	}
+
 	private usageOf(account: number): OwnUsage {
 		let usage = this.own.get(account);
 		if (usage === undefined) {
-			usage = { offered: SlidingSum.create(this.windowMs), admitted: SlidingSum.create(this.windowMs) };
+			usage = {
+				offered: SlidingSum.create(this.windowMs),
+				admitted: SlidingSum.create(this.windowMs),
+				credit: ShareCredit.create(),
+			};
 			this.own.set(account, usage);
 		}
 		return usage;
