--- a/src/cli/node/fairnessCommand.ts
+++ b/src/cli/node/fairnessCommand.ts
@@ -29,8 +29,13 @@
  */
 export async function fairness(files: readonly string[], output: Output): Promise<number> {
 	const requests = new Map<string, LoggedRequest>();
+	let dropped = 0;
 	for await (const line of readLogLines(files)) {
 		noteLine(requests, line);
+		dropped += line.event === 'log-lines-dropped' ? Number(line.lines) : 0;
+	}
+	if (dropped > 0) {
+		output.complain(`masticloom: routers dropped ${dropped} log lines, so accounts may have got more than is shown`);
 	}
 	if (requests.size === 0) {
 		output.complain('masticloom: no line in these files tells the account and cost of a request');
--- a/src/cli/test/fairnessCommand.test.ts
+++ b/src/cli/test/fairnessCommand.test.ts
@@ -52,6 +52,16 @@
 		expect(printed[0]).toBe('1 requests; windows of 6 s with an account that waited: 0');
 	});
 
+	// An account whose lines its router had dropped looked as if it had been given nothing.
+	test('says so when routers have dropped lines', async () => {
+		const time = new Date(0).toISOString();
+		const { code, printed } = await run(
+			fileWith([...linesOfSecond(0), { time, event: 'log-lines-dropped', lines: 1_771 }]),
+		);
+		expect(code).toBe(0);
+		expect(printed[0]).toContain('1771');
+	});
+
 	test('says so when no line tells what a request costs', async () => {
 		const { code, printed } = await run(fileWith([{ time: new Date(0).toISOString(), event: 'started' }]));
 		expect(code).toBe(1);
