Let accounts beyond their share read no document again

Cause: requests beyond the share could make engines read documents again that others hold; the old second road had kept them from it. Change: accounts that ask for more than their share may make an engine read 1,000 tokens again, as before. Engines are to read for 0.65 of the time, below the two thirds that streams bear.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -50,6 +50,12 @@
  */
 const BOUNDED_WAIT = 0.4;
 
+/**
+ * Shared tokens that requests of such accounts may make an engine read again: a system prompt. Reading a document again
+ * takes from engines what others need, and throws out of their memory what others use.
+ */
+const BOUNDED_REREAD_TOKENS = 1_000;
+
 /** Shortest time after which a refused caller is asked to return: an engine's queue changes little in less. */
 const SHORTEST_RETRY_MS = 80;
 
@@ -86,8 +92,10 @@
 		const returnMs = firstUsableMs(inputs) + inputs.spread * RETURN_SPREAD_MS;
 		return { kind: 'refuse', reason: 'no-server', retryAfterMs: clampReturn(returnMs, inputs), limitMs: 0 };
 	}
-	const limitMs = waitLimitMs(inputs, best.readMs) * (inputs.standing.offeredShare > 1 ? BOUNDED_WAIT : 1);
-	const terms: PlacementTerms = { limitMs, maximumLoad: 1, maximumRereadTokens: Infinity };
+	const isBounded = inputs.standing.offeredShare > 1;
+	const limitMs = waitLimitMs(inputs, best.readMs) * (isBounded ? BOUNDED_WAIT : 1);
+	const maximumRereadTokens = isBounded ? BOUNDED_REREAD_TOKENS : Infinity;
+	const terms: PlacementTerms = { limitMs, maximumLoad: 1, maximumRereadTokens };
 	const accepted = usable.find((option) => isAcceptable(option, terms) && !inputs.declinedBy.has(option.server.id));
 	if (accepted !== undefined) {
 		return { kind: 'place', option: accepted, ...terms };
--- a/src/admission/test/shareReplay.test.ts
+++ b/src/admission/test/shareReplay.test.ts
@@ -71,7 +71,7 @@
 	});
 
 	// Engines read slower after a failure, so that the stated capacity is not there.
-	test.each([...SEEDS, 15])('shares hold when the engines give less than stated (seed %i)', (seed) => {
+	test.each([...SEEDS, 15, 18])('shares hold when the engines give less than stated (seed %i)', (seed) => {
 		const accounts = [
 			accountWith('often', { perSecond: risingAt(4_000, 10, 300), routers: 12 }),
 			accountWith('seldom', { tokens: 8_000, perSecond: risingAt(4_000, 2, 30) }),
@@ -80,17 +80,20 @@
 		expect(leastRatio(accounts, seed, fleet)).toBeGreaterThanOrEqual(OWED_RATIO * MARGIN);
 	});
 
-	test.each(SEEDS)('engines are used while requests are refused for the share of their account (seed %i)', (seed) => {
-		const accounts = [
-			accountWith('steady', { tokens: 6_000, perSecond: () => 30 }),
-			accountWith('flood', { perSecond: risingAt(8_000, 10, 200) }),
-			accountWith('second', { tokens: 6_000, perSecond: risingAt(14_000, 2, 60) }),
-		];
-		const { loadWhileRefused } = replayShares(FLEET, [...smallAccounts(), ...accounts], END_MS, seed);
-		expect(Math.min(...loadWhileRefused)).toBeGreaterThanOrEqual(USEFUL_LOAD);
-	});
-
-	test.each(SEEDS)('accounts that ask for little find room beside ones that flood (seed %i)', (seed) => {
+	test.each([...SEEDS, 15])(
+		'engines are used while requests are refused for the share of their account (seed %i)',
+		(seed) => {
+			const accounts = [
+				accountWith('steady', { tokens: 6_000, perSecond: () => 30 }),
+				accountWith('flood', { perSecond: risingAt(8_000, 10, 200) }),
+				accountWith('second', { tokens: 6_000, perSecond: risingAt(14_000, 2, 60) }),
+			];
+			const { loadWhileRefused } = replayShares(FLEET, [...smallAccounts(), ...accounts], END_MS, seed);
+			expect(Math.min(...loadWhileRefused)).toBeGreaterThanOrEqual(USEFUL_LOAD);
+		},
+	);
+
+	test.each([...SEEDS, 19])('accounts that ask for little find room beside ones that flood (seed %i)', (seed) => {
 		const accounts = [
 			accountWith('often', { perSecond: risingAt(4_000, 10, 400), routers: 12 }),
 			accountWith('large', { tokens: 12_000, perSecond: risingAt(4_000, 2, 40) }),
--- a/src/shares/common/learnedCapacity.ts
+++ b/src/shares/common/learnedCapacity.ts
@@ -2,7 +2,7 @@
  * Part of the time for which engines are to read prompts. Each token of a stream takes as long as the prompt chunk that is
  * read with it, so streams end within their deadline only on engines that read for less than two thirds of the time.
  */
-const TARGET_LOAD = 0.62;
+const TARGET_LOAD = 0.65;
 
 /** At a lower load, what was admitted says little about what the engines can give. */
 const LEAST_OBSERVED_LOAD = 0.15;
