Tell of a flood beside the answer of a keeper, not in it

The fleet of engines filled a field that only the exchange can know. No behaviour changes; lines of declined reservations name isExceeded.

--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -446,14 +446,7 @@
 			this.applyPlacement(router, { server, sequence, workMs, parts, delayMs }, now);
 		}
 		const { waitMs, delayMs, workMs } = accepted ?? first;
-		return {
-			server: accepted?.server.id,
-			waitMs,
-			delayMs,
-			workMs,
-			isOverShare: false,
-			reports: this.reportsOf(kept, now),
-		};
+		return { server: accepted?.server.id, waitMs, delayMs, workMs, reports: this.reportsOf(kept, now) };
 	}
 
 	/**
--- a/src/engines/common/placementMessages.ts
+++ b/src/engines/common/placementMessages.ts
@@ -70,8 +70,6 @@
 	readonly delayMs: number;
 	/** Nominal milliseconds to read what the server does not hold. */
 	readonly workMs: number;
-	/** Whether no place was given since the account has begun more than its share at these servers. */
-	readonly isOverShare: boolean;
 	/** State of the servers that could be chosen, with the placement, by short key. */
 	readonly reports: ReadonlyMap<number, EngineReport>;
 }
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -114,9 +114,10 @@
 	/**
 	 * @param sequence number of the request in the asking router
 	 * @param answer to the request for a place
+	 * @param isOverShare whether no place was given since the account has begun more than its share
 	 */
-	public addAnswer(sequence: number, answer: ReservationAnswer): void {
-		const { server, waitMs, delayMs, workMs, isOverShare, reports } = answer;
+	public addAnswer(sequence: number, answer: ReservationAnswer, isOverShare: boolean): void {
+		const { server, waitMs, delayMs, workMs, reports } = answer;
 		this.answers.push({
 			sequence,
 			engine: server === undefined ? 0 : shortKey(server),
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -3,7 +3,7 @@
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { ReservationAnswer as KeeperAnswer, ReservationRequest } from '../../engines/common/placementMessages.js';
+import type { ReservationRequest } from '../../engines/common/placementMessages.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import { readAddress } from '../../settings/node/values.js';
 import type { ExchangedState, FleetIdentity } from '../common/exchangedState.js';
@@ -394,39 +394,34 @@
 		const outbox = this.outboxOf(instance);
 		for (const encoded of reservations) {
 			const request = decodeReservation(encoded, failureDomain);
-			const answer = this.answerOf(instance, request, now);
+			const isExceeded = this.isExceeded(request, now);
+			const terms = isExceeded ? EXCEEDED_TERMS : {};
+			const answer = this.state.engines.reserve(instance, { ...request, ...terms }, now);
 			if (answer === undefined) {
 				continue; // The peer decides by itself when it gets no answer.
 			}
-			const { sequence } = request;
-			if (answer.server === undefined) {
+			const { sequence, claim } = request;
+			if (answer.server !== undefined) {
+				this.state.shares.recordKept(claim.account, claim.cost, now);
+			} else {
 				this.log.write('reservation-declined', {
 					peer: instance,
 					sequence,
-					isOverShare: answer.isOverShare,
+					isExceeded,
 					waitMs: Math.round(answer.waitMs),
 					limitMs: Math.round(request.limitMs),
 					maximumLoad: request.maximumLoad,
 					servers: answer.reports.size,
 				});
 			}
-			outbox.addAnswer(sequence, answer);
+			outbox.addAnswer(sequence, answer, isExceeded && answer.server === undefined);
 		}
 		this.flushTo(instance, outbox);
 	}
 
-	private answerOf(instance: string, request: ReservationRequest, now: number): KeeperAnswer | undefined {
+	private isExceeded({ claim, service }: ReservationRequest, now: number): boolean {
 		const { engines, shares } = this.state;
-		const { account, cost } = request.claim;
-		if (cost === 0) {
-			return engines.reserve(instance, request, now);
-		}
-		const isExceeded = shares.isExceededAtKeeper(account, engines.partKept(request.service), now);
-		const answer = engines.reserve(instance, isExceeded ? { ...request, ...EXCEEDED_TERMS } : request, now);
-		if (answer?.server !== undefined) {
-			shares.recordKept(account, cost, now);
-		}
-		return answer && { ...answer, isOverShare: isExceeded && answer.server === undefined };
+		return claim.cost > 0 && shares.isExceededAtKeeper(claim.account, engines.partKept(service), now);
 	}
 
 	private noteNews(news: readonly MemberNews[], source: string, now: number): void {
