--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -190,7 +190,10 @@
 			fleet,
 			reservations: allQueuesKeptHere,
 			client,
-			shares: FleetShares.create({ statedPerSecond: () => undefined, load: () => undefined }),
+			shares: FleetShares.create({
+				statedPerSecond: () => table?.configuration.limits.tokensPerSecond,
+				load: () => undefined,
+			}),
 			codec: testCodec,
 			retries: RetryAllowance.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }, () => 1),
 			crashes: CrashWatch.create(CrashSuspects.create('router-1', systemClock), systemClock),
