--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -14,7 +14,7 @@
 /** Why the directory changed, for logs. */
 export interface DirectoryChange {
 	readonly server: RegisteredServer;
-	readonly change: 'added' | 'leaving' | 'removed' | 'missing' | 'returned' | 'restarted';
+	readonly change: 'added' | 'leaving' | 'removed' | 'missing' | 'returned' | 'restarted' | 'evacuated' | 'taken-back';
 }
 
 /**
@@ -25,6 +25,8 @@
 	private readonly changeEmitter = this.register(Emitter.create<readonly DirectoryChange[]>());
 	private readonly known = new Map<string, KnownServer>();
 	private registered: readonly RegisteredServer[] = [];
+	/** Failure domains whose servers get no new requests. */
+	private evacuated: ReadonlySet<string> = new Set();
 
 	/** Fires with what has changed. */
 	public readonly onDidChange = this.changeEmitter.event;
@@ -44,7 +46,9 @@
 
 	/** Servers that may get new requests. */
 	public get usable(): readonly RegisteredServer[] {
-		return [...this.known.values()].map(({ server }) => server).filter(({ leaving }) => !leaving);
+		return [...this.known.values()]
+			.map(({ server }) => server)
+			.filter(({ leaving, failureDomain }) => !leaving && !this.evacuated.has(failureDomain));
 	}
 
 	/** Whether servers are kept whose entries are missing, so that {@link refresh} has to be called again. */
@@ -61,6 +65,25 @@
 		this.refresh(now);
 	}
 
+	/**
+	 * Sets the failure domains whose servers get no new requests until they are taken back.
+	 *
+	 * @param failureDomains all that are evacuated
+	 */
+	public evacuate(failureDomains: ReadonlySet<string>): void {
+		const before = this.evacuated;
+		this.evacuated = failureDomains;
+		const changes = [...this.known.values()].flatMap(({ server }): readonly DirectoryChange[] => {
+			const isEvacuated = failureDomains.has(server.failureDomain);
+			return isEvacuated === before.has(server.failureDomain)
+				? []
+				: [{ server, change: isEvacuated ? 'evacuated' : 'taken-back' }];
+		});
+		if (changes.length > 0) {
+			this.changeEmitter.fire(changes);
+		}
+	}
+
 	/**
 	 * Removes servers whose entries are missing and will not come back.
 	 *
--- a/src/engines/test/serverDirectory.test.ts
+++ b/src/engines/test/serverDirectory.test.ts
@@ -75,4 +75,18 @@
 		directory.update([serverWith({ startedAt: 2 })], 6_000);
 		expect(changes.at(-1)).toBe('engine-1 restarted');
 	});
+
+	// The order of the operator was not read, and engines of an evacuated domain went on getting requests.
+	test('servers of an evacuated failure domain get nothing until it is taken back', () => {
+		const { directory, changes } = directoryWith({ since: 0 });
+		directory.update([serverWith(), serverWith({ id: 'engine-2', failureDomain: 'b' })], 5_000);
+		directory.evacuate(new Set(['a']));
+		expect(directory.usable.map(({ id }) => id)).toEqual(['engine-2']);
+		directory.update([serverWith(), serverWith({ id: 'engine-3' })], 6_000);
+		expect(directory.usable).toEqual([]);
+		directory.evacuate(new Set());
+		expect(directory.usable.map(({ id }) => id)).toEqual(['engine-1', 'engine-3']);
+		expect(changes).toContain('engine-1 evacuated');
+		expect(changes).toContain('engine-1 taken-back');
+	});
 });
