Bound what all routers send to a cold server

Cause: nothing reads how long a server is cold; an empty one looks best. Change: the registration's time and the configuration's rate are read; the keeper of the server's queue counts what all routers send there and leaves the server out while it has had its requests. Ruled out: a part of the rate for each router, which is less than one request. A server that turns cold within its life says so up to a heartbeat late; that is not covered.

--- a/src/engines/common/directory.ts
+++ b/src/engines/common/directory.ts
@@ -10,4 +10,8 @@
 	readonly leaving: boolean;
 	/** Unix milliseconds of the server's start; undefined when it does not say. It tells incarnations apart. */
 	readonly startedAt: number | undefined;
+	/** Milliseconds for which the server was still cold when it wrote its registration. */
+	readonly coldLeftMs: number;
+	/** Revision of the registration in the store. */
+	readonly revision: number;
 }
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -209,6 +209,18 @@
 		}
 	}
 
+	/**
+	 * Notes that a server is cold.
+	 *
+	 * @param server its identifier
+	 * @param leftMs milliseconds for which it stays so
+	 * @param requestsPerSecond that it bears meanwhile, of all routers
+	 * @param now monotonic milliseconds
+	 */
+	public recordCold(server: string, leftMs: number, requestsPerSecond: number, now: number): void {
+		this.states.get(server)?.cold.extend(leftMs, requestsPerSecond, now);
+	}
+
 	/**
 	 * Notes that a server has told this router that it wants no requests of it.
 	 *
@@ -476,7 +488,7 @@
 			state.queue.place({ router, sequence: notice.sequence }, now, notice.workMs, notice.delayMs);
 		}
 		// The next report of the peer counts the requests that have ended since.
-		state.addPeer(router);
+		state.addPeer(router, now);
 		this.cache.record(id, notice.parts, now);
 	}
 
--- a/src/engines/common/engineState.ts
+++ b/src/engines/common/engineState.ts
@@ -1,3 +1,4 @@
+import { ColdStart } from './coldStart.js';
 import type { RegisteredServer } from './directory.js';
 import { EngineQueue } from './engineQueue.js';
 import { ServerNotices } from './serverNotices.js';
@@ -59,6 +60,7 @@
 	public readonly queue = EngineQueue.create();
 	public readonly outcomes = ServerOutcomes.create();
 	public readonly notices = ServerNotices.create();
+	public readonly cold = ColdStart.create();
 	private own = 0;
 	private readonly peers = new Map<string, number>();
 	/** Sum of {@link peers}, which is asked for several times with each request. */
@@ -93,6 +95,7 @@
 			const { delayMs, waitMs } = this.queue.turn(now, prompt.workMs, prompt.longestBurstMs * this.queue.pace);
 			const unusableMs = Math.max(
 				health.unusableMs,
+				this.cold.closedMs(now),
 				keeps && this.queue.isStalled(now) ? STALL_REPORTED_MS : 0,
 				this.notices.isLeaving ? Infinity : 0,
 			);
@@ -156,6 +159,7 @@
 	 */
 	public addOwn(workMs: number, isReported: boolean, now: number): void {
 		this.own++;
+		this.cold.noteRequest(now);
 		const report = this.validReport(now);
 		if (report !== undefined && !isReported) {
 			const waitMs = Math.max(0, report.waitMs - (now - report.receivedAt)) + workMs * report.pace;
@@ -171,8 +175,12 @@
 		}
 	}
 
-	/** @param router that has begun a request */
-	public addPeer(router: string): void {
+	/**
+	 * @param router that has begun a request
+	 * @param now monotonic milliseconds
+	 */
+	public addPeer(router: string, now: number): void {
+		this.cold.noteRequest(now);
 		this.setPeer(router, (this.peers.get(router) ?? 0) + 1);
 	}
 
--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -14,7 +14,8 @@
 /** Why the directory changed, for logs. */
 export interface DirectoryChange {
 	readonly server: RegisteredServer;
-	readonly change: 'added' | 'leaving' | 'removed' | 'missing' | 'returned' | 'restarted' | 'evacuated' | 'taken-back';
+	readonly change:
+		'added' | 'leaving' | 'removed' | 'missing' | 'returned' | 'restarted' | 'evacuated' | 'taken-back' | 'cold';
 }
 
 /**
@@ -130,6 +131,9 @@
 		if (server.leaving && !before.server.leaving) {
 			return 'leaving';
 		}
-		return before.missing ? 'returned' : undefined;
+		if (before.missing) {
+			return 'returned';
+		}
+		return server.coldLeftMs > 0 && server.revision !== before.server.revision ? 'cold' : undefined;
 	}
 }
--- a/src/engines/test/engineFixture.ts
+++ b/src/engines/test/engineFixture.ts
@@ -18,6 +18,8 @@
 		slots: 64,
 		leaving: false,
 		startedAt: 1,
+		coldLeftMs: 0,
+		revision: 1,
 		...overrides,
 	};
 }
--- a/src/engines/test/serverDirectory.test.ts
+++ b/src/engines/test/serverDirectory.test.ts
@@ -11,6 +11,8 @@
 		slots: 8,
 		leaving: false,
 		startedAt: 1,
+		coldLeftMs: 0,
+		revision: 1,
 		...overrides,
 	};
 }
@@ -89,4 +91,14 @@
 		expect(changes).toContain('engine-1 evacuated');
 		expect(changes).toContain('engine-1 taken-back');
 	});
+
+	test('tells each time that a server says that it is cold, and once only', () => {
+		const { directory, changes } = directoryWith({ since: 0 });
+		directory.update([serverWith()], 5_000);
+		directory.update([serverWith({ coldLeftMs: 2_000, revision: 2 })], 6_000);
+		directory.refresh(6_100);
+		directory.update([serverWith({ coldLeftMs: 800, revision: 3 })], 7_200);
+		directory.update([serverWith({ revision: 4 })], 8_400);
+		expect(changes).toEqual(['engine-1 added', 'engine-1 cold', 'engine-1 cold']);
+	});
 });
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -14,6 +14,7 @@
 import type { LogFields } from '../../base/node/structuredLog.js';
 import type { RegisteredServer } from '../../engines/common/directory.js';
 import { EngineFleet } from '../../engines/common/engineFleet.js';
+import { engineWith } from '../../engines/test/engineFixture.js';
 import { allQueuesKeptHere } from '../../engines/common/queueReservations.js';
 import type { Route, RoutingConfiguration } from '../../routing/common/model.js';
 import { RouteTable } from '../../routing/common/routeTable.js';
@@ -99,8 +100,13 @@
 		version: 1,
 		routes,
 		services: [
-			{ name: 'desk', maximumConnections: 10, engine: undefined },
-			{ name: 'scribes', maximumConnections: 10, engine: { batchSlots: 8, memoryTokens: 100_000, tokensPerEvent: 5 } },
+			{ name: 'desk', maximumConnections: 10, engine: undefined, coldRequestsPerSecond: Infinity },
+			{
+				name: 'scribes',
+				maximumConnections: 10,
+				engine: { batchSlots: 8, memoryTokens: 100_000, tokensPerEvent: 5 },
+				coldRequestsPerSecond: Infinity,
+			},
 		],
 		accounts: [{ name: 'harbour', keys: [KEY], priority: undefined }],
 		limits: {
@@ -148,7 +154,7 @@
  * @returns its registration
  */
 export function serverOf(service: string, id: string): RegisteredServer {
-	return { id, service, address: '10.0.0.1:80', failureDomain: 'a', slots: 8, leaving: false, startedAt: 1 };
+	return engineWith(id, { service, slots: 8 });
 }
 
 /**
--- a/src/routing/common/model.ts
+++ b/src/routing/common/model.ts
@@ -57,6 +57,8 @@
 	readonly maximumConnections: number;
 	/** Undefined for plain services. */
 	readonly engine: EngineSize | undefined;
+	/** Requests a second that one backend server bears while it is cold; infinite when it bears all. */
+	readonly coldRequestsPerSecond: number;
 }
 
 /** A client account and the keys that authenticate it. */
