--- a/src/admission/test/spareCapacity.test.ts
+++ b/src/admission/test/spareCapacity.test.ts
@@ -42,20 +42,20 @@
 		)
 		.sort((one, other) => one.at - other.at);
 	let step = -1;
-	let spare = 0;
+	let left = 0;
 	for (const { at, index, account } of arrivals) {
 		if (Math.floor(at / STEP_MS) > step) {
 			step = Math.floor(at / STEP_MS);
-			spare = (most * STEP_MS) / 1_000;
+			left = (most * STEP_MS) / 1_000;
 		}
 		shares.recordOffered(account.key, account.tokens, at);
 		const standing = shares.standing(account.key, at);
 		if (standing.refusedMs > 0) {
 			continue;
 		}
-		const hasSpare = spare >= account.tokens;
+		const hasRoom = left >= account.tokens;
 		const decision = decideAdmission({
-			options: [optionWith({ load: hasSpare ? 0.3 : 0.9, waitMs: hasSpare ? 0 : 400 })],
+			options: [optionWith({ load: hasRoom ? 0.3 : 0.9, waitMs: hasRoom ? 0 : 400 })],
 			declinedBy: new Set(),
 			standing,
 			aimMs: 500,
@@ -67,7 +67,7 @@
 			shares.spend(account.key, account.tokens, at);
 			shares.recordAdmitted(account.key, account.tokens, at);
 			admitted.add(account.tokens, at);
-			spare -= account.tokens;
+			left -= account.tokens;
 			got[index] = (got[index] ?? 0) + (at >= JUDGED_FROM_MS ? account.tokens : 0);
 		}
 	}
