--- a/src/engines/test/coldStart.test.ts
+++ b/src/engines/test/coldStart.test.ts
@@ -24,7 +24,7 @@
 }
 
 /**
- * Asks for a place every 2 ms for 5 s, each time for another router, and ends each request 20 ms later.
+ * Asks for a place every 2 ms for 5 s, each time for another router, and reads each prompt at once.
  *
  * @returns moments in milliseconds at which the cold engine got a request
  */
