Do not take a repeated refusal for the response to the next request

Cause: a response without a request identifier was accepted for any request, so a repetition that carries none, one for a caller that uses an identifier twice, and any on the own interface (which knows no identifier) was passed on as 'not run' although the server ran the request. Ruled out: heads that are cut off at any byte, closed or reset, all end as broken (test added, passes before).

Change: a refusal without an identifier closes its connection; a refusal with one is believed once per connection and identifier; a success without an identifier is not believed on a reused connection.

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -90,13 +90,13 @@
 	 */
 	readonly classifyRefusal: (head: ResponseHead) => 'refused' | 'fenced' | undefined;
 	/**
-	 * Checks that a response belongs to a request, since a connection may carry a surplus response.
+	 * Extracts the identifier of a request, which servers repeat in their responses. It tells a response from a surplus one
+	 * that a connection carries.
 	 *
-	 * @param request request that was sent
-	 * @param head status and headers of the response
-	 * @returns false when the response belongs to another request
+	 * @param headers headers of a request or of a response
+	 * @returns the identifier; undefined when the message has none
 	 */
-	readonly isResponseTo: (request: BackendRequest, head: ResponseHead) => boolean;
+	readonly requestIdentifierOf: (headers: ResponseHead['headers']) => string | undefined;
 	/**
 	 * Extracts the state that a server reports about itself.
 	 *
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import type { Socket } from 'node:net';
 import { Effect } from 'effect';
 import { CONNECTION_HEADERS, NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
 import type { IDisposable } from '../../base/common/lifecycle.js';
@@ -12,6 +13,7 @@
 	IBackendClient,
 } from '../common/backendClient.js';
 import { GuardedAgent } from './guardedAgent.js';
+import { RefusedRequests } from './refusedRequests.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -39,7 +41,7 @@
 		}
 		return status === CONFLICT ? 'fenced' : 'refused';
 	},
-	isResponseTo: () => true,
+	requestIdentifierOf: () => undefined,
 	parseNotice: () => undefined,
 	allowsCloseDelimited: false,
 };
@@ -146,6 +148,8 @@
 	}
 }
 
+const refusedRequests = RefusedRequests.create();
+
 class Attempt {
 	private outgoing: http.ClientRequest | undefined;
 	private sent = false;
@@ -217,7 +221,9 @@
 	private receive(response: http.IncomingMessage): void {
 		const status = response.statusCode ?? 0;
 		const received: ResponseHead = { status, headers: filterHeaders(response.headers, NO_EXCLUDED_HEADERS) };
-		if (!this.protocol.isResponseTo(this.request, received)) {
+		const refusal = this.protocol.classifyRefusal(received);
+		const match = this.matchResponse(received, response.socket, refusal !== undefined);
+		if (match === 'other') {
 			this.fail('broken', 'sent the answer to another request');
 			this.outgoing?.destroy();
 			return;
@@ -226,10 +232,14 @@
 		if (notice !== undefined) {
 			this.sink.notice?.(notice);
 		}
-		const refusal = this.protocol.classifyRefusal(received);
 		if (refusal !== undefined) {
 			this.fail(refusal, `refused with status ${status}`);
-			discardBody(response);
+			if (match === 'unidentified') {
+				// A repetition of this refusal could not be told from the response to the next request on the connection.
+				this.outgoing?.destroy();
+			} else {
+				discardBody(response);
+			}
 			return;
 		}
 		const selfDelimited = isSelfDelimited(this.request.method, response);
@@ -267,6 +277,27 @@
 		response.on('close', () => this.fail('broken', 'broke off its answer'));
 	}
 
+	/**
+	 * Determines whether a response belongs to this request. A faulty server may repeat an earlier response on a connection
+	 * that is kept open, also one with the identifier of this request if the caller uses an identifier twice.
+	 */
+	private matchResponse(
+		{ headers }: ResponseHead,
+		socket: Socket,
+		isRefusal: boolean,
+	): 'same' | 'unidentified' | 'other' {
+		const expected = this.protocol.requestIdentifierOf(this.request.headers);
+		const received = this.protocol.requestIdentifierOf(headers);
+		if (received === undefined) {
+			const isUncertain = expected !== undefined && !isRefusal && this.outgoing?.reusedSocket === true;
+			return isUncertain ? 'other' : 'unidentified';
+		}
+		if (received !== expected) {
+			return 'other';
+		}
+		return isRefusal && !refusedRequests.add(socket, received) ? 'other' : 'same';
+	}
+
 	private fail(kind: BackendFailure['kind'], message: string): void {
 		const verdict = kind === 'unreachable' || kind === 'refused' ? 'not-run' : 'may-have-run';
 		this.settle(Effect.fail({ kind, verdict, message: `backend server ${this.server.id}: ${message}` }));
--- a/src/backends/test/endlessBytes.test.ts
+++ b/src/backends/test/endlessBytes.test.ts
@@ -8,7 +8,7 @@
 
 const protocol: BackendProtocol = {
 	classifyRefusal: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
-	isResponseTo: () => true,
+	requestIdentifierOf: () => undefined,
 	parseNotice: () => undefined,
 	allowsCloseDelimited: true,
 };
@@ -84,7 +84,7 @@
 			client.call({ id: 'server', url }, request, {
 				sent: () => undefined,
 				head: () => undefined,
-				findFault: () => (events.isEventOversized ? 'sent an event without end' : undefined),
+				findFault: () => events.findFault(),
 				write: (chunk) => {
 					events.push(Buffer.from(chunk));
 					return true;
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -7,7 +7,7 @@
 
 const protocol: BackendProtocol = {
 	classifyRefusal: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
-	isResponseTo: (request, { headers }) => headers.id === undefined || headers.id === request.headers.id,
+	requestIdentifierOf: ({ id }) => (typeof id === 'string' ? id : undefined),
 	parseNotice: (_request, { headers }) =>
 		headers.leaving === undefined ? undefined : { isLeaving: true, restMs: undefined, unreadableTime: undefined },
 	allowsCloseDelimited: true,
@@ -214,4 +214,65 @@
 		sockets[1]?.write('ole');
 		expect((await inUse).body).toBe('whole');
 	});
+
+	// Guards against telling a caller that its request has not run because its server repeated an earlier refusal.
+	test.each([
+		['that has no identifier', '', '2'],
+		['of a request with the same identifier', 'id: 1\r\n', '1'],
+		['of another request', 'id: 1\r\n', '2'],
+	])('a repeated refusal %s is not the response to the next request', async (_, header, nextId) => {
+		const refusal = `HTTP/1.1 503 Busy\r\n${header}not-run: 1\r\ncontent-length: 0\r\n\r\n`;
+		const url = await startRawServer((socket) => socket.write(refusal));
+		const client = createClient();
+		expect((await call(client, url, '1')).result).toMatchObject({ failure: { verdict: 'not-run' } });
+		await pause(10);
+		const { result } = await call(client, url, nextId);
+		const isOnNewConnection = client.connectionsOpened === 2;
+		expect(result).toMatchObject({ failure: { verdict: isOnNewConnection ? 'not-run' : 'may-have-run' } });
+		expect(isOnNewConnection).toBe(header === '');
+	});
+
+	test('a response without an identifier is not the response to a later request on its connection', async () => {
+		const url = await startRawServer((socket, count) =>
+			socket.write(count === 1 ? responseWithLength('1', 'ok') : 'HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold'),
+		);
+		const client = createClient();
+		await call(client, url, '1');
+		await pause(10);
+		const { result, body } = await call(client, url, '2');
+		expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		expect(body).toBe('');
+	});
+
+	// Guards against passing a head that was cut off on as a response with an empty or short body.
+	test.each([
+		['closes', (socket: net.Socket, text: string) => socket.end(text)],
+		['resets', (socket: net.Socket, text: string) => socket.write(text, () => socket.resetAndDestroy())],
+	])('a head that is cut off at any byte is no response when the server %s the connection', async (_, write) => {
+		const head = 'HTTP/1.1 200 OK\r\nid: 1\r\nconnection: close\r\ncontent-length: 10\r\n\r\n';
+		const client = createClient();
+		for (let length = 0; length < head.length; length++) {
+			const url = await startRawServer((socket) => write(socket, head.slice(0, length)));
+			const { result, status } = await call(client, url, '1');
+			expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+			expect(status).toBeUndefined();
+		}
+	});
+});
+
+describe('HttpBackendClient without a protocol', () => {
+	// The servers of masticloom's own deployments repeat no identifier.
+	test('a refusal closes its connection, so that its repetition is not the response to the next request', async () => {
+		const refusal = 'HTTP/1.1 503 Busy\r\nmasticloom-not-started: true\r\ncontent-length: 0\r\n\r\n';
+		const closed: number[] = [];
+		const url = await startRawServer((socket, count) => {
+			socket.once('close', () => closed.push(count));
+			socket.write(refusal);
+		});
+		const client = HttpBackendClient.create();
+		cleanUps.push(() => client.dispose());
+		await call(client, url, '1');
+		await pause(20);
+		expect(closed).toEqual([1]);
+	});
 });
