--- a/src/daemon/node/workCounters.ts
+++ b/src/daemon/node/workCounters.ts
@@ -43,6 +43,8 @@
 					const countingSink: IAttemptSink = {
 						head: (head) => sink.head(head),
 						write: (chunk, resume) => sink.write(chunk, resume),
+						findFault: () => sink.findFault?.(),
+						notice: (notice) => sink.notice?.(notice),
 						sent: () => {
 							started = true;
 							this.addAttempt(server.id, 1, 1);
