Accept only later events of the same stream from a server that resumes it

Cause: the gateway compared the status only. An answer of the same status and another type, text that is no event, events that repeat earlier ones, and an answer that ends within an event were passed on, and the stream ended as complete. The relay of masticloomd compared type and end marker, but not the events. Change: the media type must be that of the stream; bytes of a resumption must be event lines with later identifiers; an end within an event is a failure. Bytes of the server that began the stream are passed on as before.

--- a/src/dispatch/node/answerRelay.ts
+++ b/src/dispatch/node/answerRelay.ts
@@ -60,7 +60,7 @@
 	public begin(head: ResponseHead): boolean {
 		const isStream = this.options.modelEngine && isEventStream(head);
 		if (this.started) {
-			this.stream?.discardBuffered();
+			this.stream?.prepareResumption();
 			return isStream && head.status === this.head?.status;
 		}
 		this.head = head;
@@ -94,9 +94,9 @@
 		return this.bufferedBytes <= limit || this.flush(resume);
 	}
 
-	/** Whether the received part of an event exceeds the size limit. */
-	public get isEventOversized(): boolean {
-		return this.stream?.isEventOversized === true;
+	/** @returns why the bytes received so far are not a valid stream; undefined if they may be */
+	public findFault(): string | undefined {
+		return this.stream?.findFault();
 	}
 
 	/** @returns whether the response, which has ended, is complete */
--- a/src/dispatch/node/eventStream.ts
+++ b/src/dispatch/node/eventStream.ts
@@ -9,6 +9,11 @@
 const NO_CHOICES = Buffer.from('"choices":[]');
 const ID_LINES = /(?:^|\n)id: ?([^\r\n]*)/g;
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const HYPHEN = 0x2d;
+const COLON = 0x3a;
+const LOWER_A = 0x61;
+const LOWER_Z = 0x7a;
 
 /** Maximum size of an event, which is buffered until it is complete. Valid events contain a few tokens only. */
 export const MAXIMUM_EVENT_BYTES = 1_048_576;
@@ -21,6 +26,10 @@
 	private held: Buffer | undefined;
 	private lastPart: Buffer | undefined;
 	private lastPartWithId: Buffer | undefined;
+	/** Identifier of the last event before the stream was resumed. */
+	private resumedAfter: string | undefined;
+	private isResumed = false;
+	private fault: string | undefined;
 
 	private constructor(private readonly completeEventsOnly: boolean) {}
 
@@ -39,9 +48,18 @@
 		return last !== undefined && endsWithMarker(last);
 	}
 
-	/** Whether the received part of an event exceeds {@link MAXIMUM_EVENT_BYTES}. */
-	public get isEventOversized(): boolean {
-		return (this.held?.length ?? 0) > MAXIMUM_EVENT_BYTES;
+	/** Whether the bytes received so far end within an event; only known for streams of complete events. */
+	public get endsWithinEvent(): boolean {
+		return (
+			this.held !== undefined && this.held.length > 0 && this.held.at(-1) !== LINE_FEED && !endsWithMarker(this.held)
+		);
+	}
+
+	/** @returns why the bytes received so far are not a valid stream; undefined if they may be */
+	public findFault(): string | undefined {
+		return (this.held?.length ?? 0) > MAXIMUM_EVENT_BYTES
+			? 'sent an event that does not end within the maximum size'
+			: this.fault;
 	}
 
 	/** `id` of the last event with an `id` that was passed on. */
@@ -61,6 +79,12 @@
 		if (ready === undefined) {
 			return undefined;
 		}
+		if (this.isResumed) {
+			this.fault ??= this.findResumptionFault(ready);
+			if (this.fault !== undefined) {
+				return undefined;
+			}
+		}
 		this.lastPart = this.completeEventsOnly ? ready : this.joinTail(ready);
 		if (ready.subarray(0, ID_START.length).equals(ID_START) || ready.includes(ID_LINE_START)) {
 			this.lastPartWithId = ready;
@@ -75,9 +99,30 @@
 		return held;
 	}
 
-	/** Discards an incomplete event before the stream is resumed. */
-	public discardBuffered(): void {
+	/** Discards an incomplete event before the stream is resumed; the bytes that follow must continue the stream. */
+	public prepareResumption(): void {
 		this.held = undefined;
+		this.fault = undefined;
+		this.isResumed = true;
+		this.resumedAfter = this.lastEventId;
+	}
+
+	// Bytes of the server that began the stream are passed on as they are. What another server adds to them must be events
+	// after the last one, and not the text of an error.
+	private findResumptionFault(events: Buffer): string | undefined {
+		for (let start = 0; start < events.length; start = endOfLine(events, start)) {
+			if (!isEventLine(events, start)) {
+				return 'continued the stream with bytes that are not events';
+			}
+		}
+		const [firstId] = events.toString('latin1').matchAll(ID_LINES);
+		if (this.resumedAfter !== undefined && firstId !== undefined) {
+			if (Number(firstId[1]) <= Number(this.resumedAfter)) {
+				return 'repeated events of the stream';
+			}
+			this.resumedAfter = undefined; // Only the first event after the resumption is compared.
+		}
+		return undefined;
 	}
 
 	private splitAtLastEvent(chunk: Buffer): Buffer | undefined {
@@ -103,6 +148,29 @@
 	}
 }
 
+function endOfLine(bytes: Buffer, start: number): number {
+	const at = bytes.indexOf(LINE_FEED, start);
+	return at < 0 ? bytes.length : at + 1;
+}
+
+/** Whether an empty line, a comment or a field with a name in lower case begins at a position. */
+function isEventLine(bytes: Buffer, start: number): boolean {
+	for (let at = start; at < bytes.length; at++) {
+		const byte = bytes[at] ?? 0;
+		if (byte === COLON) {
+			return true;
+		}
+		if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
+			return at === start;
+		}
+		const isNameCharacter = (byte >= LOWER_A && byte <= LOWER_Z) || (at > start && byte === HYPHEN);
+		if (!isNameCharacter) {
+			return false;
+		}
+	}
+	return false;
+}
+
 function endOfLast(bytes: Buffer, separator: Buffer): number {
 	const at = bytes.lastIndexOf(separator);
 	return at < 0 ? 0 : at + separator.length;
@@ -131,7 +199,7 @@
 
 function endsWithMarker(part: Buffer): boolean {
 	let end = part.length;
-	while (end > 0 && (part[end - 1] === LINE_FEED || part[end - 1] === 0x0d)) {
+	while (end > 0 && (part[end - 1] === LINE_FEED || part[end - 1] === CARRIAGE_RETURN)) {
 		end--;
 	}
 	const start = end - END_MARKER.length;
--- a/src/dispatch/node/slotAttempt.ts
+++ b/src/dispatch/node/slotAttempt.ts
@@ -219,10 +219,7 @@
 	}
 
 	public findFault(): string | undefined {
-		if (!this.accepted) {
-			return 'did not resume the stream';
-		}
-		return this.job.relay.isEventOversized ? 'sent an event without end' : undefined;
+		return this.accepted ? this.job.relay.findFault() : 'did not resume the stream';
 	}
 
 	public checkEnd(server: string): BackendFailure | undefined {
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/requestRun.ts
@@ -57,6 +57,8 @@
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
+const EVENT_STREAM_TYPE = 'text/event-stream';
+
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
@@ -87,6 +89,8 @@
 	private lastBytesAt = 0;
 	private longestPauseMs = 0;
 	private status = 0;
+	/** Media type of the response that is passed to the caller, without parameters. */
+	private mediaType = '';
 	private reason = '';
 
 	private constructor(
@@ -179,7 +183,11 @@
 					self.sendFailure(`server-${failure.kind}`, BAD_GATEWAY);
 					return;
 				}
-				self.events?.discardBuffered();
+				if (self.response.hasHead) {
+					self.events?.prepareResumption();
+				} else {
+					self.events?.takeBuffered();
+				}
 			}
 		});
 	}
@@ -341,29 +349,22 @@
 		const state = {
 			hadFirstEvent: request.engine === undefined,
 			failed: false,
-			resumeStatus: undefined as number | undefined,
+			resumptionFault: undefined as string | undefined,
 		};
 		const sink: IAttemptSink = {
 			sent: () => (this.inProgress = true),
 			notice: (notice) => this.recordNotice(server.id, notice),
 			head: (head) => {
 				state.failed = head.status >= MINIMUM_ERROR_STATUS;
-				if (this.response.hasHead && head.status !== this.status) {
-					state.resumeStatus = head.status;
+				if (this.response.hasHead) {
+					state.resumptionFault = this.findResumptionFault(head);
 				} else {
 					this.forwardHead(head);
 				}
 			},
-			findFault: () => {
-				if (state.resumeStatus !== undefined) {
-					return resumptionFailure(state.resumeStatus).message;
-				}
-				return this.events?.isEventOversized === true
-					? 'sent an event that does not end within the maximum size'
-					: undefined;
-			},
+			findFault: () => state.resumptionFault ?? this.events?.findFault(),
 			write: (chunk, resume) => {
-				if (state.resumeStatus !== undefined) {
+				if (state.resumptionFault !== undefined) {
 					return true; // The body of a failed resumption is not part of the stream.
 				}
 				if (!state.hadFirstEvent) {
@@ -393,9 +394,10 @@
 		);
 		const delayMs = Math.round(reservation?.delayMs ?? option.delayMs);
 		return (delayMs > 0 ? Effect.andThen(Effect.sleep(delayMs), call) : call).pipe(
-			Effect.flatMap(() =>
-				state.resumeStatus === undefined ? Effect.void : Effect.fail(resumptionFailure(state.resumeStatus)),
-			),
+			Effect.flatMap(() => {
+				const fault = state.resumptionFault ?? this.findEndFault();
+				return fault === undefined ? Effect.void : Effect.fail(invalidResponseFailure(server.id, fault));
+			}),
 			Effect.onExit((exit) =>
 				Effect.sync(() => {
 					const endedAt = clock.now();
@@ -431,10 +433,24 @@
 	}
 
 	private forwardHead(head: ResponseHead): void {
-		if (!this.response.hasHead) {
-			this.status = head.status;
-			this.response.head(head);
+		this.status = head.status;
+		this.mediaType = mediaTypeOf(head);
+		this.response.head(head);
+	}
+
+	/** Checks whether the response of another server can continue the stream that a server has begun. */
+	private findResumptionFault(head: ResponseHead): string | undefined {
+		if (head.status !== this.status) {
+			return `answered the resumed stream with status ${head.status}`;
 		}
+		const mediaType = mediaTypeOf(head);
+		return mediaType === this.mediaType ? undefined : `answered the resumed stream with the media type ${mediaType}`;
+	}
+
+	/** Checks a response whose framing is complete. A stream that ends within an event was cut off by its server. */
+	private findEndFault(): string | undefined {
+		const isCutOff = this.mediaType === EVENT_STREAM_TYPE && this.events?.endsWithinEvent === true;
+		return this.events?.findFault() ?? (isCutOff ? 'ended the stream within an event' : undefined);
 	}
 
 	private forwardBytes(chunk: Buffer, resume: () => void): boolean {
@@ -638,8 +654,14 @@
 	return { kind: 'withdrawn', verdict: 'not-run', message: `backend server ${server} no longer accepts requests` };
 }
 
-function resumptionFailure(status: number): BackendFailure {
-	return { kind: 'broken', verdict: 'may-have-run', message: `answered the resumed stream with status ${status}` };
+function invalidResponseFailure(server: string, fault: string): BackendFailure {
+	return { kind: 'broken', verdict: 'may-have-run', message: `backend server ${server} ${fault}` };
+}
+
+function mediaTypeOf({ headers }: ResponseHead): string {
+	const type = headers['content-type'];
+	const [mediaType = ''] = (typeof type === 'string' ? type : (type?.[0] ?? '')).split(';');
+	return mediaType.trim().toLowerCase();
 }
 
 function round(value: number | undefined): number | undefined {
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -54,6 +54,8 @@
 	});
 `;
 
+const EVENT_STREAM = 'text/event-stream';
+
 const orders = configurationWith([routeWith()]);
 const lookups = configurationWith([routeWith({ repeatPolicy: 'repeatable', maximumAttempts: 2 })]);
 const twoDesks = [serverOf('desk', 'desk-1'), serverOf('desk', 'desk-2')];
@@ -157,9 +159,29 @@
 		expect(attempts[1]?.request.headers['resume-after']).toBe('1');
 	});
 
-	// Guards against passing the body of an error response on as the end of the stream.
-	test('a stream whose resumption fails is cut off rather than ended', async () => {
-		const brokenResponse = breakConnectionAfter('id: 1\ndata: a\n\n');
+	// Guards against passing the text of an error on as part of a stream, and against ending such a stream as complete.
+	test.each<readonly [string, number, string, string]>([
+		['an error', 500, EVENT_STREAM, 'no'],
+		['an error of the same status', 200, 'application/json', '{"error":"no"}'],
+		['the head of an error', 200, EVENT_STREAM, 'HTTP/1.1 500 no\r\ncontent-length: 0\r\n\r\n'],
+		['the text of an error as events', 200, EVENT_STREAM, '{"error":"no"}\n\n'],
+		['events that were passed on before', 200, EVENT_STREAM, 'id: 1\ndata: no\n\nid: 2\ndata: b\n\n'],
+		['half an event', 200, EVENT_STREAM, 'id: 2\ndata: no'],
+	])('a stream whose resumption is answered with %s is cut off rather than ended', async (_, status, type, text) => {
+		const headers = { 'content-type': EVENT_STREAM };
+		const resumption: BackendBehaviour = (sink) =>
+			Effect.flatMap(
+				Effect.sync(() => {
+					sink.sent();
+					sink.head({ status, headers: { 'content-type': type } });
+					sink.write(Buffer.from(text), () => undefined);
+					return sink.findFault?.();
+				}),
+				(message) =>
+					message === undefined
+						? Effect.void
+						: Effect.fail({ kind: 'broken' as const, verdict: 'may-have-run' as const, message }),
+			);
 		const route = routeWith({
 			streams: true,
 			resumable: true,
@@ -168,10 +190,12 @@
 			targets: [{ service: 'scribes', weight: 1 }],
 		});
 		const servers = [serverOf('scribes', 'scribe-1'), serverOf('scribes', 'scribe-2')];
-		const { port } = await start([brokenResponse, respondWith(500, 'no')], configurationWith([route]), servers);
+		const behaviours = [breakConnectionAfter('id: 1\ndata: a\n\n', headers), resumption];
+		const { port } = await start(behaviours, configurationWith([route]), servers);
 		const response = await send(port);
 		expect(response.whole).toBe(false);
-		expect(response.body).not.toContain('no');
+		// The connection may be closed before the first event has been sent.
+		expect('id: 1\ndata: a\n\n').toContain(response.body);
 	});
 
 	test('a caller that disconnects ends its request at the server', async () => {
