--- a/src/cli/node/commandLine.ts
+++ b/src/cli/node/commandLine.ts
@@ -11,6 +11,7 @@
 import { explain } from './explainCommand.js';
 import { fairness } from './fairnessCommand.js';
 import type { RouterSource } from './fleetStatus.js';
+import { LOSS_GROUPS, losses, type LossGrouping } from './lossesCommand.js';
 import { status } from './statusCommand.js';
 import { trace } from './traceCommand.js';
 
@@ -18,6 +19,7 @@
 const DEFAULT_STORE_LIMIT_MS = 30_000;
 
 const TEXT_OPTIONS = [
+	'by',
 	'store',
 	'instances',
 	'admin',
@@ -116,10 +118,26 @@
 		.action((file: string, values: Values & { readonly _?: readonly string[] }) =>
 			fairness([file, ...(values._ ?? [])], output),
 		);
+	program
+		.command('losses <file>', 'Show what became of all requests, and why, from saved logs; more files may follow.')
+		.option('--by', `Group the requests by ${LOSS_GROUPS.join(', ')}`, 'all')
+		.example('losses --by account edge-1.log edge-2.log')
+		.action((file: string, values: Values & { readonly _?: readonly string[] }) =>
+			losses([file, ...(values._ ?? [])], lossGrouping(values), output),
+		);
 	defineRouterCommands(program, output);
 	return program;
 }
 
+function lossGrouping(values: Values): LossGrouping {
+	const value = textOption(values, 'by');
+	const grouping = LOSS_GROUPS.find((item) => item === value);
+	if (grouping === undefined) {
+		throw new UsageError(`--by: '${value ?? ''}' is none of ${LOSS_GROUPS.join(', ')}`);
+	}
+	return grouping;
+}
+
 /** Defines the commands that query one router. */
 function defineRouterCommands(program: ReturnType<typeof sade>, output: CommandOutput): void {
 	withCertificateOptions(program.command('dump', 'Print the state of one router as JSON.'))
