Learn the pace of an engine faster, and queue late notices in order of sending

The age of notices was sent and not used: a prompt of a peer was queued when its notice arrived, and its first event then removed prompts that the engine had received after it. And the first observations of an engine's pace weighed no more than later ones, so after the loss of all routers waits were too short for seconds. Change: prompts are queued by the time of sending, progress counts from the time of the first event, the first observations weigh 1/2, 1/3, ... Both tests fail before.

--- a/src/engines/common/engineQueue.ts
+++ b/src/engines/common/engineQueue.ts
@@ -31,7 +31,7 @@
 const MINIMUM_PACE = 0.4;
 const MAXIMUM_PACE = 8;
 
-/** Weight of one observation in the moving average of the pace. */
+/** Minimum weight of one observation in the moving average of the pace; the first ones weigh more. */
 const PACE_GAIN = 0.15;
 
 /** Shorter observations are ignored because fixed costs of the engine dominate them. */
@@ -63,11 +63,17 @@
  */
 export class EngineQueue {
 	private placements: QueuedPlacement[] = [];
+	/** Predicted end of the prefill of all placements, in monotonic milliseconds. */
 	private busyUntil = 0;
 	/** Start of the current prefill burst, in monotonic milliseconds. */
 	private burstStartedAt = 0;
+	/** Last first event, in monotonic milliseconds; all earlier prompts are prefilled since then. */
 	private lastProgressAt = 0;
+	/** Earliest start of the first placement, in monotonic milliseconds. */
+	private firstStartsAt = 0;
 	private currentPace = 1;
+	/** Number of observations of the pace. */
+	private observations = 0;
 	private meanLoad = 0;
 	private meanLoadUpdatedAt = 0;
 
@@ -120,14 +126,15 @@
 		this.dropLostPlacements(now);
 		// Prompts are sent in order of placement.
 		const sentAt = Math.max(now, this.placements.at(-1)?.sentAt ?? now);
-		if (this.busyUntil <= sentAt) {
+		const { busyUntil } = this;
+		if (busyUntil <= sentAt) {
 			return { delayMs: sentAt - now, waitMs: sentAt - now };
 		}
-		const burstMs = this.busyUntil - this.burstStartedAt + workMs * this.currentPace;
+		const burstMs = busyUntil - this.burstStartedAt + workMs * this.currentPace;
 		if (burstMs <= longestBurstMs) {
-			return { delayMs: sentAt - now, waitMs: this.busyUntil - now };
+			return { delayMs: sentAt - now, waitMs: busyUntil - now };
 		}
-		const waitMs = this.busyUntil + BURST_PAUSE_MS - now;
+		const waitMs = busyUntil + BURST_PAUSE_MS - now;
 		return { delayMs: waitMs, waitMs };
 	}
 
@@ -164,12 +171,13 @@
 	}
 
 	/**
-	 * Adds a prompt. A placement that is already queued is not changed.
+	 * Adds a prompt. A placement that is already queued is not changed. Notices of other routers arrive late, so the
+	 * prompt may precede others that are queued already.
 	 *
 	 * @param id identifier of the placement
 	 * @param now monotonic milliseconds
 	 * @param workMs nominal prefill time of the prompt in milliseconds
-	 * @param delayMs milliseconds until the prompt is sent, as returned by {@link planSend}
+	 * @param delayMs milliseconds until the prompt is sent, as returned by {@link planSend}; negative if it was sent earlier
 	 */
 	public place(id: PlacementId, now: number, workMs: number, delayMs = 0): void {
 		if (this.placements.some((item) => isSamePlacement(item, id))) {
@@ -177,11 +185,12 @@
 		}
 		this.load(now);
 		const sentAt = now + delayMs;
-		if (this.busyUntil < sentAt) {
-			this.burstStartedAt = sentAt;
-		}
-		this.busyUntil = Math.max(this.busyUntil, sentAt) + workMs * this.currentPace;
-		this.placements.push({ ...id, sentAt, workMs, dueAt: this.busyUntil });
+		const next = this.placements.findIndex((item) => item.sentAt > sentAt);
+		const index = next < 0 ? this.placements.length : next;
+		this.placements.splice(index, 0, { ...id, sentAt, workMs, dueAt: Infinity });
+		this.recomputeBusyUntil();
+		const dueAt = next < 0 ? this.busyUntil : sentAt + workMs * this.currentPace;
+		this.placements[index] = { ...id, sentAt, workMs, dueAt };
 	}
 
 	/**
@@ -190,8 +199,9 @@
 	 * @param id identifier of the placement
 	 * @param now monotonic milliseconds
 	 * @param isComplete whether the queue holds the placements of all routers, so that the pace can be measured
+	 * @param at monotonic milliseconds of the first event
 	 */
-	public recordFirstEvent(id: PlacementId, now: number, isComplete = true): void {
+	public recordFirstEvent(id: PlacementId, now: number, isComplete = true, at = now): void {
 		const index = this.placements.findIndex((item) => isSamePlacement(item, id));
 		const placement = this.placements[index];
 		if (placement === undefined) {
@@ -199,11 +209,12 @@
 		}
 		this.load(now);
 		if (isComplete) {
-			this.updatePace(placement, index, now);
+			this.updatePace(placement, index, at);
 		}
-		this.lastProgressAt = now;
+		this.lastProgressAt = Math.max(this.lastProgressAt, at);
+		this.firstStartsAt = this.lastProgressAt;
 		this.placements.splice(0, index + 1);
-		this.recomputeBusyUntil(now);
+		this.recomputeBusyUntil();
 	}
 
 	/**
@@ -213,12 +224,7 @@
 	 * @param now monotonic milliseconds
 	 */
 	public remove(id: PlacementId, now: number): void {
-		const index = this.placements.findIndex((item) => isSamePlacement(item, id));
-		const [placement] = index < 0 ? [] : this.placements.splice(index, 1);
-		if (placement !== undefined) {
-			this.busyUntil = Math.max(now, this.busyUntil - placement.workMs * this.currentPace);
-			this.resetBurstWhenEmpty(now);
-		}
+		this.removeWhere((item) => isSamePlacement(item, id), now);
 	}
 
 	/**
@@ -228,10 +234,21 @@
 	 * @param now monotonic milliseconds
 	 */
 	public removeRouter(router: string, now: number): void {
-		this.placements = this.placements.filter((item) => item.router !== router);
-		const before = this.busyUntil;
-		this.recomputeBusyUntil(now);
-		this.busyUntil = Math.min(before, this.busyUntil);
+		this.removeWhere((item) => item.router === router, now);
+	}
+
+	private removeWhere(isRemoved: (item: QueuedPlacement) => boolean, now: number): void {
+		const [first] = this.placements;
+		const kept = this.placements.filter((item) => !isRemoved(item));
+		if (kept.length === this.placements.length) {
+			return;
+		}
+		this.load(now);
+		if (first !== undefined && isRemoved(first) && first.sentAt <= now) {
+			this.firstStartsAt = now; // The engine stops the prefill of a request that is cancelled.
+		}
+		this.placements = kept;
+		this.recomputeBusyUntil();
 	}
 
 	// Assumes that the engine prefilled all prompts up to this one without a break, since the previous first event or
@@ -244,12 +261,16 @@
 			return;
 		}
 		const observed = Math.min(MAXIMUM_PACE, Math.max(MINIMUM_PACE, (now - since) / work));
-		this.currentPace += PACE_GAIN * (observed - this.currentPace);
+		this.observations++;
+		const gain = Math.max(PACE_GAIN, 1 / (this.observations + 1));
+		this.currentPace += gain * (observed - this.currentPace);
 	}
 
-	private recomputeBusyUntil(now: number): void {
-		this.busyUntil = now;
-		this.resetBurstWhenEmpty(now);
+	private recomputeBusyUntil(): void {
+		this.busyUntil = this.firstStartsAt;
+		if (this.placements.length === 0) {
+			this.burstStartedAt = this.firstStartsAt;
+		}
 		for (const { sentAt, workMs } of this.placements) {
 			if (sentAt > this.busyUntil) {
 				this.busyUntil = sentAt;
@@ -259,12 +280,6 @@
 		}
 	}
 
-	private resetBurstWhenEmpty(now: number): void {
-		if (this.placements.length === 0) {
-			this.burstStartedAt = now;
-		}
-	}
-
 	private dropLostPlacements(now: number): void {
 		const [first] = this.placements;
 		if (first !== undefined && now > this.busyUntil + LOST_AFTER_MS) {
--- a/src/engines/test/engineQueue.test.ts
+++ b/src/engines/test/engineQueue.test.ts
@@ -49,6 +49,28 @@
 		expect(queue.pace).toBeLessThan(1.3);
 	});
 
+	// Notices of other routers arrive some 30 ms late. Queued in order of arrival, the first event of such a prompt removed
+	// the work of prompts that the engine had received after it, and their engine looked idle.
+	test('queues the prompt of a late notice in order of sending', () => {
+		const queue = EngineQueue.create();
+		queue.place(own(1), 1_000, 400);
+		queue.place({ router: 'router-2', sequence: 1 }, 1_030, 100, -50);
+		expect(queue.waitMs(1_030)).toBe(450);
+		queue.recordFirstEvent({ router: 'router-2', sequence: 1 }, 1_090, true, 1_080);
+		expect(queue.pending).toBe(1);
+		expect(queue.waitMs(1_090)).toBeCloseTo(400 * queue.pace - 10);
+	});
+
+	// With equal weights, all routers of a fleet that has just started predict too short waits for some seconds.
+	test('learns most of the pace of a slow engine from its first prompts', () => {
+		const queue = EngineQueue.create();
+		for (let index = 0; index < 3; index++) {
+			queue.place(own(index), index * 1_000, 100);
+			queue.recordFirstEvent(own(index), index * 1_000 + 200);
+		}
+		expect(queue.pace).toBeGreaterThan(1.7);
+	});
+
 	test('removing a request that failed before its first event removes its work', () => {
 		const queue = EngineQueue.create();
 		queue.place(own(1), 1_000, 300);
