Let the test of a new router wait until notices of the placement have been sent

The test passed before the change that it guards: the notice reached the new router since it was sent after its introduction. It fails before now.

--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { systemClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
+import type { EngineOption } from '../../engines/common/engineChoice.js';
 import {
 	disposeRouters,
 	type FixtureRouter,
@@ -41,22 +42,24 @@
 	// After the loss of all routers, each one that started placed prompts as if the engines were idle, on top of the work
 	// of those that had started before it; after the restart of one, it sent documents to engines that had not cached them.
 	test('a router that has just started learns the queued prompts and the cached parts from its peer', async () => {
-		const [one] = await startPair();
+		const [one, two] = await startPair();
 		const now = systemClock.now();
 		const documents = Array.from({ length: 200 }, (_, key) => ({ key: key + 100, tokens: 500 }));
 		const long = { ...shortPrompt, parts: [...documents, { key: 12, tokens: 100 }], promptTokens: 100_100 };
-		const [option] = one.engines.rankedOptions('drafts', long, new Set(), now);
-		if (option === undefined) {
-			throw new Error('no engine');
-		}
+		const bestOptionOf = ({ engines }: FixtureRouter): EngineOption => {
+			const [best] = engines.rankedOptions('drafts', long, new Set(), systemClock.now());
+			if (best === undefined) {
+				throw new Error('no engine');
+			}
+			return best;
+		};
+		const option = bestOptionOf(one);
 		one.engines.place(option, long, now);
+		// Until its notice has been sent, the placement would reach the new router in any case.
+		await waitUntil(() => bestOptionOf(two).workMs < option.workMs / 10);
 		const late = await startRouter('router-3', '127.0.205');
 		late.exchange.introduce(one.datagramAddress);
-		const optionAt = (): number => {
-			const at = systemClock.now();
-			return late.engines.rankedOptions('drafts', long, new Set(), at)[0]?.workMs ?? Infinity;
-		};
-		await waitUntil(() => optionAt() < option.workMs / 10);
+		await waitUntil(() => bestOptionOf(late).workMs < option.workMs / 10);
 		const waitMs = late.engines.rankedOptions('drafts', shortPrompt, new Set(), systemClock.now())[0]?.waitMs;
 		expect(waitMs).toBeGreaterThan(option.workMs / 2);
 		expect(late.engines.ownInProgressAt('engine-1')).toBe(0);
