Let long prompts of accounts over their share leave room at the engines

Hypothesis: prompts of accounts below their share are refused or late because those of accounts over theirs fill the queues. Change: the prefill of such a prompt has to end within 0.4 of the target, or the engine has to be nearly idle; not for an account that has received less than 0.8 of its share.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -50,6 +50,18 @@
  */
 const OVER_SHARE_WAIT_FACTOR = 0.4;
 
+/**
+ * Longest time until an engine has prefilled a prompt of an account over its share, as a fraction of the target. Prompts
+ * of other accounts that arrive in the meantime wait for no longer.
+ */
+const OVER_SHARE_PREFILL_FRACTION = 0.4;
+
+/** Fraction of its share that an account has to receive before its long prompts wait for engines that are nearly idle. */
+const RECEIVED_SHARE = 0.8;
+
+/** Wait at which an engine is nearly idle and accepts prompts of any length from accounts over their share. */
+const NEARLY_IDLE_WAIT_MS = 15;
+
 /**
  * Maximum number of shared tokens that an engine may prefill again for a request of an account over its share: those
  * of a system prompt. Another prefill of a document takes capacity that others need, and evicts cached tokens that
@@ -80,8 +92,8 @@
  * Decides whether a request to a model engine is sent now, and to which engine, or is refused at once.
  *
  * A request waits at an engine only as long as its first event can still be on time. For an account that offers more
- * than its fair share, only a shorter wait and little repeated prefill are accepted, so that engines have room for the
- * others.
+ * than its fair share, only a shorter wait and little repeated prefill are accepted, and long prompts only by engines
+ * that are nearly idle, so that engines have room for the others.
  *
  * Load pattern: for seconds, work arrives at up to twice the rate that the engines can process, most of it from one
  * account after the other.
@@ -97,7 +109,7 @@
 		return { kind: 'refuse', reason: 'no-server', retryAfterMs: clampRetryMs(retryMs, inputs), limitMs: 0 };
 	}
 	const isOverShare = inputs.shareStatus.offeredShare > 1;
-	const limitMs = waitLimitMs(inputs, preferred.readMs) * (isOverShare ? OVER_SHARE_WAIT_FACTOR : 1);
+	const limitMs = isOverShare ? overShareWaitLimitMs(inputs, preferred.readMs) : waitLimitMs(inputs, preferred.readMs);
 	const maximumRereadTokens = isOverShare ? OVER_SHARE_REREAD_TOKENS : Infinity;
 	const limits: PlacementLimits = { limitMs, maximumLoad: 1, maximumRereadTokens };
 	const accepted = usable.find((option) => isAcceptable(option, limits) && !inputs.declinedBy.has(option.server.id));
@@ -137,6 +149,15 @@
 		: Math.min(aimMs * MAXIMUM_WAIT_FRACTION, Math.max(aimMs * LARGE_PROMPT_WAIT_FRACTION, remainingMs));
 }
 
+function overShareWaitLimitMs(inputs: AdmissionInputs, prefillMs: number): number {
+	const limitMs = waitLimitMs(inputs, prefillMs) * OVER_SHARE_WAIT_FACTOR;
+	if (inputs.shareStatus.usedShare < RECEIVED_SHARE) {
+		return limitMs;
+	}
+	const roomMs = inputs.aimMs * OVER_SHARE_PREFILL_FRACTION - prefillMs;
+	return Math.min(limitMs, Math.max(NEARLY_IDLE_WAIT_MS, roomMs));
+}
+
 function clampRetryMs(milliseconds: number, { deadlineLeftMs }: Pick<AdmissionInputs, 'deadlineLeftMs'>): number {
 	return Math.min(milliseconds, Math.max(0, deadlineLeftMs) * MAXIMUM_RETRY_FRACTION);
 }
