--- a/src/admission/test/longPrompts.test.ts
+++ b/src/admission/test/longPrompts.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
 import { EngineQueue } from '../../engines/common/engineQueue.js';
-import { prefillMs } from '../../engines/common/readingTime.js';
+import { prefillMs } from '../../engines/common/prefillTime.js';
 import { engineWith, optionWith } from '../../engines/test/engineFixture.js';
 import { decideAdmission } from '../common/admission.js';
 
--- a/src/admission/test/shareReplay.ts
+++ b/src/admission/test/shareReplay.ts
@@ -1,7 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { EngineQueue } from '../../engines/common/engineQueue.js';
-import { prefillMs } from '../../engines/common/readingTime.js';
+import { prefillMs } from '../../engines/common/prefillTime.js';
 import type { EngineOption } from '../../engines/common/engineChoice.js';
 import { engineWith, optionWith } from '../../engines/test/engineFixture.js';
 import { FairnessLedger, type FairnessWindow } from '../../shares/common/fairnessLedger.js';
--- a/src/callers/node/callerServer.ts
+++ b/src/callers/node/callerServer.ts
@@ -14,7 +14,7 @@
 import { parseHints, type RequestHints } from '../common/requestHints.js';
 import { isIdempotent, parseTarget, type RequestTarget } from '../common/requestTarget.js';
 import { AccountTokens } from './accountTokens.js';
-import { CallerResponse } from './callerAnswer.js';
+import { CallerResponse } from './callerResponse.js';
 import { OpenRequests } from './openRequests.js';
 import { readBody } from './readBody.js';
 
--- a/src/callers/test/keyedCalls.test.ts
+++ b/src/callers/test/keyedCalls.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Deferred, Effect } from 'effect';
 import { type Fault, PlainService } from '../../../standins/plainService/plainService.js';
-import { IdempotencyService } from '../../idempotency/node/storedCalls.js';
+import { IdempotencyService } from '../../idempotency/node/idempotencyService.js';
 import { FaultyStore } from '../../idempotency/test/faultyStore.js';
 import { createConfiguration, type RouterOptions, TestRouter } from './routerFixture.js';
 
--- a/src/callers/test/routerFixture.ts
+++ b/src/callers/test/routerFixture.ts
@@ -8,7 +8,7 @@
 import type { Configuration, Service } from '../../configuration/common/model.js';
 import { DispatchService } from '../../dispatch/node/dispatchService.js';
 import type { IIdempotencyService } from '../../idempotency/common/idempotencyService.js';
-import { IdempotencyService } from '../../idempotency/node/storedCalls.js';
+import { IdempotencyService } from '../../idempotency/node/idempotencyService.js';
 import { FaultyStore } from '../../idempotency/test/faultyStore.js';
 import { PeerFrame } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
 import type { IPeerNetwork, PeerMessage } from '../../peers/common/peerNetwork.js';
--- a/src/daemon/node/metricReaders.ts
+++ b/src/daemon/node/metricReaders.ts
@@ -2,7 +2,7 @@
 import type { CertificateStore } from '../../peers/node/certificateStore.js';
 import type { EntryDump, PoolDump, SchedulerDump } from '../../scheduling/common/schedulingDump.js';
 import type { RouterComponents } from './routerParts.js';
-import type { BackendCount } from './workCounters.js';
+import type { BackendCount } from './dispatchCounters.js';
 
 /** Maximum number of accounts per pool with their own time series. The others are available from `/explain`. */
 const MAXIMUM_ACCOUNT_SERIES = 100;
--- a/src/daemon/node/routerParts.ts
+++ b/src/daemon/node/routerParts.ts
@@ -8,7 +8,7 @@
 import { CallerServer } from '../../callers/node/callerServer.js';
 import { ConfigurationFollower } from '../../configuration/node/configurationFollower.js';
 import { DispatchService } from '../../dispatch/node/dispatchService.js';
-import { IdempotencyService } from '../../idempotency/node/storedCalls.js';
+import { IdempotencyService } from '../../idempotency/node/idempotencyService.js';
 import { MembershipService } from '../../membership/node/membershipService.js';
 import { GrpcPeerNetwork } from '../../peers/node/grpcPeerNetwork.js';
 import { createMutualTls, INSECURE_PEERS } from '../../peers/node/peerSecurity.js';
@@ -17,7 +17,7 @@
 import { SlotService } from '../../scheduling/node/slotService.js';
 import { formatAddress, type Settings } from '../../settings/common/settings.js';
 import type { StartupInputs } from './startUp.js';
-import { DispatchCounters } from './workCounters.js';
+import { DispatchCounters } from './dispatchCounters.js';
 
 /** Connected components of one router, which are disposed with the owner passed to {@link createComponents}. */
 export interface RouterComponents {
--- a/src/daemon/test/dispatchCounters.test.ts
+++ b/src/daemon/test/dispatchCounters.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import type { IAttemptSink, IBackendClient, ServerNotice } from '../../backends/common/backendClient.js';
-import { DispatchCounters } from '../node/workCounters.js';
+import { DispatchCounters } from '../node/dispatchCounters.js';
 
 describe('DispatchCounters', () => {
 	// Without the check for faults, an attempt that sends an event without end is only ended by its caller's deadline.
--- a/src/dispatch/node/slotAttempt.ts
+++ b/src/dispatch/node/attemptRunner.ts
@@ -6,7 +6,7 @@
 	IBackendClient,
 } from '../../backends/common/backendClient.js';
 import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
-import { ServerCooldowns } from '../../backends/common/serverAvoidance.js';
+import { ServerCooldowns } from '../../backends/common/serverCooldowns.js';
 import type { IClock } from '../../base/common/clock.js';
 import type { IConfigurationService } from '../../configuration/common/configurationService.js';
 import type { BackendServer } from '../../configuration/common/model.js';
--- a/src/dispatch/node/dispatchService.ts
+++ b/src/dispatch/node/dispatchService.ts
@@ -15,7 +15,7 @@
 import { RetryBudget } from '../common/retryBudget.js';
 import { computeRequestDigest } from './fingerprint.js';
 import { Job } from './job.js';
-import { AttemptRunner, type AttemptRunnerOptions, type UsableSlot } from './slotAttempt.js';
+import { AttemptRunner, type AttemptRunnerOptions, type UsableSlot } from './attemptRunner.js';
 
 /** Delay before a request is queued again that was assigned a slot it cannot use. */
 const UNUSABLE_SLOT_DELAY_MS = 5;
--- a/src/dispatch/node/job.ts
+++ b/src/dispatch/node/job.ts
@@ -4,7 +4,7 @@
 import type { AccountQueue } from '../common/accountQueues.js';
 import type { DispatchFailure, DispatchFailureCode, DispatchRequest } from '../common/dispatchService.js';
 import type { RetryBudget } from '../common/retryBudget.js';
-import { ResponseRelay } from './answerRelay.js';
+import { ResponseRelay } from './responseRelay.js';
 import { computeFingerprint } from './fingerprint.js';
 
 /** Maximum number of attempts per request. Failed attempts that advanced a resumable stream are not counted. */
--- a/src/engines/common/engineChoice.ts
+++ b/src/engines/common/engineChoice.ts
@@ -1,7 +1,7 @@
 import type { RegisteredServer } from './directory.js';
 import type { EngineView } from './engineState.js';
-import type { PromptPart } from './promptCache.js';
-import { prefillMs, streamPauseMs } from './readingTime.js';
+import type { PromptPart } from './prefixCacheIndex.js';
+import { prefillMs, streamPauseMs } from './prefillTime.js';
 import type { EngineHealth } from './serverOutcomes.js';
 
 /** Prompt of a request and its streaming requirements. */
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -12,9 +12,9 @@
 	ReservationAnswer,
 	ReservationRequest,
 } from './placementMessages.js';
-import { PrefixCacheIndex, type PromptPart } from './promptCache.js';
+import { PrefixCacheIndex, type PromptPart } from './prefixCacheIndex.js';
 import { type IQueueOwnership, fullQueueOwnership } from './queueDivision.js';
-import { longestBurstMs, nominalTokens, prefillMs } from './readingTime.js';
+import { longestBurstMs, nominalTokens, prefillMs } from './prefillTime.js';
 import type { ServerOutcome, ServerOutcomes } from './serverOutcomes.js';
 
 interface KnownServer {
--- a/src/engines/test/engineFleet.test.ts
+++ b/src/engines/test/engineFleet.test.ts
@@ -2,7 +2,7 @@
 import { shortKey } from '../../base/common/shortKey.js';
 import type { PromptWork } from '../common/engineChoice.js';
 import { EngineFleet } from '../common/engineFleet.js';
-import { prefillMs, streamPauseMs } from '../common/readingTime.js';
+import { prefillMs, streamPauseMs } from '../common/prefillTime.js';
 import { engineWith, SERVICE } from './engineFixture.js';
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
--- a/src/engines/test/promptCache.test.ts
+++ b/src/engines/test/prefixCacheIndex.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { PrefixCacheIndex, type PromptPart } from '../common/promptCache.js';
+import { PrefixCacheIndex, type PromptPart } from '../common/prefixCacheIndex.js';
 
 const ENGINE = 'engine-1';
 const MEMORY_TOKENS = 100_000;
--- a/src/engines/test/readingBursts.test.ts
+++ b/src/engines/test/readingBursts.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
 import { EngineQueue } from '../common/engineQueue.js';
-import { longestBurstMs, prefillMs } from '../common/readingTime.js';
+import { longestBurstMs, prefillMs } from '../common/prefillTime.js';
 
 const STEPS_PER_EVENT = 7;
 const PAUSE_AIM_MS = 500;
--- a/src/fleet/common/exchangedState.ts
+++ b/src/fleet/common/exchangedState.ts
@@ -2,7 +2,7 @@
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
-import type { FleetAssignments } from './fleetDuties.js';
+import type { FleetAssignments } from './fleetAssignments.js';
 
 /** Identity and addresses of a router, sent in each of its datagrams. */
 export interface RouterIdentity {
--- a/src/fleet/common/fleetMembership.ts
+++ b/src/fleet/common/fleetMembership.ts
@@ -8,8 +8,8 @@
 	MAXIMUM_PROBED_PEERS,
 	INDIRECT_TIMEOUT_MS,
 } from './fleetTiming.js';
-import { RelaySelection } from './relayRoles.js';
-import { type MemberUpdate, MemberList } from './routerMembers.js';
+import { RelaySelection } from './relaySelection.js';
+import { type MemberUpdate, MemberList } from './memberList.js';
 
 /** Interval at which {@link FleetMembership.tick} is to be called. */
 export const TICK_INTERVAL_MS = HEARTBEAT_INTERVAL_MS / 2;
--- a/src/fleet/common/fleetMessages.ts
+++ b/src/fleet/common/fleetMessages.ts
@@ -2,7 +2,7 @@
 import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
 import type { FleetPeer } from './fleetPeer.js';
 import type * as wire from './generated/masticloom/fleet/v1/fleet.js';
-import type { RelayedReport } from './reportBoard.js';
+import type { RelayedReport } from './reportBuffer.js';
 
 /** Parses an address in a message; returns undefined when it is invalid. */
 export type AddressParser = (text: string) => SocketAddress | undefined;
--- a/src/fleet/common/relayRoles.ts
+++ b/src/fleet/common/relaySelection.ts
@@ -1,7 +1,7 @@
 import { rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
 import { isServing } from './fleetPeer.js';
 import { RELAY_TIMEOUT_MS } from './fleetTiming.js';
-import type { MemberList } from './routerMembers.js';
+import type { MemberList } from './memberList.js';
 
 /**
  * Number of relays in each failure domain. Half of the routers can lose power at once; in one of eight such cases all
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -31,10 +31,10 @@
 } from '../common/fleetTiming.js';
 import { OVER_SHARE_LIMITS } from '../../shares/common/fleetShares.js';
 import { type ReservationAnswer, RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
-import { ReportBuffer } from '../common/reportBoard.js';
-import type { MemberUpdate } from '../common/routerMembers.js';
+import { ReportBuffer } from '../common/reportBuffer.js';
+import type { MemberUpdate } from '../common/memberList.js';
 import { type DatagramContent, DatagramWriter } from './datagramWriter.js';
-import { PeerStateApplier } from './receivedState.js';
+import { PeerStateApplier } from './peerStateApplier.js';
 
 /** Notices with up to 16 prompt parts each that fit into a datagram without fragmentation. */
 const STATE_NOTICES_PER_DATAGRAM = 7;
--- a/src/fleet/node/receivedState.ts
+++ b/src/fleet/node/peerStateApplier.ts
@@ -2,7 +2,7 @@
 import type { ExchangedState } from '../common/exchangedState.js';
 import { decodeOutcome } from '../common/fleetOutbox.js';
 import { Outcome, type RouterState, type UsageSum } from '../common/generated/masticloom/fleet/v1/fleet.js';
-import type { ReportBuffer } from '../common/reportBoard.js';
+import type { ReportBuffer } from '../common/reportBuffer.js';
 
 /** Applies what peers report about engines, accounts and requests that crash servers. */
 export class PeerStateApplier {
--- a/src/fleet/node/queueReservations.ts
+++ b/src/fleet/node/queueReservations.ts
@@ -8,7 +8,7 @@
 import type { IQueueReservations, ReservationResult } from '../../engines/common/queueReservations.js';
 import { RESERVATION_TIMEOUT_MS } from '../common/fleetTiming.js';
 import type { ReservationAnswer } from '../common/generated/masticloom/fleet/v1/fleet.js';
-import type { FleetAssignments } from '../common/fleetDuties.js';
+import type { FleetAssignments } from '../common/fleetAssignments.js';
 import type { ShareClaim } from '../../engines/common/placementMessages.js';
 import { OVER_SHARE_LIMITS, type FleetShares } from '../../shares/common/fleetShares.js';
 import type { FleetExchange } from './fleetExchange.js';
--- a/src/fleet/node/routerRegistration.ts
+++ b/src/fleet/node/routerRegistration.ts
@@ -1,5 +1,5 @@
 import { Effect } from 'effect';
-import type { FleetAssignments } from '../common/fleetDuties.js';
+import type { FleetAssignments } from '../common/fleetAssignments.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { formatAddress, type SocketAddress } from '../../settings/common/settings.js';
 import { parseAddress } from '../../settings/node/values.js';
--- a/src/fleet/node/storeReaders.ts
+++ b/src/fleet/node/storeReaderSelection.ts
@@ -1,5 +1,5 @@
 import type { IClock } from '../../base/common/clock.js';
-import type { FleetAssignments } from '../common/fleetDuties.js';
+import type { FleetAssignments } from '../common/fleetAssignments.js';
 import type { FleetExchange } from './fleetExchange.js';
 
 /**
--- a/src/fleet/test/fleetDuties.test.ts
+++ b/src/fleet/test/fleetDuties.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { FleetAssignments } from '../common/fleetDuties.js';
+import { FleetAssignments } from '../common/fleetAssignments.js';
 
 const ROUTERS = Array.from({ length: 40 }, (_, index) => `router-${index}`);
 const SERVERS = Array.from({ length: 80 }, (_, index) => `engine-${index}`);
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -10,7 +10,7 @@
 import { Effect } from 'effect';
 import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
 import { PrefixFollower } from '../../store/node/prefixFollower.js';
-import { FleetAssignments } from '../common/fleetDuties.js';
+import { FleetAssignments } from '../common/fleetAssignments.js';
 import { FleetExchange } from '../node/fleetExchange.js';
 import { QueueReservations } from '../node/queueReservations.js';
 import { SnapshotExchange } from '../node/snapshotExchange.js';
--- a/src/fleet/test/fleetMembership.test.ts
+++ b/src/fleet/test/fleetMembership.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
-import { FleetAssignments } from '../common/fleetDuties.js';
+import { FleetAssignments } from '../common/fleetAssignments.js';
 import { type DeliveryRule, MembershipHarness } from './membershipHarness.js';
 
 const ALWAYS: DeliveryRule = () => true;
--- a/src/fleet/test/storeReaders.test.ts
+++ b/src/fleet/test/storeReaders.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { systemClock } from '../../base/common/clock.js';
-import { StoreReaderSelection } from '../node/storeReaders.js';
+import { StoreReaderSelection } from '../node/storeReaderSelection.js';
 import { disposeRouters, type FixtureRouter, startLargeFleet, startPair, waitUntil } from './fleetFixture.js';
 
 const NETWORK = '127.0.207';
--- a/src/gateway/common/ingress.ts
+++ b/src/gateway/common/ingress.ts
@@ -1,5 +1,5 @@
 import type { HeaderFields } from '../../base/common/headerFields.js';
-import type { PromptPart } from '../../engines/common/promptCache.js';
+import type { PromptPart } from '../../engines/common/prefixCacheIndex.js';
 
 /** Properties of a request, decoded from the caller's headers. */
 export interface IngressFields {
--- a/src/gateway/node/requestRun.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -21,13 +21,13 @@
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import type { FleetShares, ShareStatus } from '../../shares/common/fleetShares.js';
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
-import type { CrashDetector } from '../common/crashWatch.js';
+import type { CrashDetector } from '../common/crashDetector.js';
 import type { IHeaderCodec } from '../common/ingress.js';
 import { requestCost } from '../common/requestCost.js';
-import type { FleetRetryBudget } from '../common/retryAllowance.js';
-import type { GatewayResponse, LocalResponse } from './gatewayAnswer.js';
+import type { FleetRetryBudget } from '../common/fleetRetryBudget.js';
+import type { GatewayResponse, LocalResponse } from './gatewayResponse.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import type { IRequestHandler } from './gatewayRun.js';
+import type { IRequestHandler } from './requestHandler.js';
 
 /** Dependencies of a request that runs on backend servers. */
 export interface BackendRequestContext {
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -13,16 +13,16 @@
 import type { IngressLimits } from '../../routing/common/model.js';
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
 import type { IngressFields } from '../common/ingress.js';
-import { CallerElapsedEstimator } from '../common/callerElapsed.js';
+import { CallerElapsedEstimator } from '../common/callerElapsedEstimator.js';
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
 import { decodeHandoverHeader } from '../common/handoverMark.js';
-import { LAG_SAMPLE_INTERVAL_MS, LoadShedder } from '../common/overloadGuard.js';
+import { LAG_SAMPLE_INTERVAL_MS, LoadShedder } from '../common/loadShedder.js';
 import { requestCost } from '../common/requestCost.js';
-import { RotationController } from '../common/rotationRelief.js';
-import { GatewayResponse, type LocalResponse } from './gatewayAnswer.js';
-import type { IRequestHandler } from './gatewayRun.js';
-import { type HandoverContext, HandoverRequestHandler } from './handoverRun.js';
-import { BackendRequestHandler, type BackendRequestContext } from './requestRun.js';
+import { RotationController } from '../common/rotationController.js';
+import { GatewayResponse, type LocalResponse } from './gatewayResponse.js';
+import type { IRequestHandler } from './requestHandler.js';
+import { type HandoverContext, HandoverRequestHandler } from './handoverRequestHandler.js';
+import { BackendRequestHandler, type BackendRequestContext } from './backendRequestHandler.js';
 
 /** Parser limit for headers; above the configured limit, so that requests with too large headers get a proper response. */
 const MAXIMUM_PARSED_HEADER_BYTES = 128 * 1_024;
--- a/src/gateway/node/handoverRun.ts
+++ b/src/gateway/node/handoverRequestHandler.ts
@@ -7,11 +7,11 @@
 import { formatAddress } from '../../settings/common/settings.js';
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
 import { encodeHandoverHeader } from '../common/handoverMark.js';
-import type { Neighbour, NeighbourSelector } from '../common/neighbours.js';
-import { REROUTED_RETRY_MS } from '../common/rotationRelief.js';
-import type { GatewayResponse } from './gatewayAnswer.js';
+import type { Neighbour, NeighbourSelector } from '../common/neighbourSelector.js';
+import { REROUTED_RETRY_MS } from '../common/rotationController.js';
+import type { GatewayResponse } from './gatewayResponse.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
-import type { IRequestHandler } from './gatewayRun.js';
+import type { IRequestHandler } from './requestHandler.js';
 
 /** Dependencies of a request that is handed over to another router. */
 export interface HandoverContext {
--- a/src/gateway/test/balancedRouters.test.ts
+++ b/src/gateway/test/balancedRouters.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, test } from '@jest/globals';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { LoadShedder } from '../common/overloadGuard.js';
-import { RotationController } from '../common/rotationRelief.js';
+import { LoadShedder } from '../common/loadShedder.js';
+import { RotationController } from '../common/rotationController.js';
 import { type Caller, type IRouterLoadPolicy, simulateBalancedRouters } from './balancedRouters.js';
 
 const ROUTERS = 13;
--- a/src/gateway/test/balancedRouters.ts
+++ b/src/gateway/test/balancedRouters.ts
@@ -1,5 +1,5 @@
 import { highestWeightMember, rendezvousWeight, shortKey } from '../../base/common/shortKey.js';
-import { LAG_SAMPLE_INTERVAL_MS, type LoadDecision } from '../common/overloadGuard.js';
+import { LAG_SAMPLE_INTERVAL_MS, type LoadDecision } from '../common/loadShedder.js';
 
 /** Load decisions of a simulated router. */
 export interface IRouterLoadPolicy {
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -19,11 +19,11 @@
 import type { Route, RoutingConfiguration } from '../../routing/common/model.js';
 import { RouteTable } from '../../routing/common/routeTable.js';
 import { FleetShares } from '../../shares/common/fleetShares.js';
-import { CrashDetector } from '../common/crashWatch.js';
+import { CrashDetector } from '../common/crashDetector.js';
 import type { HeaderFields } from '../../base/common/headerFields.js';
 import type { IHeaderCodec } from '../common/ingress.js';
-import { type Neighbour, NeighbourSelector } from '../common/neighbours.js';
-import { FleetRetryBudget } from '../common/retryAllowance.js';
+import { type Neighbour, NeighbourSelector } from '../common/neighbourSelector.js';
+import { FleetRetryBudget } from '../common/fleetRetryBudget.js';
 import { GatewayMetrics } from '../node/gatewayMetrics.js';
 import { GatewayServer } from '../node/gatewayServer.js';
 
--- a/src/gateway/test/handover.test.ts
+++ b/src/gateway/test/handover.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import fc from 'fast-check';
 import { decodeHandoverHeader, encodeHandoverHeader } from '../common/handoverMark.js';
-import type { Neighbour } from '../common/neighbours.js';
+import type { Neighbour } from '../common/neighbourSelector.js';
 import {
 	respondWith,
 	type BackendBehaviour,
--- a/src/gateway/test/overloadGuard.test.ts
+++ b/src/gateway/test/overloadGuard.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { LAG_SAMPLE_INTERVAL_MS, LoadShedder } from '../common/overloadGuard.js';
+import { LAG_SAMPLE_INTERVAL_MS, LoadShedder } from '../common/loadShedder.js';
 
 /** CPU time of an accepted and of a refused request, in milliseconds. */
 const ACCEPTED_MS = 8;
--- a/src/gateway/test/rotationRelief.test.ts
+++ b/src/gateway/test/rotationRelief.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
-import { LAG_SAMPLE_INTERVAL_MS } from '../common/overloadGuard.js';
-import { RotationController } from '../common/rotationRelief.js';
+import { LAG_SAMPLE_INTERVAL_MS } from '../common/loadShedder.js';
+import { RotationController } from '../common/rotationController.js';
 
 const BALANCER_DELAY_MS = 2_000;
 
--- a/src/idempotency/test/storedCalls.test.ts
+++ b/src/idempotency/test/storedCalls.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import type { Claim, KeyedCall, StoredOutcome } from '../common/idempotencyService.js';
-import { IdempotencyService } from '../node/storedCalls.js';
+import { IdempotencyService } from '../node/idempotencyService.js';
 import { FaultyStore } from './faultyStore.js';
 
 const HOUR_MS = 3_600_000;
--- a/src/scheduling/common/poolEntry.ts
+++ b/src/scheduling/common/poolEntry.ts
@@ -1,7 +1,7 @@
 import type { PoolReport, PoolUpdate } from '../../peers/common/generated/masticloom/peers/v1/peers.js';
 import { type AccountDemand, AccountNumbers } from './accountNumbers.js';
 import { START_CHARGE_FRACTION } from './charge.js';
-import { type HeldSlotCounts, HeldSlotTable } from './heldSlots.js';
+import { type HeldSlotCounts, HeldSlotTable } from './heldSlotTable.js';
 import { type AccountState, FairQueue } from './fairQueue.js';
 import type { EntryDump } from './schedulingDump.js';
 import { EXCESS_STEPS_PER_QUANTUM } from './updateWriter.js';
--- a/src/scheduling/node/slotService.ts
+++ b/src/scheduling/node/slotService.ts
@@ -11,7 +11,7 @@
 import type { ISlotService, Slot, SlotRequest } from '../common/slotService.js';
 import { LAZY_REPORT_MS, CONTENTION_CHECK_INTERVAL_MS, SCHEDULER_TICK_MS } from '../common/timing.js';
 import { computeLimits } from './limits.js';
-import { LostEntryDetector } from './lostEntries.js';
+import { LostEntryDetector } from './lostEntryDetector.js';
 import type { PoolMetrics, SlotServiceOptions } from './slotServiceOptions.js';
 
 /** Maximum time for which a new scheduler waits for complete reports. */
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -1,5 +1,5 @@
 import { fairLevel } from './fairLevel.js';
-import { CapacityEstimator } from './learnedCapacity.js';
+import { CapacityEstimator } from './capacityEstimator.js';
 import { ShareCredit } from './shareCredit.js';
 import { SlidingSum } from './slidingSum.js';
 
--- a/src/shares/test/shares.test.ts
+++ b/src/shares/test/shares.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { fairLevel } from '../common/fairLevel.js';
 import { FleetShares } from '../common/fleetShares.js';
-import { CapacityEstimator } from '../common/learnedCapacity.js';
+import { CapacityEstimator } from '../common/capacityEstimator.js';
 import { SlidingSum } from '../common/slidingSum.js';
 
 const WINDOW_MS = 4_000;
