Bound the parts that are tracked for one engine

Found when reading the change: parts without tokens never fill an engine's memory, so they would never have been evicted. The test fails before.

--- a/src/engines/common/prefixCacheIndex.ts
+++ b/src/engines/common/prefixCacheIndex.ts
@@ -25,6 +25,9 @@
 /** Maximum number of part sizes to remember; at this size, all are discarded. */
 const MAXIMUM_SIZES = 100_000;
 
+/** Maximum number of parts to track for one engine, since callers may send parts without tokens. */
+const MAXIMUM_PARTS = 10_000;
+
 interface EngineCache {
 	/** Sizes in tokens by key, from the least to the most recently used part. */
 	readonly sizes: Map<number, number>;
@@ -130,7 +133,7 @@
 
 function evict(cache: EngineCache, maximumTokens: number): void {
 	for (const [key, tokens] of cache.sizes) {
-		if (cache.totalTokens <= maximumTokens) {
+		if (cache.totalTokens <= maximumTokens && cache.sizes.size <= MAXIMUM_PARTS) {
 			return;
 		}
 		cache.sizes.delete(key);
--- a/src/engines/test/prefixCacheIndex.test.ts
+++ b/src/engines/test/prefixCacheIndex.test.ts
@@ -48,6 +48,16 @@
 		expect(index.cachedTokens(ENGINE, documentOf(1))).toBe(0);
 	});
 
+	// Parts without tokens never fill the memory of an engine.
+	test('does not grow without bound when callers send parts without tokens', () => {
+		const index = PrefixCacheIndex.create();
+		for (let key = 0; key < 30_000; key++) {
+			index.learnSizes([{ key, tokens: 0 }]);
+			index.record(ENGINE, [key], MEMORY_TOKENS);
+		}
+		expect(index.cachedParts[0]?.parts.length).toBeLessThanOrEqual(10_000);
+	});
+
 	test('lists shared parts from the least to the most recently used one', () => {
 		const index = indexAfter(3);
 		index.record(ENGINE, [1], MEMORY_TOKENS);
