--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -12,7 +12,6 @@
 import { shortKey } from '../../base/common/shortKey.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import { EventStream } from '../../dispatch/node/eventStream.js';
 import { computeFingerprint } from '../../dispatch/node/fingerprint.js';
 import type { EngineOption, PlacementLimits, PromptWork } from '../../engines/common/engineChoice.js';
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
@@ -28,6 +27,7 @@
 import type { GatewayResponse, LocalResponse } from './gatewayResponse.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 import type { IRequestHandler } from './requestHandler.js';
+import { ResponseContinuity } from './responseContinuity.js';
 
 /** Dependencies of a request that runs on backend servers. */
 export interface BackendRequestContext {
@@ -57,8 +57,6 @@
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
-const EVENT_STREAM_TYPE = 'text/event-stream';
-
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
@@ -78,7 +76,7 @@
 	private readonly triedServers = new Set<string>();
 	private readonly work: PromptWork;
 	private readonly cost: number;
-	private readonly events: EventStream | undefined;
+	private readonly continuity: ResponseContinuity;
 	/** Combined verdict of the attempts that have ended. */
 	private endedVerdict: Verdict = 'not-run';
 	/** Whether the current attempt has sent bytes, so that its server may run the request. */
@@ -89,8 +87,6 @@
 	private lastBytesAt = 0;
 	private longestPauseMs = 0;
 	private status = 0;
-	/** Media type of the response that is passed to the caller, without parameters. */
-	private mediaType = '';
 	private reason = '';
 
 	private constructor(
@@ -107,7 +103,7 @@
 			memoryTokens: request.engine?.memoryTokens,
 		};
 		this.cost = requestCost(fields);
-		this.events = routing.route.resumable ? EventStream.create(true) : undefined;
+		this.continuity = ResponseContinuity.create(routing.route.resumable);
 	}
 
 	/**
@@ -184,11 +180,7 @@
 					self.sendFailure(`server-${failure.kind}`, BAD_GATEWAY);
 					return;
 				}
-				if (self.response.hasHead) {
-					self.events?.prepareResumption();
-				} else {
-					self.events?.takeBuffered();
-				}
+				self.continuity.prepareNextAttempt();
 			}
 		});
 	}
@@ -358,12 +350,12 @@
 			head: (head) => {
 				state.failed = head.status >= MINIMUM_ERROR_STATUS;
 				if (this.response.hasHead) {
-					state.resumptionFault = this.findResumptionFault(head);
+					state.resumptionFault = this.continuity.findHeadFault(head);
 				} else {
 					this.forwardHead(head);
 				}
 			},
-			findFault: () => state.resumptionFault ?? this.events?.findFault(),
+			findFault: () => state.resumptionFault ?? this.continuity.findFault(),
 			write: (chunk, resume) => {
 				if (state.resumptionFault !== undefined) {
 					return true; // The body of a failed resumption is not part of the stream.
@@ -384,7 +376,7 @@
 				server: server.id,
 				account: routing.account?.name,
 				deadlineLeftMs: fields.deadlineMs && fields.deadlineMs - (clock.now() - request.arrivedAt),
-				resumeAfter: this.events?.lastEventId,
+				resumeAfter: this.continuity.lastEventId,
 			}),
 			body: request.body,
 		});
@@ -396,7 +388,7 @@
 		const delayMs = Math.round(reservation?.delayMs ?? option.delayMs);
 		return (delayMs > 0 ? Effect.andThen(Effect.sleep(delayMs), call) : call).pipe(
 			Effect.flatMap(() => {
-				const fault = state.resumptionFault ?? this.findEndFault();
+				const fault = state.resumptionFault ?? this.continuity.findEndFault();
 				return fault === undefined ? Effect.void : Effect.fail(invalidResponseFailure(server.id, fault));
 			}),
 			Effect.onExit((exit) =>
@@ -435,27 +427,12 @@
 
 	private forwardHead(head: ResponseHead): void {
 		this.status = head.status;
-		this.mediaType = mediaTypeOf(head);
+		this.continuity.begin(head);
 		this.response.head(head);
 	}
 
-	/** Checks whether the response of another server can continue the stream that a server has begun. */
-	private findResumptionFault(head: ResponseHead): string | undefined {
-		if (head.status !== this.status) {
-			return `answered the resumed stream with status ${head.status}`;
-		}
-		const mediaType = mediaTypeOf(head);
-		return mediaType === this.mediaType ? undefined : `answered the resumed stream with the media type ${mediaType}`;
-	}
-
-	/** Checks a response whose framing is complete. A stream that ends within an event was cut off by its server. */
-	private findEndFault(): string | undefined {
-		const isCutOff = this.mediaType === EVENT_STREAM_TYPE && this.events?.endsWithinEvent === true;
-		return this.events?.findFault() ?? (isCutOff ? 'ended the stream within an event' : undefined);
-	}
-
 	private forwardBytes(chunk: Buffer, resume: () => void): boolean {
-		const ready = this.events === undefined ? chunk : this.events.push(chunk);
+		const ready = this.continuity.push(chunk);
 		return ready === undefined || this.response.write(ready, resume);
 	}
 
@@ -525,7 +502,7 @@
 	}
 
 	private complete(): void {
-		const remaining = this.events?.takeBuffered();
+		const remaining = this.continuity.takeBuffered();
 		if (remaining !== undefined) {
 			this.response.write(remaining, () => undefined);
 		}
@@ -659,12 +636,6 @@
 	return { kind: 'broken', verdict: 'may-have-run', message: `backend server ${server} ${fault}` };
 }
 
-function mediaTypeOf({ headers }: ResponseHead): string {
-	const type = headers['content-type'];
-	const [mediaType = ''] = (typeof type === 'string' ? type : (type?.[0] ?? '')).split(';');
-	return mediaType.trim().toLowerCase();
-}
-
 function round(value: number | undefined): number | undefined {
 	return value === undefined ? undefined : Math.round(value);
 }
