Decode the events of a resumed stream only until their first identifier has been compared

Found when reading the change: each later chunk of a resumed stream was decoded and searched for identifiers whose result was not used. No change of behaviour; tests of the gateway and of dispatch pass as they are.

--- a/src/dispatch/node/eventStream.ts
+++ b/src/dispatch/node/eventStream.ts
@@ -115,12 +115,15 @@
 				return 'continued the stream with bytes that are not events';
 			}
 		}
+		if (this.resumedAfter === undefined) {
+			return undefined; // Only the first event after the resumption is compared.
+		}
 		const [firstId] = events.toString('latin1').matchAll(ID_LINES);
-		if (this.resumedAfter !== undefined && firstId !== undefined) {
+		if (firstId !== undefined) {
 			if (Number(firstId[1]) <= Number(this.resumedAfter)) {
 				return 'repeated events of the stream';
 			}
-			this.resumedAfter = undefined; // Only the first event after the resumption is compared.
+			this.resumedAfter = undefined;
 		}
 		return undefined;
 	}
