Tell why a router refuses for the share of an account, and what became of admitted credit

Lines `refused` for the share name rate, credit, level and usage; lines `handed-over` name the cost.

--- a/src/admission/test/admission.test.ts
+++ b/src/admission/test/admission.test.ts
@@ -5,7 +5,16 @@
 import { optionWith } from '../../engines/test/engineFixture.js';
 
 function shareStatusWith(overrides: Partial<ShareStatus> = {}): ShareStatus {
-	return { offeredShare: 0.5, usedShare: 0.5, level: 100, admitted: 50, throttledMs: 0, ...overrides };
+	return {
+		offeredShare: 0.5,
+		usedShare: 0.5,
+		level: 100,
+		admitted: 50,
+		rate: 100,
+		credit: 100,
+		throttledMs: 0,
+		...overrides,
+	};
 }
 
 function inputsWith(overrides: Partial<AdmissionInputs> = {}): AdmissionInputs {
--- a/src/admission/test/longPrompts.test.ts
+++ b/src/admission/test/longPrompts.test.ts
@@ -55,7 +55,7 @@
 		const decision = decideAdmission({
 			options,
 			declinedBy: new Set(),
-			shareStatus: { offeredShare, usedShare, level: 1, admitted: 0, throttledMs: 0 },
+			shareStatus: { offeredShare, usedShare, level: 1, admitted: 0, rate: 1, credit: 1, throttledMs: 0 },
 			aimMs: AIM_MS,
 			aimLeftMs: AIM_MS,
 			deadlineLeftMs: 10_000,
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -8,9 +8,11 @@
 import { shortKey } from '../../base/common/shortKey.js';
 import { afterNextPoll } from '../../base/node/eventLoop.js';
 import { listenOn } from '../../base/node/listen.js';
+import type { LogFields } from '../../base/node/structuredLog.js';
 import { OpenRequests } from '../../callers/node/openRequests.js';
 import { readBody } from '../../callers/node/readBody.js';
 import type { IngressLimits } from '../../routing/common/model.js';
+import type { ShareStatus } from '../../shares/common/fleetShares.js';
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
 import type { IngressFields } from '../common/ingress.js';
 import { CallerElapsedEstimator } from '../common/callerElapsedEstimator.js';
@@ -254,9 +256,9 @@
 			return;
 		}
 		if (handoverHeader === undefined && table.service(routing.service)?.engine !== undefined) {
-			const refusal = this.decideShare(fields, routing, arrivedAt);
-			if (refusal !== undefined) {
-				this.refuse(gatewayResponse, fields, refusal, routing);
+			const status = this.decideShare(fields, routing, arrivedAt);
+			if (status.throttledMs > 0) {
+				this.refuseOverShare(gatewayResponse, fields, routing, status);
 				request.resume();
 				return;
 			}
@@ -308,25 +310,37 @@
 	 * Decides from the headers of a request whether it is within the share of its account that this router may admit. A
 	 * router to which the request is handed over does not decide again.
 	 *
-	 * @returns the refusal; undefined if the request is admitted
+	 * @returns usage of the account, before the request if it is admitted
 	 */
-	private decideShare(
-		fields: IngressFields,
-		{ account, route }: RoutingResult,
-		now: number,
-	): Omit<LocalResponse, 'verdict'> | undefined {
+	private decideShare(fields: IngressFields, { account }: RoutingResult, now: number): ShareStatus {
 		const { shares } = this.context;
 		const key = shortKey(account?.name ?? '');
 		const cost = requestCost(fields);
 		shares.recordOffered(key, cost, now);
-		const { throttledMs } = shares.shareStatusOf(key, now);
-		if (throttledMs === 0) {
+		const status = shares.shareStatusOf(key, now);
+		if (status.throttledMs === 0) {
 			shares.spend(key, cost, now);
-			return undefined;
 		}
+		return status;
+	}
+
+	private refuseOverShare(
+		gatewayResponse: GatewayResponse,
+		fields: IngressFields,
+		routing: RoutingResult,
+		status: ShareStatus,
+	): void {
+		const { route } = routing;
 		const deadlineLeftMs = fields.deadlineMs ?? route.timeoutMs;
-		const retryAfterMs = overShareRetryAfterMs(throttledMs, { aimMs: route.aimMs, deadlineLeftMs });
-		return { status: TOO_MANY_REQUESTS, code: 'over-share', retryAfterMs };
+		const retryAfterMs = overShareRetryAfterMs(status.throttledMs, { aimMs: route.aimMs, deadlineLeftMs });
+		const refusal = { status: TOO_MANY_REQUESTS, code: 'over-share', retryAfterMs };
+		this.refuse(gatewayResponse, fields, refusal, routing, {
+			level: Math.round(status.level),
+			rate: Math.round(status.rate),
+			credit: Math.round(status.credit),
+			offeredShare: Number(status.offeredShare.toFixed(2)),
+			usedShare: Number(status.usedShare.toFixed(2)),
+		});
 	}
 
 	private runHandler(
@@ -392,6 +406,7 @@
 		fields: IngressFields,
 		refusal: Omit<LocalResponse, 'verdict'>,
 		routing?: RoutingResult,
+		details?: LogFields,
 	): void {
 		const { status, code } = refusal;
 		this.context.log.write('refused', {
@@ -402,6 +417,7 @@
 			service: routing?.service,
 			cost: routing && Math.round(requestCost(fields)),
 			configuration: this.table()?.configuration.version,
+			...details,
 		});
 		this.context.metrics.countRequest(routing?.service ?? '', status, code, 0);
 		gatewayResponse.sendLocal({ ...refusal, verdict: 'not-run' });
--- a/src/gateway/node/handoverRequestHandler.ts
+++ b/src/gateway/node/handoverRequestHandler.ts
@@ -8,6 +8,7 @@
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
 import { encodeHandoverHeader } from '../common/handoverMark.js';
 import type { Neighbour, NeighbourSelector } from '../common/neighbourSelector.js';
+import { requestCost } from '../common/requestCost.js';
 import { REROUTED_RETRY_MS } from '../common/rotationController.js';
 import type { GatewayResponse } from './gatewayResponse.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -178,6 +179,7 @@
 			id: fields.id,
 			account: routing.account?.name,
 			service: routing.service,
+			cost: Math.round(requestCost(fields)),
 			routers: this.routersTried,
 			status: this.status,
 			reason,
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -51,6 +51,10 @@
 	readonly level: number;
 	/** Work admitted within the window, in cost units. */
 	readonly admitted: number;
+	/** Rate at which this router may admit the account, in cost units per second; infinite when all demands fit. */
+	readonly rate: number;
+	/** Cost units that this router may still admit of the account; negative after a request that overdrew them. */
+	readonly credit: number;
 	/** Milliseconds until this router may admit a request of the account; 0 when it may admit one now. */
 	readonly throttledMs: number;
 }
@@ -300,17 +304,21 @@
 		const { level } = this;
 		const total = this.totals.get(account);
 		if (level === Infinity) {
-			return { offeredShare: 0, usedShare: 0, level, admitted: total?.admitted ?? 0, throttledMs: 0 };
+			const admitted = total?.admitted ?? 0;
+			return { offeredShare: 0, usedShare: 0, level, admitted, rate: Infinity, credit: Infinity, throttledMs: 0 };
 		}
 		const share = (level * this.windowMs) / SECOND_MS;
 		const offeredShare = (total?.offered ?? 0) / share;
 		const rate = this.rateOf(account, now);
+		const { credit } = this.usageOf(account);
 		return {
 			offeredShare,
 			usedShare: (total?.admitted ?? 0) / share,
 			level,
 			admitted: total?.admitted ?? 0,
-			throttledMs: offeredShare <= THROTTLING_THRESHOLD ? 0 : this.usageOf(account).credit.throttledMs(rate, now),
+			rate,
+			credit: credit.remaining(rate, now),
+			throttledMs: offeredShare <= THROTTLING_THRESHOLD ? 0 : credit.throttledMs(rate, now),
 		};
 	}
 
--- a/src/shares/common/shareCredit.ts
+++ b/src/shares/common/shareCredit.ts
@@ -28,6 +28,16 @@
 		return this.amount > 0 ? 0 : Math.max(1, (-this.amount / rate) * SECOND_MS);
 	}
 
+	/**
+	 * @param rate cost units per second; infinite when the account is not throttled
+	 * @param now monotonic milliseconds
+	 * @returns cost units that may still be admitted; negative after a request that overdrew them
+	 */
+	public remaining(rate: number, now: number): number {
+		this.update(rate, now);
+		return this.amount;
+	}
+
 	/**
 	 * @param cost cost of a request that is admitted
 	 * @param rate cost units per second; infinite when the account is not throttled
