--- a/src/admission/test/shareReplay.ts
+++ b/src/admission/test/shareReplay.ts
@@ -5,7 +5,7 @@
 import type { EngineOption } from '../../engines/common/engineChoice.js';
 import { engineWith, optionWith } from '../../engines/test/engineFixture.js';
 import { FairnessLedger, type FairnessWindow } from '../../shares/common/fairnessLedger.js';
-import { OVER_SHARE_LIMITS, FleetShares } from '../../shares/common/fleetShares.js';
+import { type AccountUsage, OVER_SHARE_LIMITS, FleetShares } from '../../shares/common/fleetShares.js';
 import { decideAdmission, overShareRetryAfterMs } from '../common/admission.js';
 
 /** An account and its request pattern. */
@@ -29,6 +29,8 @@
 	readonly nominalTokensPerSecond: number;
 	/** Delay in milliseconds after which a usage report reaches the other routers. */
 	readonly exchangeDelayMs?: number;
+	/** Whether relays add up the usage of all routers, as in a large fleet, instead of each router that of its peers. */
+	readonly hasRelays?: boolean;
 }
 
 /** Outcome of a replay. */
@@ -65,6 +67,15 @@
 	return waitMs <= OVER_SHARE_LIMITS.limitMs && load <= OVER_SHARE_LIMITS.maximumLoad;
 }
 
+function sumUsage(usages: readonly (readonly AccountUsage[])[]): readonly AccountUsage[] {
+	const sums = new Map<number, AccountUsage>();
+	for (const { account, offered, admitted } of usages.flat()) {
+		const before = sums.get(account) ?? { offered: 0, admitted: 0 };
+		sums.set(account, { account, offered: before.offered + offered, admitted: before.admitted + admitted });
+	}
+	return [...sums.values()];
+}
+
 /** Simulated engine that prefills prompts in the order of arrival. */
 class ReplayedEngine {
 	public readonly queue = EngineQueue.create();
@@ -229,9 +240,15 @@
 		const usages = shares.map((routerShares) => routerShares.ownUsage(now));
 		engines.forEach((engine) => engine.advance(now));
 		const load = engines.reduce((sum, { queue }) => sum + queue.load(now), 0) / engines.length;
+		const usageSum = fleet.hasRelays === true ? sumUsage(usages) : undefined;
 		schedule(now + delayMs, (later) => {
 			reportedLoad = load;
 			shares.forEach((routerShares, router) => {
+				if (usageSum !== undefined) {
+					routerShares.recordReportedUsage(usages[router] ?? []);
+					routerShares.applyFleetSum(usageSum, later);
+					return;
+				}
 				usages.forEach((usage, peer) => {
 					if (peer !== router) {
 						routerShares.applyPeerUsage(`router-${peer}`, usage, later);
--- a/src/gateway/test/accountShares.test.ts
+++ b/src/gateway/test/accountShares.test.ts
@@ -1,16 +1,22 @@
 import * as http from 'node:http';
 import { connect } from 'node:net';
 import { afterEach, describe, expect, test } from '@jest/globals';
+import { systemClock } from '../../base/common/clock.js';
 import { HANDOVER_HEADER } from '../../base/common/headerFields.js';
 import { encodeHandoverHeader } from '../common/handoverMark.js';
+import type { Neighbour } from '../common/neighbourSelector.js';
 import {
+	type BackendBehaviour,
+	blockEventLoop,
 	respondWith,
 	configurationWith,
+	failWith,
 	type GatewayFixture,
 	HOST,
 	KEY,
 	routeWith,
 	send,
+	serverOf,
 	startGateway,
 } from './gatewayFixture.js';
 
@@ -27,12 +33,21 @@
 
 const pause = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
 
-/** Starts a router whose only account has used four times the capacity of all engines per second. */
-async function startOverShare(): Promise<GatewayFixture> {
+/** Starts a router whose engines have a small capacity. */
+async function startRouter(
+	behaviours: readonly BackendBehaviour[],
+	neighbours: readonly Neighbour[] = [],
+): Promise<GatewayFixture> {
 	const base = configurationWith([routeWith({ prefix: '/drafts/', targets: [{ service: 'scribes', weight: 1 }] })]);
 	const configuration = { ...base, limits: { ...base.limits, tokensPerSecond: TOKENS_PER_SECOND } };
-	const fixture = await startGateway([respondWith(200, 'draft')], configuration);
+	const fixture = await startGateway(behaviours, configuration, undefined, undefined, neighbours);
 	fixtures.push(fixture);
+	return fixture;
+}
+
+/** Starts a router whose only account has used four times the capacity of all engines per second. */
+async function startOverShare(): Promise<GatewayFixture> {
+	const fixture = await startRouter([respondWith(200, 'draft')]);
 	expect((await send(fixture.port, DRAFT)).status).toBe(200);
 	await pause(FAIR_LEVEL_REFRESH_MS);
 	return fixture;
@@ -109,3 +124,40 @@
 		expect((await send(fixture.port)).status).toBe(200);
 	});
 });
+
+describe('the credit of a request that did not run', () => {
+	const notRun = failWith({ kind: 'unreachable', verdict: 'not-run' });
+
+	// Guards against a saturated router that spends the credit of its accounts on requests which its neighbours refuse, so
+	// that an account behind it gets a fraction of its share.
+	test('is returned at the router of arrival when a neighbour has refused the request', async () => {
+		const neighbours: Neighbour[] = [];
+		const router = await startRouter([respondWith(200, 'draft')], neighbours);
+		await blockEventLoop();
+		const neighbour = await startRouter([notRun]);
+		const address = { host: '127.0.0.1', port: neighbour.port };
+		neighbours.push({ instance: 'router-2', isRelieved: false, address });
+		expect((await send(router.port, DRAFT)).status).toBe(503);
+		await pause(FAIR_LEVEL_REFRESH_MS);
+		expect((await send(router.port, DRAFT)).status).toBe(503);
+		expect(neighbour.attempts.length).toBeGreaterThan(0);
+	});
+
+	test('is returned when the request is refused before it has been started', async () => {
+		const { port } = await startRouter([respondWith(200, 'draft')]);
+		expect((await send(port, { ...DRAFT, body: 'x'.repeat(20_000) })).status).toBe(413);
+		await pause(FAIR_LEVEL_REFRESH_MS);
+		expect((await send(port, DRAFT)).status).toBe(200);
+	});
+
+	// Guards against credit that an account gains at a router by requests which were handed over to it.
+	test('is not returned at the neighbour that refused it, which did not spend it', async () => {
+		const { port, fleet } = await startOverShare();
+		fleet.setServers([], systemClock.now());
+		const handoverHeader = encodeHandoverHeader({ elapsedMs: 1, configurationVersion: 1 });
+		const headers = { ...DRAFT.headers, [HANDOVER_HEADER]: handoverHeader };
+		expect((await send(port, { ...DRAFT, headers })).status).toBe(503);
+		fleet.setServers([serverOf('scribes', 'scribe-1')], systemClock.now());
+		expect((await send(port, DRAFT)).status).toBe(429);
+	});
+});
