Settle the credit of a share where it was taken, by whether the request ran

Cause: the router of arrival spent the credit of a request from its head, and nobody owned that credit until the request's end. A neighbour that refused the request gave the credit back to itself; a refusal by the guard, a body too large, a caller that had left or an unreachable server gave it back nowhere. Class: a resource that is taken at one place and returned at another, or on some of the ways out only.

Change: spending returns a grant, which is settled once, at the router that took it: by the handler's verdict over all routers and servers, or when the response ends before a handler has run. The neighbour settles nothing.

Looked for elsewhere: the placed work that queue owners count stays counted when a reservation is abandoned, for one second at most; FleetRetryBudget spends on a retry that finds no server. Both err towards less work, and end with their window.

--- a/src/gateway/common/acceptedRequest.ts
+++ b/src/gateway/common/acceptedRequest.ts
@@ -1,6 +1,8 @@
+import { shortKey } from '../../base/common/shortKey.js';
 import type { HeaderFields } from '../../base/common/headerFields.js';
 import type { EngineSize } from '../../routing/common/model.js';
 import type { RoutingResult } from '../../routing/common/routeTable.js';
+import type { ShareGrant } from '../../shares/common/shareGrant.js';
 import type { IngressFields } from './ingress.js';
 
 /** A request that has been read completely and matched to a route. */
@@ -21,4 +23,14 @@
 	readonly arrivedAt: number;
 	/** Milliseconds between the caller's first attempt and the arrival of this one; 0 for a first attempt. */
 	readonly elapsedBeforeMs: number;
+	/** Credit of the account's share that the request took; undefined where another router or none has admitted it. */
+	readonly shareGrant: ShareGrant | undefined;
+}
+
+/**
+ * @param routing route and account of a request
+ * @returns short key of the account, under which its usage is counted
+ */
+export function accountKeyOf({ account }: RoutingResult): number {
+	return shortKey(account?.name ?? '');
 }
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -9,7 +9,6 @@
 	ServerNotice,
 } from '../../backends/common/backendClient.js';
 import type { IClock } from '../../base/common/clock.js';
-import { shortKey } from '../../base/common/shortKey.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { computeFingerprint } from '../../dispatch/node/fingerprint.js';
@@ -19,7 +18,7 @@
 import type { IQueueReservations, ReservationResult } from '../../engines/common/queueReservations.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import type { FleetShares, ShareStatus } from '../../shares/common/fleetShares.js';
-import type { AcceptedRequest } from '../common/acceptedRequest.js';
+import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
 import type { CrashDetector } from '../common/crashDetector.js';
 import type { IHeaderCodec } from '../common/ingress.js';
 import { requestCost } from '../common/requestCost.js';
@@ -215,7 +214,7 @@
 				const now = self.context.clock.now();
 				const { routing } = self.request;
 				const options = self.options(now);
-				const shareStatus = self.context.shares.shareStatusOf(self.accountKey(), now);
+				const shareStatus = self.context.shares.shareStatusOf(accountKeyOf(self.request.routing), now);
 				const elapsedMs = now - self.request.arrivedAt;
 				if (declined >= MAXIMUM_DECLINED) {
 					options.forEach(({ server }) => declinedBy.add(server.id));
@@ -238,7 +237,7 @@
 					self.work,
 					self.triedServers,
 					reservationLimits(decision, declined),
-					{ account: self.accountKey(), cost: self.cost },
+					{ account: accountKeyOf(self.request.routing), cost: self.cost },
 				);
 				if (result.kind === 'over-share') {
 					const refusal = self.overShare(decision);
@@ -335,7 +334,7 @@
 		const sequence = fleet.place(option, this.work, now, reservation);
 		if (request.engine !== undefined) {
 			if (this.attempts === 1) {
-				shares.recordAdmitted(this.accountKey(), this.cost, now);
+				shares.recordAdmitted(accountKeyOf(this.request.routing), this.cost, now);
 			}
 			this.predictedMs = now - request.arrivedAt + (reservation?.waitMs ?? option.waitMs) + option.readMs;
 		}
@@ -511,9 +510,6 @@
 	}
 
 	private refuse(decision: AdmissionDecision & { readonly kind: 'refuse' }): void {
-		if (this.attempts === 0 && this.request.engine !== undefined) {
-			this.context.shares.refund(this.accountKey(), this.cost, this.context.clock.now());
-		}
 		if (this.verdict !== 'not-run') {
 			this.sendLocal({ status: BAD_GATEWAY, code: decision.reason, verdict: this.verdict });
 			return;
@@ -565,8 +561,10 @@
 	private finish(exit: Exit.Exit<void>): void {
 		const { clock, metrics, log } = this.context;
 		const { fields, routing, arrivedAt } = this.request;
-		const totalMs = clock.now() - arrivedAt;
+		const now = clock.now();
+		const totalMs = now - arrivedAt;
 		const hasCallerLeft = exit._tag === 'Failure' && this.reason === '';
+		this.request.shareGrant?.settle(this.verdict, now);
 		metrics.countRequest(
 			routing.service,
 			hasCallerLeft ? 0 : this.status,
@@ -595,10 +593,6 @@
 			request: { method, path: target, body },
 		});
 	}
-
-	private accountKey(): number {
-		return shortKey(this.request.routing.account?.name ?? '');
-	}
 }
 
 /**
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -5,7 +5,6 @@
 import { Emitter } from '../../base/common/event.js';
 import { HANDOVER_HEADER } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
-import { shortKey } from '../../base/common/shortKey.js';
 import { afterNextPoll } from '../../base/node/eventLoop.js';
 import { listenOn } from '../../base/node/listen.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
@@ -13,10 +12,11 @@
 import { readBody } from '../../callers/node/readBody.js';
 import type { IngressLimits } from '../../routing/common/model.js';
 import type { ShareStatus } from '../../shares/common/fleetShares.js';
+import type { ShareGrant } from '../../shares/common/shareGrant.js';
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
 import type { IngressFields } from '../common/ingress.js';
 import { CallerElapsedEstimator } from '../common/callerElapsedEstimator.js';
-import type { AcceptedRequest } from '../common/acceptedRequest.js';
+import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
 import { decodeHandoverHeader } from '../common/handoverMark.js';
 import { LAG_SAMPLE_INTERVAL_MS, LoadShedder } from '../common/loadShedder.js';
 import { requestCost } from '../common/requestCost.js';
@@ -65,6 +65,8 @@
 	private readonly open = OpenRequests.create();
 	private readonly callerElapsed = CallerElapsedEstimator.create();
 	private readonly busySockets = new Set<Socket>();
+	/** Responses to requests that a handler runs, which settles their share grants. */
+	private readonly handled = new WeakSet<http.ServerResponse>();
 	private readonly loadShedder = LoadShedder.create();
 	private readonly rotationController: RotationController;
 	private readonly rotationEmitter = this.register(Emitter.create<boolean>());
@@ -255,13 +257,15 @@
 			request.resume();
 			return;
 		}
+		let shareGrant: ShareGrant | undefined;
 		if (handoverHeader === undefined && table.service(routing.service)?.engine !== undefined) {
-			const status = this.decideShare(fields, routing, arrivedAt);
+			const status = this.recordArrival(fields, routing, arrivedAt);
 			if (status.throttledMs > 0) {
 				this.refuseOverShare(gatewayResponse, fields, routing, status);
 				request.resume();
 				return;
 			}
+			shareGrant = this.grantShare(response, fields, routing, arrivedAt);
 		}
 		const mayHandOver = (): boolean => handoverHeader === undefined && this.handover.neighbours.hasAvailable(arrivedAt);
 		const decision = this.loadShedder.decide(
@@ -289,7 +293,8 @@
 				this.refuse(gatewayResponse, fields, { status: 413, code: 'body-too-large' });
 				request.resume();
 			} else if (body !== 'incomplete') {
-				const parts = { fields, routing, body, arrivedAt: arrivedAt - (handoverHeader?.elapsedMs ?? 0) };
+				const arrivedFirstAt = arrivedAt - (handoverHeader?.elapsedMs ?? 0);
+				const parts = { fields, routing, body, shareGrant, arrivedAt: arrivedFirstAt };
 				const startRequest = (): void => {
 					const elapsedBeforeMs = this.callerElapsed.elapsedMs(routing.route.name, fields.deadlineMs);
 					const accepted = createAcceptedRequest(request, table, { ...parts, elapsedBeforeMs });
@@ -307,21 +312,32 @@
 	}
 
 	/**
-	 * Decides from the headers of a request whether it is within the share of its account that this router may admit. A
-	 * router to which the request is handed over does not decide again.
+	 * Counts a request from its headers. A router to which the request is handed over does not count it again.
 	 *
-	 * @returns usage of the account, before the request if it is admitted
+	 * @returns usage of its account, and whether the request is within the share that this router may admit
 	 */
-	private decideShare(fields: IngressFields, { account }: RoutingResult, now: number): ShareStatus {
+	private recordArrival(fields: IngressFields, routing: RoutingResult, now: number): ShareStatus {
 		const { shares } = this.context;
-		const key = shortKey(account?.name ?? '');
-		const cost = requestCost(fields);
-		shares.recordOffered(key, cost, now);
-		const status = shares.shareStatusOf(key, now);
-		if (status.throttledMs === 0) {
-			shares.spend(key, cost, now);
-		}
-		return status;
+		const key = accountKeyOf(routing);
+		shares.recordOffered(key, requestCost(fields), now);
+		return shares.shareStatusOf(key, now);
+	}
+
+	/** Takes the credit for a request from its account's share; it is returned if the request ends before it is run. */
+	private grantShare(
+		response: http.ServerResponse,
+		fields: IngressFields,
+		routing: RoutingResult,
+		now: number,
+	): ShareGrant {
+		const { shares, clock } = this.context;
+		const shareGrant = shares.spend(accountKeyOf(routing), requestCost(fields), now);
+		response.once('close', () => {
+			if (!this.handled.has(response)) {
+				shareGrant.settle('not-run', clock.now());
+			}
+		});
+		return shareGrant;
 	}
 
 	private refuseOverShare(
@@ -355,6 +371,7 @@
 			response.destroy();
 			return;
 		}
+		this.handled.add(response);
 		const fiber = Effect.runFork(handler.run());
 		this.open.setAbort(response, () => {
 			handler.abort();
@@ -439,7 +456,7 @@
 function createAcceptedRequest(
 	{ method = 'GET', url = '/', headers }: http.IncomingMessage,
 	table: RouteTable,
-	parts: Pick<AcceptedRequest, 'fields' | 'routing' | 'body' | 'arrivedAt' | 'elapsedBeforeMs'>,
+	parts: Pick<AcceptedRequest, 'fields' | 'routing' | 'body' | 'arrivedAt' | 'elapsedBeforeMs' | 'shareGrant'>,
 ): AcceptedRequest {
 	return {
 		...parts,
--- a/src/gateway/node/handoverRequestHandler.ts
+++ b/src/gateway/node/handoverRequestHandler.ts
@@ -30,10 +30,14 @@
 /** Extra time beyond the limit of a request, in which the response of a router that ends it at this limit can arrive. */
 const RESPONSE_MARGIN_MS = 100;
 
+const TOO_MANY_REQUESTS = 429;
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
 
+/** Statuses with which a router promises that a request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE]);
+
 const UNFORWARDED_HEADERS: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, 'content-length', 'expect', 'host']);
 
 /** Hands a request over to another router and passes the response on. */
@@ -159,8 +163,18 @@
 		});
 	}
 
+	/** Whether a backend server may have run the request; a neighbour that refuses it has not sent it to one. */
+	private get requestVerdict(): Verdict {
+		return this.verdict === 'completed' && NOT_RUN_STATUSES.has(this.status) ? 'not-run' : this.routerVerdict;
+	}
+
+	/** Verdict over all routers that were tried, including the current one. */
+	private get routerVerdict(): Verdict {
+		return combineVerdicts(this.verdict, this.inProgress ? 'may-have-run' : 'not-run');
+	}
+
 	private sendFailure(code: string, statusAfterSending: number): void {
-		const verdict = combineVerdicts(this.verdict, this.inProgress ? 'may-have-run' : 'not-run');
+		const verdict = this.routerVerdict;
 		const notRun = verdict === 'not-run';
 		const status = notRun ? SERVICE_UNAVAILABLE : statusAfterSending;
 		this.reason = code;
@@ -172,7 +186,9 @@
 
 	private finish(isInterrupted: boolean): void {
 		const { clock, log, metrics } = this.context;
-		const { fields, routing, arrivedAt } = this.request;
+		const { fields, routing, arrivedAt, shareGrant } = this.request;
+		const now = clock.now();
+		shareGrant?.settle(this.requestVerdict, now);
 		const reason = isInterrupted && this.reason === '' ? 'caller-left' : this.reason;
 		metrics.countHandover(routing.service, reason);
 		log.write('handed-over', {
@@ -184,7 +200,7 @@
 			status: this.status,
 			reason,
 			verdict: this.verdict,
-			totalMs: Math.round(clock.now() - arrivedAt),
+			totalMs: Math.round(now - arrivedAt),
 		});
 	}
 }
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -1,6 +1,7 @@
 import { fairLevel } from './fairLevel.js';
 import { CapacityEstimator } from './capacityEstimator.js';
 import { ShareCredit } from './shareCredit.js';
+import { ShareGrant } from './shareGrant.js';
 import { SlidingSum } from './slidingSum.js';
 
 /** Usage of one account at one router within the share window, in cost units. */
@@ -169,20 +170,12 @@
 	 * @param account short key of the account
 	 * @param cost cost of the request
 	 * @param now monotonic milliseconds
+	 * @returns the deducted credit, to be settled when the request has ended
 	 */
-	public spend(account: number, cost: number, now: number): void {
-		this.usageOf(account).credit.spend(cost, this.rateOf(account, now), now);
-	}
-
-	/**
-	 * Returns the credit that {@link spend} deducted for a request that was refused later.
-	 *
-	 * @param account short key of the account
-	 * @param cost cost of the request
-	 * @param now monotonic milliseconds
-	 */
-	public refund(account: number, cost: number, now: number): void {
-		this.usageOf(account).credit.refund(cost, this.rateOf(account, now), now);
+	public spend(account: number, cost: number, now: number): ShareGrant {
+		const { credit } = this.usageOf(account);
+		credit.spend(cost, this.rateOf(account, now), now);
+		return ShareGrant.create((endedAt) => credit.refund(cost, this.rateOf(account, endedAt), endedAt));
 	}
 
 	/**
--- a/src/shares/test/shares.test.ts
+++ b/src/shares/test/shares.test.ts
@@ -124,8 +124,8 @@
 	test('returns the credit of a request that was refused', () => {
 		const shares = sharesOf(100);
 		shares.recordOffered(1, 10_000, 0);
-		shares.spend(1, 500, 100);
-		shares.refund(1, 500, 100);
+		const grant = shares.spend(1, 500, 100);
+		grant.settle('not-run', 100);
 		expect(shares.shareStatusOf(1, 200).throttledMs).toBe(0);
 	});
 
