Let the rates of all routers add up to the share of an account, in a fleet of any size

Cause: each router admitted at least 0.02 of an account's share. With 16 routers that is 0.32 together, with 70 it is 1.4, and noise of small rates adds to it. Class: a bound for one member of a fleet that is not divided by the size of the fleet.

Change: the lower bound is 0.12 of the share divided by the number of serving routers.

Looked for elsewhere: FleetRetryBudget divides its ratio and slack by the number of routers; queue owners divide by the part of the engines that they own; the guard's 20 requests a second are a bound of one router's processor. LoadShedder and RotationController bound a quarter of a failure domain, by count.

--- a/src/admission/test/shareReplay.ts
+++ b/src/admission/test/shareReplay.ts
@@ -145,7 +145,7 @@
 	const engines = Array.from({ length: fleet.engines }, () => new ReplayedEngine());
 	let reportedLoad = 0;
 	const capacitySource = { nominalCapacityPerSecond: () => fleet.nominalTokensPerSecond, load: () => reportedLoad };
-	const shares = Array.from({ length: fleet.routers }, () => FleetShares.create(capacitySource));
+	const shares = Array.from({ length: fleet.routers }, () => FleetShares.create(capacitySource, () => fleet.routers));
 	const ledger = FairnessLedger.create();
 	const served = new Map(accounts.map(({ name }) => [name, Array.from({ length: endMs / SECOND_MS }, () => 0)]));
 	const busy = new Map<string, number>();
--- a/src/admission/test/spareCapacity.test.ts
+++ b/src/admission/test/spareCapacity.test.ts
@@ -29,10 +29,11 @@
 function simulate(accounts: readonly Account[]): readonly number[] {
 	const admitted = SlidingSum.create(LOAD_WINDOW_MS);
 	const maximumPerSecond = CAPACITY_PER_SECOND + (SPARE_PER_STEP * 1_000) / STEP_MS;
-	const shares = FleetShares.create({
+	const engines = {
 		nominalCapacityPerSecond: () => CAPACITY_PER_SECOND,
-		load: (now) => admitted.sum(now) / ((maximumPerSecond * LOAD_WINDOW_MS) / 1_000),
-	});
+		load: (now: number) => admitted.sum(now) / ((maximumPerSecond * LOAD_WINDOW_MS) / 1_000),
+	};
+	const shares = FleetShares.create(engines, () => 1);
 	const served = accounts.map(() => 0);
 	const arrivals = accounts
 		.flatMap((account, index) =>
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -79,7 +79,7 @@
 	const assignments = FleetAssignments.create(instance);
 	const engines = EngineFleet.create(instance, failureDomain, assignments);
 	engines.setServers([server], systemClock.now());
-	const shares = FleetShares.create({ nominalCapacityPerSecond: () => 250, load: () => undefined }, 4_000);
+	const shares = FleetShares.create({ nominalCapacityPerSecond: () => 250, load: () => undefined }, () => 2, 4_000);
 	const suspects = CrashSuspects.create(instance, systemClock);
 	const unreachableStore: IRevisionedStore = {
 		get: () => Effect.never,
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -196,10 +196,10 @@
 			fleet,
 			reservations: noRemoteReservations,
 			client,
-			shares: FleetShares.create({
-				nominalCapacityPerSecond: () => table?.configuration.limits.tokensPerSecond,
-				load: () => undefined,
-			}),
+			shares: FleetShares.create(
+				{ nominalCapacityPerSecond: () => table?.configuration.limits.tokensPerSecond, load: () => undefined },
+				() => 1,
+			),
 			codec: testCodec,
 			retryBudget: FleetRetryBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }, () => 1),
 			crashes: CrashDetector.create(CrashSuspects.create('router-1', systemClock), systemClock),
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -81,8 +81,11 @@
 /** With fewer requests in the share window, an account's rate is not known, since request sizes differ by 100 to 1. */
 const MINIMUM_PLACED_REQUESTS = 8;
 
-/** Minimum fraction of an account's share that a router admits, for an account whose requests just began to arrive. */
-const MINIMUM_FRACTION = 0.02;
+/**
+ * Part of an account's share, divided equally among all routers, that each of them may admit at least, since the
+ * account's requests may just have begun to arrive there. The rates of all routers exceed the share by no more than it.
+ */
+const MINIMUM_PART = 0.12;
 
 /** The fair level is recomputed after this time. */
 const LEVEL_VALID_MS = 50;
@@ -122,6 +125,8 @@
 	private totals: ReadonlyMap<number, AccountUsage> = new Map();
 	private levelComputedAt = -Infinity;
 	private levelKeptUntil = -Infinity;
+	/** Number of routers when the level was computed. */
+	private routers = 1;
 	private level = Infinity;
 	/** The fair level if one more account offered more than its share. */
 	private levelWithAddedAccount = Infinity;
@@ -130,16 +135,22 @@
 
 	private constructor(
 		private readonly engines: EngineCapacitySource,
+		private readonly countRouters: () => number,
 		private readonly windowMs: number,
 	) {}
 
 	/**
 	 * @param engines capacity and load of the engines that accounts share
+	 * @param countRouters returns the number of routers in the fleet, at least 1
 	 * @param windowMs window over which rates of accounts are measured, in milliseconds
 	 * @returns shares without usage
 	 */
-	public static create(engines: EngineCapacitySource, windowMs = SHARE_WINDOW_MS): FleetShares {
-		return new FleetShares(engines, windowMs);
+	public static create(
+		engines: EngineCapacitySource,
+		countRouters: () => number,
+		windowMs = SHARE_WINDOW_MS,
+	): FleetShares {
+		return new FleetShares(engines, countRouters, windowMs);
 	}
 
 	/**
@@ -361,7 +372,8 @@
 		const total = this.totals.get(account)?.offered ?? 0;
 		const currentOwn = this.own.get(account)?.offered.sum(this.levelComputedAt) ?? 0;
 		const others = Math.max(0, total - currentOwn);
-		return earlierOwn + others === 0 ? 1 : Math.max(MINIMUM_FRACTION, earlierOwn / (earlierOwn + others));
+		const minimum = MINIMUM_PART / this.routers;
+		return earlierOwn + others === 0 ? 1 : Math.max(minimum, earlierOwn / (earlierOwn + others));
 	}
 
 	private refreshLevel(now: number): void {
@@ -369,6 +381,7 @@
 			return;
 		}
 		this.levelComputedAt = now;
+		this.routers = Math.max(1, this.countRouters());
 		if (now < this.levelKeptUntil) {
 			return;
 		}
--- a/src/shares/test/largeFleetRates.test.ts
+++ b/src/shares/test/largeFleetRates.test.ts
@@ -35,7 +35,7 @@
 	const generator = xoroshiro128plus(seed);
 	const random = (): number => uniformFloat64(generator);
 	const engines = { nominalCapacityPerSecond: () => CAPACITY_PER_SECOND, load: () => undefined };
-	const fleet = Array.from({ length: ROUTERS }, () => FleetShares.create(engines));
+	const fleet = Array.from({ length: ROUTERS }, () => FleetShares.create(engines, () => ROUTERS));
 	const requestsPerStep = (((2 * CAPACITY_PER_SECOND) / REQUEST_COST) * STEP_MS) / 1_000;
 	const reports: { readonly at: number; readonly usages: readonly (readonly AccountUsage[])[] }[] = [];
 	const ratios: number[] = [];
--- a/src/shares/test/shares.test.ts
+++ b/src/shares/test/shares.test.ts
@@ -8,7 +8,7 @@
 const WINDOW_MS = 4_000;
 
 function sharesOf(nominalPerSecond: number | undefined, load?: number): FleetShares {
-	return FleetShares.create({ nominalCapacityPerSecond: () => nominalPerSecond, load: () => load }, WINDOW_MS);
+	return FleetShares.create({ nominalCapacityPerSecond: () => nominalPerSecond, load: () => load }, () => 2, WINDOW_MS);
 }
 
 describe('fairLevel', () => {
