Tell what had arrived of a broken response, and the parts of its prompt

The log could not tell which of the 10 to 30 requests that break with an engine had begun to be answered, nor what they have in common.

--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -56,6 +56,9 @@
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
+/** Radix of the keys of prompt parts in the log. */
+const PART_KEY_RADIX = 16;
+
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
@@ -85,6 +88,10 @@
 	private predictedMs: number | undefined;
 	private lastBytesAt = 0;
 	private longestPauseMs = 0;
+	/** When the first bytes of the body arrived in the current attempt. */
+	private attemptBeganAt: number | undefined;
+	/** Bytes of the body that arrived in the current attempt. */
+	private attemptBytes = 0;
 	private status = 0;
 	private reason = '';
 
@@ -330,6 +337,8 @@
 		const now = clock.now();
 		const { server } = option;
 		this.attempts++;
+		this.attemptBeganAt = undefined;
+		this.attemptBytes = 0;
 		this.triedServers.add(server.id);
 		const sequence = fleet.place(option, this.work, now, reservation);
 		if (request.engine !== undefined) {
@@ -363,6 +372,8 @@
 					state.hadFirstEvent = true;
 					fleet.recordFirstEvent(server.id, sequence, clock.now());
 				}
+				this.attemptBeganAt ??= clock.now();
+				this.attemptBytes += chunk.length;
 				this.recordBytes();
 				return this.forwardBytes(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length), resume);
 			},
@@ -547,6 +558,7 @@
 	}
 
 	private logFailure(option: EngineOption, failure: BackendFailure): void {
+		const { attemptBeganAt } = this;
 		this.context.log.write('attempt-failed', {
 			id: this.request.fields.id,
 			server: option.server.id,
@@ -554,6 +566,9 @@
 			verdict: failure.verdict,
 			attempt: this.attempts,
 			headSent: this.response.hasHead,
+			attemptBytes: this.attemptBytes,
+			sinceFirstBytesMs: attemptBeganAt === undefined ? undefined : round(this.context.clock.now() - attemptBeganAt),
+			parts: this.request.fields.parts.map(({ key }) => key.toString(PART_KEY_RADIX)).join(' '),
 			reason: failure.message,
 		});
 	}
