Show that a part of prompts crashes one server after the other

Harmful prompts share one part and nothing else; their server sends a head, part of an event, and ends.

--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -12,8 +12,10 @@
 import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
 import { systemClock } from '../../base/common/clock.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
+import { shortKey } from '../../base/common/shortKey.js';
 import type { RegisteredServer } from '../../engines/common/directory.js';
 import { EngineFleet } from '../../engines/common/engineFleet.js';
+import type { PromptPart } from '../../engines/common/prefixCacheIndex.js';
 import { engineWith } from '../../engines/test/engineFixture.js';
 import { noRemoteReservations } from '../../engines/common/queueReservations.js';
 import type { Route, RoutingConfiguration } from '../../routing/common/model.js';
@@ -128,6 +130,11 @@
 	return {};
 }
 
+/** Decodes a list of part names; every part has the same number of tokens. */
+function decodeParts(header: string | readonly string[] | undefined): readonly PromptPart[] {
+	return typeof header === 'string' ? header.split(',').map((name) => ({ key: shortKey(name), tokens: 100 })) : [];
+}
+
 /** Header codec for tests; the platform defines its own. */
 export const testCodec: IHeaderCodec = {
 	requestIdHeader: 'request-id',
@@ -136,7 +143,7 @@
 		id: String(headers['request-id'] ?? ''),
 		key: typeof headers.authorization === 'string' ? headers.authorization : undefined,
 		deadlineMs: headers.deadline === undefined ? undefined : Number(headers.deadline),
-		parts: [],
+		parts: decodeParts(headers['prompt-parts']),
 		promptTokens: Number(headers['prompt-tokens'] ?? 0),
 		maximumOutputTokens: 100,
 		expectedOutputTokens: undefined,
