Refuse prompts with a part that crashes engines, by the evidence of all routers

Cause: crashes were counted by the fingerprint of a whole request, and no two harmful prompts are alike; a crash counted only if the same router failed to connect to the server by chance; a response whose head had arrived counted as harmless. Class: a fault is attributed to the unit that the code has, not to the one that can be the cause, and evidence spread over a fleet is judged alone.

Change: prompt parts in progress at a crash are candidates, are cleared by any response that goes on, and are quarantined after three crashes; routers exchange candidates, clearances and quarantines. A probe shows whether a server has ended. Ruled out: by each router alone (70 routers would need 3 crashes each), through the store (away when needed).

--- a/src/admission/test/shareReplay.ts
+++ b/src/admission/test/shareReplay.ts
@@ -1,5 +1,6 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { VirtualTime } from '../../base/test/virtualTime.js';
 import { EngineQueue } from '../../engines/common/engineQueue.js';
 import { prefillMs } from '../../engines/common/prefillTime.js';
 import type { EngineOption } from '../../engines/common/engineChoice.js';
@@ -128,20 +129,8 @@
 	const random = (): number => uniformFloat64(generator);
 	const pace = fleet.pace ?? ((): number => 1);
 	const delayMs = fleet.exchangeDelayMs ?? DEFAULT_EXCHANGE_DELAY_MS;
-	const events: { readonly at: number; readonly run: (now: number) => void }[] = [];
-	const schedule = (at: number, run: (now: number) => void): void => {
-		let low = 0;
-		let high = events.length;
-		while (low < high) {
-			const middle = (low + high) >> 1;
-			if ((events[middle]?.at ?? 0) > at) {
-				low = middle + 1;
-			} else {
-				high = middle;
-			}
-		}
-		events.splice(low, 0, { at, run });
-	};
+	const time = VirtualTime.create();
+	const schedule = (at: number, run: (now: number) => void): void => time.schedule(at, run);
 	const engines = Array.from({ length: fleet.engines }, () => new ReplayedEngine());
 	let reportedLoad = 0;
 	const capacitySource = { nominalCapacityPerSecond: () => fleet.nominalTokensPerSecond, load: () => reportedLoad };
@@ -259,9 +248,7 @@
 		schedule(now + EXCHANGE_INTERVAL_MS, exchange);
 	};
 	schedule(0, exchange);
-	for (let event = events.pop(); event !== undefined && event.at < endMs; event = events.pop()) {
-		event.run(event.at);
-	}
+	time.runUntil(endMs);
 	return {
 		windows: ledger.windows(),
 		servedBySecond: served,
--- a/src/fleet/common/exchangedState.ts
+++ b/src/fleet/common/exchangedState.ts
@@ -1,4 +1,5 @@
 import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import type { PromptSuspects } from '../../backends/common/promptSuspects.js';
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
@@ -19,6 +20,7 @@
 	/** Returns the revision of the last store change that this router knows, for each store prefix that it follows. */
 	readonly followedRevisions: () => readonly number[];
 	readonly suspects: CrashSuspects;
+	readonly promptSuspects: PromptSuspects;
 	/** Determines which router owns the queue of a server. */
 	readonly assignments: FleetAssignments;
 	/** Returns whether this router is out of the load balancer's rotation because it receives more than it can handle. */
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -1,3 +1,4 @@
+import type { PromptCrash, SuspectPart } from '../../backends/common/promptSuspects.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import type {
 	EndNotice,
@@ -17,6 +18,9 @@
  */
 const MAXIMUM_LIST_LENGTH = 30;
 
+/** Maximum number of crashes in a datagram, each with up to {@link MAXIMUM_LIST_LENGTH} parts. */
+const PROMPT_CRASHES_PER_DATAGRAM = 4;
+
 const HUNDREDTHS = 100;
 
 /** Largest value of the field on the wire; it stands for an unlimited number of tokens. */
@@ -35,6 +39,9 @@
 	private readonly placements: PlacementNotice[] = [];
 	private readonly firstEvents: FirstEventNotice[] = [];
 	private readonly crashes: wire.CrashNotice[] = [];
+	private readonly promptCrashes: wire.PromptCrash[] = [];
+	private readonly clearedParts: number[] = [];
+	private readonly quarantinedParts: wire.SuspectPart[] = [];
 	private readonly reservations: wire.ReservationRequest[] = [];
 	private readonly answers: wire.ReservationAnswer[] = [];
 	private readonly outcomes: wire.EngineOutcome[] = [];
@@ -54,7 +61,12 @@
 
 	/** Whether there are crash notices, which go to every router. */
 	public get hasCrashes(): boolean {
-		return this.crashes.length > 0;
+		return (
+			this.crashes.length > 0 ||
+			this.promptCrashes.length > 0 ||
+			this.clearedParts.length > 0 ||
+			this.quarantinedParts.length > 0
+		);
 	}
 
 	/**
@@ -97,6 +109,23 @@
 		this.crashes.push(notice);
 	}
 
+	/** @param crash a server that ended, and the prompt parts that may be the cause */
+	public addPromptCrash({ server, parts }: PromptCrash): void {
+		for (let start = 0; start < parts.length; start += MAXIMUM_LIST_LENGTH) {
+			this.promptCrashes.push({ engine: server, parts: parts.slice(start, start + MAXIMUM_LIST_LENGTH) });
+		}
+	}
+
+	/** @param parts short keys of prompt parts that a server has survived */
+	public addClearedParts(parts: readonly number[]): void {
+		this.clearedParts.push(...parts);
+	}
+
+	/** @param state a quarantined prompt part */
+	public addQuarantinedPart(state: SuspectPart): void {
+		this.quarantinedParts.push(state);
+	}
+
 	/** @param request for a place in a queue */
 	public addReservation(request: ReservationRequest): void {
 		const { work } = request;
@@ -172,6 +201,9 @@
 			ageMs: ageMs(at),
 		}));
 		state.crashes = this.crashes.splice(0, MAXIMUM_LIST_LENGTH);
+		state.promptCrashes = this.promptCrashes.splice(0, PROMPT_CRASHES_PER_DATAGRAM);
+		state.clearedParts = this.clearedParts.splice(0, MAXIMUM_LIST_LENGTH);
+		state.quarantinedParts = this.quarantinedParts.splice(0, MAXIMUM_LIST_LENGTH);
 		state.reservations = this.reservations.splice(0, MAXIMUM_LIST_LENGTH);
 		state.answers = this.answers.splice(0, MAXIMUM_LIST_LENGTH);
 		state.outcomes = this.outcomes.splice(0, MAXIMUM_LIST_LENGTH);
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -34,6 +34,7 @@
 import { ReportBuffer } from '../common/reportBuffer.js';
 import type { MemberUpdate } from '../common/memberList.js';
 import { type DatagramContent, DatagramWriter } from './datagramWriter.js';
+import { CrashNotices } from './crashNotices.js';
 import { PeerStateApplier } from './peerStateApplier.js';
 
 /** Notices with up to 16 prompt parts each that fit into a datagram without fragmentation. */
@@ -48,6 +49,7 @@
 	private readonly membership: FleetMembership;
 	private readonly reports = ReportBuffer.create();
 	private readonly received: PeerStateApplier;
+	private readonly crashNotices: CrashNotices;
 	private readonly peerUpdateEmitter = this.register(Emitter.create<FleetPeer>());
 	private readonly socket: Socket = createSocket('udp4');
 	private readonly reservationResponseEmitter = this.register(Emitter.create<ReservationAnswer>());
@@ -75,7 +77,7 @@
 		this.writer = DatagramWriter.create(identity, state, clock);
 		this.membership = FleetMembership.create(identity.instance, identity.failureDomain);
 		const isRelay = (): boolean => this.isRelay;
-		this.received = PeerStateApplier.create(state, identity.failureDomain, isRelay, this.reports, log);
+		this.received = PeerStateApplier.create(state, identity.failureDomain, isRelay, this.reports);
 		this.register(
 			toDisposable(() => {
 				this.broadcast.cancel();
@@ -85,7 +87,7 @@
 		);
 		const timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
 		this.register(toDisposable(() => clearInterval(timer)));
-		const { engines, suspects } = state;
+		const { engines } = state;
 		this.register(
 			engines.onDidPlace((notice) => this.notifyQueueOwner(notice.server, (outbox) => outbox.addPlacement(notice))),
 		);
@@ -107,12 +109,17 @@
 				this.notifyQueueOwner(server, (outbox) => outbox.addLeaving(server)),
 			),
 		);
-		this.register(
-			suspects.onDidChangeSuspect(({ fingerprint, deaths, quarantineMs }) => {
-				const notice = { fingerprint: Buffer.from(fingerprint, 'hex'), deaths, quarantineMs: Math.round(quarantineMs) };
-				this.log.write('crash-suspect', { fingerprint, deaths, quarantineMs: notice.quarantineMs });
-				this.broadcast.addCrash(notice);
-				this.broadcast.schedule(MINIMUM_FLUSH_DELAY_MS);
+		this.crashNotices = this.register(
+			CrashNotices.create({
+				suspects: state.suspects,
+				promptSuspects: state.promptSuspects,
+				countRouters: () => this.routerCount,
+				broadcast: (add) => {
+					add(this.broadcast);
+					this.broadcast.schedule(MINIMUM_FLUSH_DELAY_MS);
+				},
+				clock,
+				log,
 			}),
 		);
 		this.socket.on('message', (bytes, source) => this.receive(bytes, source));
@@ -391,6 +398,7 @@
 		const updates = [...(direct === undefined ? [] : [direct]), ...this.membership.recordIndirect(entries, now)];
 		this.applyUpdates(updates, sender.instance, now);
 		this.received.apply(datagram, now);
+		this.crashNotices.apply(datagram, now);
 		this.handleReservations(datagram, now);
 		datagram.answers.forEach((response) => this.reservationResponseEmitter.fire(response));
 		this.peerUpdateEmitter.fire(sender);
@@ -403,6 +411,9 @@
 	}
 
 	private reply(instance: string, hadDirectContact: boolean, now: number): void {
+		if (!hadDirectContact) {
+			this.sendQuarantinedParts(instance);
+		}
 		if (!this.state.assignments.isLargeFleet || hadDirectContact) {
 			this.sendSplit([instance], [], { withUsage: !this.state.assignments.isLargeFleet }, now);
 			if (!hadDirectContact) {
@@ -413,6 +424,13 @@
 		this.sendSplit([instance], this.membership.membersForNewPeer(), {}, now);
 	}
 
+	private sendQuarantinedParts(instance: string): void {
+		const outbox = FleetOutbox.create(() => undefined);
+		if (this.crashNotices.addAllTo(outbox)) {
+			this.sendTo([instance], this.writer.write({}, outbox));
+		}
+	}
+
 	/**
 	 * Sends a router of a small fleet that has just started what it needs to place prompts: the queued prompts of this
 	 * router and the cached parts of all engines.
--- a/src/fleet/node/peerStateApplier.ts
+++ b/src/fleet/node/peerStateApplier.ts
@@ -1,17 +1,15 @@
-import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { ExchangedState } from '../common/exchangedState.js';
 import { decodeOutcome } from '../common/fleetOutbox.js';
 import { Outcome, type RouterState, type UsageSum } from '../common/generated/masticloom/fleet/v1/fleet.js';
 import type { ReportBuffer } from '../common/reportBuffer.js';
 
-/** Applies what peers report about engines, accounts and requests that crash servers. */
+/** Applies what peers report about engines and accounts. */
 export class PeerStateApplier {
 	private constructor(
 		private readonly state: ExchangedState,
 		private readonly failureDomain: string,
 		private readonly isRelay: () => boolean,
 		private readonly reports: ReportBuffer,
-		private readonly log: IDecisionLog,
 	) {}
 
 	/**
@@ -19,7 +17,6 @@
 	 * @param failureDomain of this router
 	 * @param isRelay returns whether this router forwards reports to others
 	 * @param reports buffer of the reports that a relay forwards
-	 * @param log records notices of requests that crash servers
 	 * @returns an instance that applies datagrams
 	 */
 	public static create(
@@ -27,9 +24,8 @@
 		failureDomain: string,
 		isRelay: () => boolean,
 		reports: ReportBuffer,
-		log: IDecisionLog,
 	): PeerStateApplier {
-		return new PeerStateApplier(state, failureDomain, isRelay, reports, log);
+		return new PeerStateApplier(state, failureDomain, isRelay, reports);
 	}
 
 	/**
@@ -37,7 +33,7 @@
 	 * @param now monotonic milliseconds
 	 */
 	public apply(datagram: RouterState, now: number): void {
-		const { engines, shares, suspects, assignments } = this.state;
+		const { engines, shares, assignments } = this.state;
 		const isSameDomain = datagram.failureDomain === this.failureDomain;
 		for (const placement of datagram.placements) {
 			engines.applyPlacement(datagram.instance, { ...placement, server: placement.engine }, now);
@@ -45,16 +41,6 @@
 		for (const firstEvent of datagram.firstEvents) {
 			engines.applyFirstEvent(datagram.instance, { ...firstEvent, server: firstEvent.engine }, now);
 		}
-		for (const { fingerprint, deaths, quarantineMs } of datagram.crashes) {
-			const hexFingerprint = Buffer.from(fingerprint).toString('hex');
-			this.log.write('crash-suspect-heard', {
-				peer: datagram.instance,
-				fingerprint: hexFingerprint,
-				deaths,
-				quarantineMs,
-			});
-			suspects.applyPeerState(datagram.instance, { fingerprint: hexFingerprint, deaths, quarantineMs, claimMs: 0 });
-		}
 		for (const { engine, ageMs, ...report } of datagram.reports) {
 			const reportedAt = now - ageMs;
 			engines.applyReport(engine, report, reportedAt);
--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -81,6 +81,25 @@
 		await waitUntil(() => two.suspects.remainingQuarantineMs(fingerprint) > 0);
 	});
 
+	// Guards against routers that each see too few of the prompts to find the part that crashes engines.
+	test('a part of prompts that crashed engines at several routers is refused at all, also at one that starts later', async () => {
+		const [one, two] = await startPair();
+		const part = shortKey('harmful part');
+		const isRefused = ({ promptSuspects }: FixtureRouter): boolean =>
+			promptSuspects.quarantineMs([part], systemClock.now()) > 0;
+		for (const [index, router] of [one, two, one].entries()) {
+			router.promptSuspects.recordCrash({ server: index, parts: [part] }, systemClock.now());
+			await new Promise((resolve) => setTimeout(resolve, 300));
+		}
+		await waitUntil(() => isRefused(one) && isRefused(two));
+		const late = await startRouter('router-3', '127.0.205');
+		late.exchange.introduce(one.datagramAddress);
+		late.exchange.introduce(two.datagramAddress);
+		await waitUntil(() => isRefused(late));
+		two.promptSuspects.recordSurvival([part], systemClock.now());
+		await waitUntil(() => !isRefused(one) && !isRefused(late));
+	});
+
 	test('a peer that stays silent is lost, together with its work and usage', async () => {
 		const [one, two] = await startPair();
 		two.shares.recordAdmitted(1, 200, systemClock.now());
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -1,4 +1,5 @@
 import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { PromptSuspects } from '../../backends/common/promptSuspects.js';
 import { systemClock } from '../../base/common/clock.js';
 import { MAXIMUM_SMALL_FLEET_ROUTERS } from '../../base/common/fleetSize.js';
 import { DisposableStore } from '../../base/common/lifecycle.js';
@@ -37,6 +38,7 @@
 	readonly reservations: QueueReservations;
 	readonly shares: FleetShares;
 	readonly suspects: CrashSuspects;
+	readonly promptSuspects: PromptSuspects;
 	readonly follower: PrefixFollower;
 	readonly datagramAddress: SocketAddress;
 	readonly events: string[];
@@ -81,6 +83,7 @@
 	engines.setServers([server], systemClock.now());
 	const shares = FleetShares.create({ nominalCapacityPerSecond: () => 250, load: () => undefined }, () => 2, 4_000);
 	const suspects = CrashSuspects.create(instance, systemClock);
+	const promptSuspects = PromptSuspects.create();
 	const unreachableStore: IRevisionedStore = {
 		get: () => Effect.never,
 		compareAndSwap: () => Effect.never,
@@ -101,6 +104,7 @@
 				engines,
 				shares,
 				suspects,
+				promptSuspects,
 				assignments,
 				isRelieved: () => false,
 				contactSince: () => contact.since,
@@ -123,6 +127,7 @@
 		reservations,
 		shares,
 		suspects,
+		promptSuspects,
 		follower,
 		datagramAddress,
 		events,
--- a/src/gateway/common/crashDetector.ts
+++ b/src/gateway/common/crashDetector.ts
@@ -1,72 +1,155 @@
-import { type CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { Effect } from 'effect';
+import type { BackendTarget } from '../../backends/common/backendClient.js';
+import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import type { PromptSuspects } from '../../backends/common/promptSuspects.js';
+import type { ServerProbe } from '../../backends/common/serverProbe.js';
 import type { IClock } from '../../base/common/clock.js';
+import { shortKey } from '../../base/common/shortKey.js';
 
-/** A server that is unreachable within this time after a broken connection is taken to have crashed on its request. */
+/** A connection that breaks within this time before or after its server is found to refuse connections broke by its crash. */
 const CRASH_WINDOW_MS = 2_000;
 
+/** Identity of a request for the evidence of crashes. */
+export interface CrashEvidence {
+	/** Fingerprint of the whole request. */
+	readonly fingerprint: string;
+	/** Short keys of the prompt parts that other requests may share. */
+	readonly parts: readonly number[];
+}
+
 interface BrokenRequest {
 	readonly server: string;
-	readonly fingerprint: string;
+	readonly evidence: CrashEvidence;
 	readonly at: number;
 }
 
+/** Dependencies of a crash detector. */
+export interface CrashDetectorContext {
+	/** Counts the crashes of servers for each fingerprint. */
+	readonly suspects: CrashSuspects;
+	/** Counts the crashes of servers for each prompt part. */
+	readonly promptSuspects: PromptSuspects;
+	readonly probe: ServerProbe;
+	readonly clock: IClock;
+	/** Called with the identifier of a server that crashed, and the number of requests that it may have crashed on. */
+	readonly reportCrash: (server: string, requests: number) => void;
+}
+
 /**
  * Detects requests that crash the servers that run them. A broken connection alone is no evidence, since responses are
- * lost for other reasons too; it counts only if the server is unreachable afterwards.
+ * lost for other reasons too. It counts if the server then refuses connections, which a probe shows at once.
  *
- * Load pattern: one request crashes each server that starts it, and its caller retries it.
+ * Load pattern: one request, or one part of many prompts, crashes each server that starts it.
  */
 export class CrashDetector {
 	private broken: BrokenRequest[] = [];
+	private readonly crashedAt = new Map<string, number>();
+	private readonly probing = new Set<string>();
 
-	private constructor(
-		private readonly suspects: CrashSuspects,
-		private readonly clock: IClock,
-	) {}
+	private constructor(private readonly context: CrashDetectorContext) {}
 
 	/**
-	 * @param suspects counts the crashes of servers for each fingerprint
-	 * @param clock measures the time between a broken connection and a failure to reach the server
+	 * @param context dependencies
 	 * @returns a detector without observations
 	 */
-	public static create(suspects: CrashSuspects, clock: IClock): CrashDetector {
-		return new CrashDetector(suspects, clock);
+	public static create(context: CrashDetectorContext): CrashDetector {
+		return new CrashDetector(context);
 	}
 
-	/** Whether any request is suspected; otherwise, requests need no fingerprint. */
-	public get hasSuspects(): boolean {
-		return this.suspects.hasSuspects;
+	/**
+	 * @param parts short keys of the prompt parts that other requests may share
+	 * @returns milliseconds for which a prompt with these parts must be refused; 0 when it may run
+	 */
+	public partQuarantineMs(parts: () => readonly number[]): number {
+		const { promptSuspects, clock } = this.context;
+		return promptSuspects.hasSuspects ? promptSuspects.quarantineMs(parts(), clock.now()) : 0;
 	}
 
 	/**
-	 * @param fingerprint of a received request
+	 * @param fingerprint returns the fingerprint of a received request
 	 * @returns milliseconds for which the request must be refused; 0 when it may run
 	 */
-	public quarantineMs(fingerprint: string): number {
-		return this.suspects.remainingQuarantineMs(fingerprint);
+	public quarantineMs(fingerprint: () => string): number {
+		const { suspects } = this.context;
+		return suspects.hasSuspects ? suspects.remainingQuarantineMs(fingerprint()) : 0;
 	}
 
 	/**
-	 * Records that a connection broke before the response started.
+	 * Records that a request is sent to a server.
 	 *
-	 * @param server identifier of the server
-	 * @param fingerprint of the request
+	 * @param parts short keys of the prompt parts that other requests may share
 	 */
-	public recordBrokenConnection(server: string, fingerprint: string): void {
-		const now = this.clock.now();
+	public recordSent(parts: readonly number[]): void {
+		this.context.promptSuspects.recordSent(parts, this.context.clock.now());
+	}
+
+	/**
+	 * Records that a response has gone on beyond its first bytes, or has ended as complete.
+	 *
+	 * @param parts short keys of the prompt parts that other requests may share
+	 */
+	public recordSurvival(parts: readonly number[]): void {
+		this.context.promptSuspects.recordSurvival(parts, this.context.clock.now());
+	}
+
+	/**
+	 * Records that a connection broke before the response had survived its first bytes, and probes the server.
+	 *
+	 * @param server on which the request ran
+	 * @param evidence identity of the request
+	 */
+	public recordBrokenConnection(server: BackendTarget, evidence: CrashEvidence): void {
+		const now = this.context.clock.now();
+		if (now - (this.crashedAt.get(server.id) ?? -Infinity) <= CRASH_WINDOW_MS) {
+			this.recordCrash(server.id, [evidence], now);
+			return;
+		}
 		this.broken = this.broken.filter(({ at }) => now - at <= CRASH_WINDOW_MS);
-		this.broken.push({ server, fingerprint, at: now });
+		this.broken.push({ server: server.id, evidence, at: now });
+		if (this.probing.has(server.id)) {
+			return;
+		}
+		this.probing.add(server.id);
+		Effect.runFork(
+			Effect.map(this.context.probe(server), (result) => {
+				this.probing.delete(server.id);
+				if (result === 'refusing') {
+					this.recordUnreachable(server.id);
+				}
+			}),
+		);
 	}
 
 	/**
-	 * Records that a server is unreachable.
+	 * Records that a server refuses connections.
 	 *
 	 * @param server identifier of the server
 	 */
 	public recordUnreachable(server: string): void {
-		const now = this.clock.now();
+		const now = this.context.clock.now();
 		const crashed = this.broken.filter((item) => item.server === server && now - item.at <= CRASH_WINDOW_MS);
 		this.broken = this.broken.filter((item) => item.server !== server);
-		crashed.forEach(({ fingerprint }) => this.suspects.recordCrash(fingerprint));
+		if (crashed.length === 0) {
+			return;
+		}
+		for (const [id, at] of this.crashedAt) {
+			if (now - at > CRASH_WINDOW_MS) {
+				this.crashedAt.delete(id);
+			}
+		}
+		this.crashedAt.set(server, now);
+		this.context.reportCrash(server, crashed.length);
+		this.recordCrash(
+			server,
+			crashed.map(({ evidence }) => evidence),
+			now,
+		);
+	}
+
+	private recordCrash(server: string, evidence: readonly CrashEvidence[], now: number): void {
+		const { suspects, promptSuspects } = this.context;
+		evidence.forEach(({ fingerprint }) => suspects.recordCrash(fingerprint));
+		const parts = [...new Set(evidence.flatMap((item) => item.parts))];
+		promptSuspects.recordCrash({ server: shortKey(server), parts }, now);
 	}
 }
--- a/src/gateway/common/ingress.ts
+++ b/src/gateway/common/ingress.ts
@@ -42,3 +42,11 @@
 	/** Header with the request identifier in responses that the router itself generates. */
 	readonly requestIdHeader: string;
 }
+
+/**
+ * @param fields properties of a request
+ * @returns short keys of the prompt parts that other requests may share
+ */
+export function sharedPartKeys({ parts }: IngressFields): readonly number[] {
+	return parts.slice(0, -1).map(({ key }) => key);
+}
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -4,6 +4,7 @@
 	BackendFailure,
 	ResponseHead,
 	BackendRequest,
+	BackendTarget,
 	IAttemptSink,
 	IBackendClient,
 	ServerNotice,
@@ -20,7 +21,7 @@
 import type { FleetShares, ShareStatus } from '../../shares/common/fleetShares.js';
 import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
 import type { CrashDetector } from '../common/crashDetector.js';
-import type { IHeaderCodec } from '../common/ingress.js';
+import { type IHeaderCodec, sharedPartKeys } from '../common/ingress.js';
 import { requestCost } from '../common/requestCost.js';
 import type { FleetRetryBudget } from '../common/fleetRetryBudget.js';
 import type { GatewayResponse, LocalResponse } from './gatewayResponse.js';
@@ -56,6 +57,12 @@
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
+/**
+ * Time after its first bytes for which a response has to go on before its server counts as having survived the prompt. A
+ * server that crashes on a prompt ends with the first bytes of its response.
+ */
+const SURVIVAL_MS = 50;
+
 /** Radix of the keys of prompt parts in the log. */
 const PART_KEY_RADIX = 16;
 
@@ -79,6 +86,8 @@
 	private readonly work: PromptWork;
 	private readonly cost: number;
 	private readonly continuity: ResponseContinuity;
+	/** Short keys of the prompt parts that other requests may share: all but the last one. */
+	private readonly sharedParts: readonly number[];
 	/** Combined verdict of the attempts that have ended. */
 	private endedVerdict: Verdict = 'not-run';
 	/** Whether the current attempt has sent bytes, so that its server may run the request. */
@@ -92,6 +101,8 @@
 	private attemptBeganAt: number | undefined;
 	/** Bytes of the body that arrived in the current attempt. */
 	private attemptBytes = 0;
+	/** Whether the server has survived the first bytes of its response to the current attempt. */
+	private hasSurvived = false;
 	private status = 0;
 	private reason = '';
 
@@ -109,6 +120,7 @@
 			memoryTokens: request.engine?.memoryTokens,
 		};
 		this.cost = requestCost(fields);
+		this.sharedParts = sharedPartKeys(fields);
 		this.continuity = ResponseContinuity.create(routing.route.resumable);
 	}
 
@@ -163,11 +175,11 @@
 	private runAttempts(): Effect.Effect<void> {
 		const self = this;
 		return Effect.gen(function* () {
-			if (self.isQuarantined()) {
-				return;
-			}
 			self.countRequest();
 			for (;;) {
+				if (self.isQuarantined()) {
+					return;
+				}
 				const { decision, reservation } = yield* self.place();
 				if (decision.kind === 'refuse') {
 					self.refuse(decision);
@@ -191,22 +203,34 @@
 		});
 	}
 
+	private get hasQuarantinedPart(): boolean {
+		return this.context.crashes.partQuarantineMs(() => this.sharedParts) > 0;
+	}
+
+	/** Refuses the request if it, or a part of its prompt, crashes servers. */
 	private isQuarantined(): boolean {
 		const { crashes, log } = this.context;
-		const quarantineMs = crashes.hasSuspects ? crashes.quarantineMs(this.fingerprint()) : 0;
+		const fingerprintMs = crashes.quarantineMs(() => this.fingerprint());
+		const quarantineMs = Math.max(
+			fingerprintMs,
+			crashes.partQuarantineMs(() => this.sharedParts),
+		);
 		if (quarantineMs === 0) {
 			return false;
 		}
 		log.write('admission', { id: this.request.fields.id, outcome: 'quarantined', quarantineMs: round(quarantineMs) });
-		this.sendLocal({
-			status: SERVICE_UNAVAILABLE,
-			code: 'quarantined',
-			verdict: 'not-run',
-			retryAfterMs: quarantineMs,
-		});
+		this.sendFailure('quarantined', BAD_GATEWAY, quarantineMs);
 		return true;
 	}
 
+	/** Whether the response to the current attempt has gone on beyond its first bytes, so its server has survived it. */
+	private recordSurvival(): void {
+		if (!this.hasSurvived) {
+			this.hasSurvived = true;
+			this.context.crashes.recordSurvival(this.sharedParts);
+		}
+	}
+
 	private countRequest(): void {
 		const { clock, retryBudget } = this.context;
 		retryBudget.countRequest(this.request.routing.service, clock.now());
@@ -336,9 +360,11 @@
 		const { fields, routing } = request;
 		const now = clock.now();
 		const { server } = option;
+		const target = { id: server.id, url: `http://${server.address}` };
 		this.attempts++;
 		this.attemptBeganAt = undefined;
 		this.attemptBytes = 0;
+		this.hasSurvived = false;
 		this.triedServers.add(server.id);
 		const sequence = fleet.place(option, this.work, now, reservation);
 		if (request.engine !== undefined) {
@@ -353,7 +379,10 @@
 			resumptionFault: undefined as string | undefined,
 		};
 		const sink: IAttemptSink = {
-			sent: () => (this.inProgress = true),
+			sent: () => {
+				this.inProgress = true;
+				this.context.crashes.recordSent(this.sharedParts);
+			},
 			notice: (notice) => this.recordNotice(server.id, notice),
 			head: (head) => {
 				state.failed = head.status >= MINIMUM_ERROR_STATUS;
@@ -372,8 +401,7 @@
 					state.hadFirstEvent = true;
 					fleet.recordFirstEvent(server.id, sequence, clock.now());
 				}
-				this.attemptBeganAt ??= clock.now();
-				this.attemptBytes += chunk.length;
+				this.recordAttemptBytes(chunk.length);
 				this.recordBytes();
 				return this.forwardBytes(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length), resume);
 			},
@@ -391,9 +419,9 @@
 			body: request.body,
 		});
 		const call = Effect.suspend(() =>
-			fleet.allowsRequest(server.id, clock.now())
-				? client.call({ id: server.id, url: `http://${server.address}` }, outgoingRequest(), sink)
-				: Effect.fail(withdrawnFailure(server.id)),
+			fleet.allowsRequest(server.id, clock.now()) && !this.hasQuarantinedPart
+				? client.call(target, outgoingRequest(), sink)
+				: Effect.fail(notSentFailure(server.id)),
 		);
 		const delayMs = Math.round(reservation?.delayMs ?? option.delayMs);
 		return (delayMs > 0 ? Effect.andThen(Effect.sleep(delayMs), call) : call).pipe(
@@ -405,7 +433,7 @@
 				Effect.sync(() => {
 					const endedAt = clock.now();
 					const slotTimeMs = exit._tag === 'Success' && this.firstBytesAt !== undefined ? endedAt - now : undefined;
-					const outcome = this.outcomeOf(server.id, exit, state.failed);
+					const outcome = this.outcomeOf(target, exit, state.failed);
 					fleet.recordEnd(server.id, sequence, { hadFirstEvent: state.hadFirstEvent, slotTimeMs, outcome }, endedAt);
 				}),
 			),
@@ -446,6 +474,15 @@
 		return ready === undefined || this.response.write(ready, resume);
 	}
 
+	private recordAttemptBytes(count: number): void {
+		const now = this.context.clock.now();
+		this.attemptBeganAt ??= now;
+		this.attemptBytes += count;
+		if (now - this.attemptBeganAt >= SURVIVAL_MS) {
+			this.recordSurvival();
+		}
+	}
+
 	private recordBytes(): void {
 		const now = this.context.clock.now();
 		if (this.firstBytesAt !== undefined) {
@@ -461,11 +498,12 @@
 
 	/** Derives the outcome that is recorded for a server when an attempt ends, and records evidence of crashes. */
 	private outcomeOf(
-		server: string,
+		server: BackendTarget,
 		exit: Exit.Exit<void, BackendFailure>,
 		isErrorResponse: boolean,
 	): ServerOutcome | undefined {
 		if (exit._tag === 'Success') {
+			this.recordSurvival();
 			return isErrorResponse ? 'failed' : 'answered';
 		}
 		const { crashes } = this.context;
@@ -480,13 +518,13 @@
 			case 'fenced':
 				return 'refused';
 			case 'unreachable':
-				crashes.recordUnreachable(server);
+				crashes.recordUnreachable(server.id);
 				return 'unreachable';
 			case 'silent':
 				return 'silent';
 			case 'broken':
-				if (!this.response.hasHead) {
-					crashes.recordBrokenConnection(server, this.fingerprint());
+				if (!this.hasSurvived) {
+					crashes.recordBrokenConnection(server, { fingerprint: this.fingerprint(), parts: this.sharedParts });
 				}
 				return 'failed';
 		}
@@ -538,14 +576,15 @@
 	 *
 	 * @param code short name of the reason
 	 * @param statusAfterSending status if a server may have run the request
+	 * @param retryAfterMs milliseconds after which the caller may retry if it was not run
 	 */
-	private sendFailure(code: string, statusAfterSending: number): void {
+	private sendFailure(code: string, statusAfterSending: number, retryAfterMs = NOT_RUN_RETRY_MS): void {
 		const notRun = this.verdict === 'not-run';
 		this.sendLocal({
 			status: notRun ? SERVICE_UNAVAILABLE : statusAfterSending,
 			code,
 			verdict: this.verdict,
-			retryAfterMs: notRun ? NOT_RUN_RETRY_MS : undefined,
+			retryAfterMs: notRun ? retryAfterMs : undefined,
 		});
 	}
 
@@ -637,8 +676,9 @@
 	return { decision: { ...decision, option }, reservation };
 }
 
-function withdrawnFailure(server: string): BackendFailure {
-	return { kind: 'withdrawn', verdict: 'not-run', message: `backend server ${server} no longer accepts requests` };
+function notSentFailure(server: string): BackendFailure {
+	const message = `nothing was sent to backend server ${server}, which no longer accepts the request`;
+	return { kind: 'withdrawn', verdict: 'not-run', message };
 }
 
 function invalidResponseFailure(server: string, fault: string): BackendFailure {
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -14,7 +14,7 @@
 import type { ShareStatus } from '../../shares/common/fleetShares.js';
 import type { ShareGrant } from '../../shares/common/shareGrant.js';
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
-import type { IngressFields } from '../common/ingress.js';
+import { type IngressFields, sharedPartKeys } from '../common/ingress.js';
 import { CallerElapsedEstimator } from '../common/callerElapsedEstimator.js';
 import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
 import { decodeHandoverHeader } from '../common/handoverMark.js';
@@ -257,6 +257,13 @@
 			request.resume();
 			return;
 		}
+		const quarantineMs = this.context.crashes.partQuarantineMs(() => sharedPartKeys(fields));
+		if (quarantineMs > 0) {
+			const refusal = { status: SERVICE_UNAVAILABLE, code: 'quarantined', retryAfterMs: quarantineMs };
+			this.refuse(gatewayResponse, fields, refusal, routing);
+			request.resume();
+			return;
+		}
 		let shareGrant: ShareGrant | undefined;
 		if (handoverHeader === undefined && table.service(routing.service)?.engine !== undefined) {
 			const status = this.recordArrival(fields, routing, arrivedAt);
--- a/src/gateway/test/crashingParts.test.ts
+++ b/src/gateway/test/crashingParts.test.ts
@@ -53,7 +53,7 @@
 	readonly ended: Set<string>;
 }
 
-async function startRouter(): Promise<CrashingFixture> {
+async function startRouter(isListening?: (server: string) => boolean): Promise<CrashingFixture> {
 	const ended = new Set<string>();
 	const route = routeWith({
 		prefix: '/drafts/',
@@ -61,7 +61,15 @@
 		streams: true,
 	});
 	const servers = Array.from({ length: 12 }, (_, index) => serverOf('scribes', `scribe-${index}`));
-	const fixture = await startGateway([crashOnHarmfulPrompt(ended)], configurationWith([route]), servers);
+	const behaviours = [crashOnHarmfulPrompt(ended)];
+	const fixture = await startGateway(
+		behaviours,
+		configurationWith([route]),
+		servers,
+		1_000,
+		[],
+		(server) => isListening?.(server) ?? !ended.has(server),
+	);
 	fixtures.push(fixture);
 	return { ...fixture, ended };
 }
@@ -129,7 +137,7 @@
 	});
 
 	test('is not suspected when its connection breaks but its server is still there', async () => {
-		const fixture = await startRouter();
+		const fixture = await startRouter(() => true);
 		const parts = ['system', 'document'];
 		for (let reset = 0; reset < CRASHES_UNTIL_KNOWN + 2; reset++) {
 			await sendPrompt(fixture.port, parts, HARMFUL_BODY);
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -9,9 +9,10 @@
 	ServerNotice,
 } from '../../backends/common/backendClient.js';
 import { CrashSuspects } from '../../backends/common/crashSuspects.js';
+import { PromptSuspects } from '../../backends/common/promptSuspects.js';
 import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
 import { systemClock } from '../../base/common/clock.js';
-import type { LogFields } from '../../base/node/structuredLog.js';
+import type { IDecisionLog, LogFields } from '../../base/node/structuredLog.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import type { RegisteredServer } from '../../engines/common/directory.js';
 import { EngineFleet } from '../../engines/common/engineFleet.js';
@@ -172,6 +173,7 @@
  * @param servers that may get requests
  * @param maximumConnections of callers
  * @param neighbours to which requests can be handed over
+ * @param isListening whether a server accepts connections when it is probed
  * @returns the running gateway
  */
 export async function startGateway(
@@ -180,9 +182,11 @@
 	servers: readonly RegisteredServer[] = [serverOf('desk', 'desk-1'), serverOf('scribes', 'scribe-1')],
 	maximumConnections = 1_000,
 	neighbours: readonly Neighbour[] = [],
+	isListening: (server: string) => boolean = () => true,
 ): Promise<GatewayFixture> {
 	const attempts: RecordedAttempt[] = [];
 	const lines: { readonly event: string; readonly fields: LogFields }[] = [];
+	const log: IDecisionLog = { write: (event, fields) => lines.push({ event, fields }) };
 	const client: IBackendClient = {
 		call: (target, request, sink) => {
 			const recordedAttempt: RecordedAttempt = { target, request, interrupted: false };
@@ -209,8 +213,14 @@
 			),
 			codec: testCodec,
 			retryBudget: FleetRetryBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }, () => 1),
-			crashes: CrashDetector.create(CrashSuspects.create('router-1', systemClock), systemClock),
-			log: { write: (event, fields) => lines.push({ event, fields }) },
+			crashes: CrashDetector.create({
+				suspects: CrashSuspects.create('router-1', systemClock),
+				promptSuspects: PromptSuspects.create(),
+				probe: ({ id }) => Effect.succeed(isListening(id) ? 'accepting' : 'refusing'),
+				clock: systemClock,
+				reportCrash: (server, requests) => log.write('server-crashed', { server, requests }),
+			}),
+			log,
 			metrics: GatewayMetrics.create(),
 		},
 		() => table,
