Accept a stream with an end marker that ends with its connection, on masticloom's own interface

Callers of the own interface got a broken connection for a stream that was whole: the client takes a response without a length for incomplete there, since nothing shows its end. The end marker of a stream does, so the sink tells the client. A reset on the way still breaks it off. The new test of streams failed before (one of two; the other guards against a stream that ends within an event).

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -59,6 +59,8 @@
 	 * @returns why the bytes received so far are not a valid response, which ends the attempt; undefined if they may be
 	 */
 	findFault?(): string | undefined;
+	/** @returns whether the bytes received so far show by themselves that the response is complete, however it is framed */
+	hasEndMarker?(): boolean;
 }
 
 /**
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -267,7 +267,8 @@
 			}
 		});
 		response.on('end', () => {
-			if (selfDelimited || (this.protocol.allowsCloseDelimited && !endedByReset)) {
+			const mayEndWithConnection = this.protocol.allowsCloseDelimited || this.sink.hasEndMarker?.() === true;
+			if (selfDelimited || (mayEndWithConnection && !endedByReset)) {
 				this.settle(Effect.void);
 			} else {
 				this.fail('broken', 'sent an answer without a length, which cannot be seen to be whole');
--- a/src/callers/test/streams.test.ts
+++ b/src/callers/test/streams.test.ts
@@ -71,6 +71,19 @@
 		await expect(text).rejects.toThrow();
 	});
 
+	// Guards against rejecting a whole stream because it has neither a length nor chunks and ends with its connection.
+	test.each([
+		['with its marker', 'id: 1\ndata: {}\n\ndata: [DONE]\n\n', true],
+		['within an event', 'id: 1\ndata: {}\n\nid: 2\ndata: {', false],
+	])('that ends %s, and with its connection, is taken for what it is', async (_, stream, isComplete) => {
+		const url = await startScriptedServer(({ socket }) => {
+			socket?.end(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n${stream}`);
+		});
+		const router = await startRouter([url], false);
+		const text = router.post('/v1/completions', {}).then((response) => response.text());
+		await (isComplete ? expect(text).resolves.toBe(stream) : expect(text).rejects.toThrow());
+	});
+
 	// Guards against missing, duplicate or wrong tokens when a stream of one engine is continued on another.
 	test('is resumed on another engine with each token exactly once', async () => {
 		const engines = startEngines(2);
--- a/src/daemon/node/dispatchCounters.ts
+++ b/src/daemon/node/dispatchCounters.ts
@@ -44,6 +44,7 @@
 						head: (head) => sink.head(head),
 						write: (chunk, resume) => sink.write(chunk, resume),
 						findFault: () => sink.findFault?.(),
+						hasEndMarker: () => sink.hasEndMarker?.() === true,
 						notice: (notice) => sink.notice?.(notice),
 						sent: () => {
 							started = true;
--- a/src/dispatch/node/attemptRunner.ts
+++ b/src/dispatch/node/attemptRunner.ts
@@ -222,6 +222,10 @@
 		return this.accepted ? this.job.relay.findFault() : 'did not resume the stream';
 	}
 
+	public hasEndMarker(): boolean {
+		return this.accepted && this.job.relay.hasEndMarker();
+	}
+
 	public checkEnd(server: string): BackendFailure | undefined {
 		if (this.accepted && this.job.relay.isComplete()) {
 			return undefined;
--- a/src/dispatch/node/responseRelay.ts
+++ b/src/dispatch/node/responseRelay.ts
@@ -104,6 +104,11 @@
 		return this.stream === undefined || this.stream.isComplete;
 	}
 
+	/** @returns whether the response is a stream whose end marker has arrived */
+	public hasEndMarker(): boolean {
+		return this.stream?.isComplete === true;
+	}
+
 	/** Passes on the buffered rest of a complete response. */
 	public finish(): void {
 		// The response has ended, so backpressure from the caller is irrelevant.
