Send nothing for the first time after a stopping router has ceased to accept requests

In a planned stop callers of requests that came late were cut off with no answer, or told that they may have run. Here too: a request whose head had come in time and whose body ended late was passed on, so was one that waited for a place or another server, however little of the grace period was left; a request whose body was incomplete at the end was cut off.

Cause: the router decided by the arrival of the head, not by what can still end. Class: a deadline is checked where work enters and not where it starts. Now a request that has not been sent by the time the router ceases to accept is refused as not run, here and where it would be handed over; what may have run goes on, and an incomplete request is answered at the end.

Not covered: masticloomd, which starts queued requests until its deadline and then answers each with its verdict.

--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -110,6 +110,7 @@
 		private readonly context: BackendRequestContext,
 		private readonly request: AcceptedRequest,
 		private readonly response: GatewayResponse,
+		private readonly mayStart: () => boolean,
 	) {
 		const { fields, routing } = request;
 		this.work = {
@@ -128,14 +129,16 @@
 	 * @param context dependencies
 	 * @param request to run
 	 * @param response receives the response
+	 * @param mayStart returns whether a request that has not been sent yet may be sent
 	 * @returns a handler that has not been started
 	 */
 	public static create(
 		context: BackendRequestContext,
 		request: AcceptedRequest,
 		response: GatewayResponse,
+		mayStart: () => boolean,
 	): BackendRequestHandler {
-		return new BackendRequestHandler(context, request, response);
+		return new BackendRequestHandler(context, request, response, mayStart);
 	}
 
 	public run(): Effect.Effect<void> {
@@ -177,7 +180,7 @@
 		return Effect.gen(function* () {
 			self.countRequest();
 			for (;;) {
-				if (self.isQuarantined()) {
+				if (self.isQuarantined() || self.isTooLate()) {
 					return;
 				}
 				const { decision, reservation } = yield* self.place();
@@ -203,8 +206,12 @@
 		});
 	}
 
-	private get hasQuarantinedPart(): boolean {
-		return this.context.crashes.partQuarantineMs(() => this.sharedParts) > 0;
+	/** Whether what has become known since the server was chosen still allows the request to be sent to it. */
+	private maySendTo(server: string): boolean {
+		const { fleet, clock, crashes } = this.context;
+		const isQuarantined = crashes.partQuarantineMs(() => this.sharedParts) > 0;
+		const isStartable = this.mayStart() || this.verdict !== 'not-run';
+		return fleet.allowsRequest(server, clock.now()) && !isQuarantined && isStartable;
 	}
 
 	/** Refuses the request if it, or a part of its prompt, crashes servers. */
@@ -223,6 +230,15 @@
 		return true;
 	}
 
+	/** Refuses the request if it has not run and the router is about to stop, since it could be cut off. */
+	private isTooLate(): boolean {
+		if (this.mayStart() || this.verdict !== 'not-run') {
+			return false;
+		}
+		this.sendFailure('shutting-down', BAD_GATEWAY);
+		return true;
+	}
+
 	/** Whether the response to the current attempt has gone on beyond its first bytes, so its server has survived it. */
 	private recordSurvival(): void {
 		if (!this.hasSurvived) {
@@ -419,9 +435,7 @@
 			body: request.body,
 		});
 		const call = Effect.suspend(() =>
-			fleet.allowsRequest(server.id, clock.now()) && !this.hasQuarantinedPart
-				? client.call(target, outgoingRequest(), sink)
-				: Effect.fail(notSentFailure(server.id)),
+			this.maySendTo(server.id) ? client.call(target, outgoingRequest(), sink) : Effect.fail(notSentFailure(server.id)),
 		);
 		const delayMs = Math.round(reservation?.delayMs ?? option.delayMs);
 		return (delayMs > 0 ? Effect.andThen(Effect.sleep(delayMs), call) : call).pipe(
@@ -677,7 +691,7 @@
 }
 
 function notSentFailure(server: string): BackendFailure {
-	const message = `nothing was sent to backend server ${server}, which no longer accepts the request`;
+	const message = `nothing was sent to backend server ${server}, since the request may no longer be sent there`;
 	return { kind: 'withdrawn', verdict: 'not-run', message };
 }
 
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -50,6 +50,9 @@
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
 
+/** Refusal of a request that arrives, or is complete, after the router has ceased to accept requests. */
+const SHUTTING_DOWN = { status: SERVICE_UNAVAILABLE, code: 'shutting-down', retryAfterMs: NOT_READY_RETRY_MS };
+
 /** Size of the separator and the line end of a header field. */
 const BYTES_PER_HEADER = 4;
 
@@ -169,7 +172,7 @@
 	}
 
 	/**
-	 * Refuses new requests and closes idle connections. The server continues to listen until the end, since a load
+	 * Refuses new requests, and those that have not been sent to a server, and closes idle connections. The server continues to listen until the end, since a load
 	 * balancer without another instance continues to send connections, and a refusal is more informative than a reset.
 	 */
 	public stopAccepting(): void {
@@ -230,11 +233,12 @@
 		response.once('close', () => this.busySockets.delete(request.socket));
 		const table = this.table();
 		if (table === undefined || this.isRefusing) {
-			const code = table === undefined ? 'no-configuration' : 'shutting-down';
-			this.refuse(gatewayResponse, fields, { status: 503, code, retryAfterMs: NOT_READY_RETRY_MS, notStarted });
+			const code = table === undefined ? 'no-configuration' : SHUTTING_DOWN.code;
+			this.refuse(gatewayResponse, fields, { ...SHUTTING_DOWN, code, notStarted });
 			request.resume();
 			return;
 		}
+		this.open.setAbort(response, () => this.refuse(gatewayResponse, fields, { ...SHUTTING_DOWN, notStarted }));
 		const { limits, version } = table.configuration;
 		if (handoverHeader !== undefined && handoverHeader.configurationVersion > version) {
 			this.refuse(gatewayResponse, fields, {
@@ -302,13 +306,14 @@
 			} else if (body !== 'incomplete') {
 				const arrivedFirstAt = arrivedAt - (handoverHeader?.elapsedMs ?? 0);
 				const parts = { fields, routing, body, shareGrant, arrivedAt: arrivedFirstAt };
+				const mayStart = (): boolean => !this.isRefusing;
 				const startRequest = (): void => {
 					const elapsedBeforeMs = this.callerElapsed.elapsedMs(routing.route.name, fields.deadlineMs);
 					const accepted = createAcceptedRequest(request, table, { ...parts, elapsedBeforeMs });
 					const handler =
 						decision === 'hand-over'
-							? HandoverRequestHandler.create(this.handover, accepted, gatewayResponse)
-							: BackendRequestHandler.create(this.context, accepted, gatewayResponse);
+							? HandoverRequestHandler.create(this.handover, accepted, gatewayResponse, mayStart)
+							: BackendRequestHandler.create(this.context, accepted, gatewayResponse, mayStart);
 					this.runHandler(request, response, accepted, handler);
 				};
 				// Under overload, a request is often read after its caller has disconnected. The event loop reads the end of
--- a/src/gateway/node/handoverRequestHandler.ts
+++ b/src/gateway/node/handoverRequestHandler.ts
@@ -53,20 +53,23 @@
 		private readonly context: HandoverContext,
 		private readonly request: AcceptedRequest,
 		private readonly response: GatewayResponse,
+		private readonly mayStart: () => boolean,
 	) {}
 
 	/**
 	 * @param context dependencies
 	 * @param request to hand over
 	 * @param response receives the response
+	 * @param mayStart returns whether a request that has not been sent yet may be sent
 	 * @returns a handler that has not been started
 	 */
 	public static create(
 		context: HandoverContext,
 		request: AcceptedRequest,
 		response: GatewayResponse,
+		mayStart: () => boolean,
 	): HandoverRequestHandler {
-		return new HandoverRequestHandler(context, request, response);
+		return new HandoverRequestHandler(context, request, response, mayStart);
 	}
 
 	public run(): Effect.Effect<void> {
@@ -102,6 +105,10 @@
 		const { neighbours, clock } = this.context;
 		return Effect.gen(function* () {
 			for (;;) {
+				if (!self.mayStart()) {
+					self.sendFailure('shutting-down', BAD_GATEWAY);
+					return;
+				}
 				const neighbour = self.routersTried < MAXIMUM_ROUTERS ? neighbours.select(clock.now()) : undefined;
 				if (neighbour === undefined) {
 					self.sendFailure('overloaded', BAD_GATEWAY);
