--- a/src/backends/common/promptSuspects.ts
+++ b/src/backends/common/promptSuspects.ts
@@ -79,8 +79,9 @@
  *
  * A crash ends all requests of a server, so each part in progress there is a candidate, unless the response to it has
  * gone on beyond its first bytes. A candidate is cleared as soon as any response to a prompt with it survives. What is
- * left after several crashes is quarantined, unless another part was in the same crashes and in more. When its quarantine ends, one prompt at a time tests it, and the next crash
- * quarantines it for twice as long; a part that was harmless and becomes harmful is found in the same way.
+ * left after several crashes is quarantined, unless another part was in the same crashes and in more. When its
+ * quarantine ends, one prompt at a time tests it, and the next crash quarantines it for twice as long; a part that was
+ * harmless and becomes harmful is found in the same way.
  *
  * Load pattern: prompts that have one part in common, and nothing else, arrive at any router and crash one server after
  * the other, while many harmless prompts share their other parts.
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -21,6 +21,7 @@
 import type { FleetShares, ShareStatus } from '../../shares/common/fleetShares.js';
 import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
 import type { CrashDetector } from '../common/crashDetector.js';
+import { AttemptProgress } from '../common/attemptProgress.js';
 import { type IHeaderCodec, sharedPartKeys } from '../common/ingress.js';
 import { requestCost } from '../common/requestCost.js';
 import type { FleetRetryBudget } from '../common/fleetRetryBudget.js';
@@ -57,12 +58,6 @@
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
-/**
- * Time after its first bytes for which a response has to go on before its server counts as having survived the prompt. A
- * server that crashes on a prompt ends with the first bytes of its response.
- */
-const SURVIVAL_MS = 50;
-
 /** Radix of the keys of prompt parts in the log. */
 const PART_KEY_RADIX = 16;
 
@@ -97,12 +92,8 @@
 	private predictedMs: number | undefined;
 	private lastBytesAt = 0;
 	private longestPauseMs = 0;
-	/** When the first bytes of the body arrived in the current attempt. */
-	private attemptBeganAt: number | undefined;
-	/** Bytes of the body that arrived in the current attempt. */
-	private attemptBytes = 0;
-	/** Whether the server has survived the first bytes of its response to the current attempt. */
-	private hasSurvived = false;
+	/** Progress of the current attempt. */
+	private progress = this.startProgress();
 	private status = 0;
 	private reason = '';
 
@@ -239,12 +230,8 @@
 		return true;
 	}
 
-	/** Whether the response to the current attempt has gone on beyond its first bytes, so its server has survived it. */
-	private recordSurvival(): void {
-		if (!this.hasSurvived) {
-			this.hasSurvived = true;
-			this.context.crashes.recordSurvival(this.sharedParts);
-		}
+	private startProgress(): AttemptProgress {
+		return AttemptProgress.create(() => this.context.crashes.recordSurvival(this.sharedParts));
 	}
 
 	private countRequest(): void {
@@ -378,9 +365,7 @@
 		const { server } = option;
 		const target = { id: server.id, url: `http://${server.address}` };
 		this.attempts++;
-		this.attemptBeganAt = undefined;
-		this.attemptBytes = 0;
-		this.hasSurvived = false;
+		this.progress = this.startProgress();
 		this.triedServers.add(server.id);
 		const sequence = fleet.place(option, this.work, now, reservation);
 		if (request.engine !== undefined) {
@@ -417,7 +402,7 @@
 					state.hadFirstEvent = true;
 					fleet.recordFirstEvent(server.id, sequence, clock.now());
 				}
-				this.recordAttemptBytes(chunk.length);
+				this.progress.recordBytes(chunk.length, clock.now());
 				this.recordBytes();
 				return this.forwardBytes(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length), resume);
 			},
@@ -488,15 +473,6 @@
 		return ready === undefined || this.response.write(ready, resume);
 	}
 
-	private recordAttemptBytes(count: number): void {
-		const now = this.context.clock.now();
-		this.attemptBeganAt ??= now;
-		this.attemptBytes += count;
-		if (now - this.attemptBeganAt >= SURVIVAL_MS) {
-			this.recordSurvival();
-		}
-	}
-
 	private recordBytes(): void {
 		const now = this.context.clock.now();
 		if (this.firstBytesAt !== undefined) {
@@ -517,7 +493,7 @@
 		isErrorResponse: boolean,
 	): ServerOutcome | undefined {
 		if (exit._tag === 'Success') {
-			this.recordSurvival();
+			this.progress.recordEnd();
 			return isErrorResponse ? 'failed' : 'answered';
 		}
 		const { crashes } = this.context;
@@ -537,7 +513,7 @@
 			case 'silent':
 				return 'silent';
 			case 'broken':
-				if (!this.hasSurvived) {
+				if (!this.progress.hasSurvived) {
 					crashes.recordBrokenConnection(server, { fingerprint: this.fingerprint(), parts: this.sharedParts });
 				}
 				return 'failed';
@@ -611,7 +587,7 @@
 	}
 
 	private logFailure(option: EngineOption, failure: BackendFailure): void {
-		const { attemptBeganAt } = this;
+		const { progress } = this;
 		this.context.log.write('attempt-failed', {
 			id: this.request.fields.id,
 			server: option.server.id,
@@ -619,8 +595,8 @@
 			verdict: failure.verdict,
 			attempt: this.attempts,
 			headSent: this.response.hasHead,
-			attemptBytes: this.attemptBytes,
-			sinceFirstBytesMs: attemptBeganAt === undefined ? undefined : round(this.context.clock.now() - attemptBeganAt),
+			attemptBytes: progress.bytes,
+			sinceFirstBytesMs: round(progress.sinceFirstBytesMs(this.context.clock.now())),
 			parts: this.request.fields.parts.map(({ key }) => key.toString(PART_KEY_RADIX)).join(' '),
 			reason: failure.message,
 		});
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -62,6 +62,9 @@
 	431: 'Request Header Fields Too Large',
 };
 
+/** A response that tells a caller that its request has not run. */
+type Refusal = Omit<LocalResponse, 'verdict'>;
+
 /** HTTP/1.1 server for callers, whose requests it forwards to backend servers or hands over to other routers. */
 export class GatewayServer extends Disposable {
 	private readonly server: http.Server;
@@ -231,49 +234,41 @@
 		this.open.add(response);
 		this.busySockets.add(request.socket);
 		response.once('close', () => this.busySockets.delete(request.socket));
+		const refuse = (refusal: Refusal, routing?: RoutingResult, details?: LogFields): void => {
+			this.refuse(gatewayResponse, fields, refusal, routing, details);
+			request.resume();
+		};
 		const table = this.table();
 		if (table === undefined || this.isRefusing) {
 			const code = table === undefined ? 'no-configuration' : SHUTTING_DOWN.code;
-			this.refuse(gatewayResponse, fields, { ...SHUTTING_DOWN, code, notStarted });
-			request.resume();
+			refuse({ ...SHUTTING_DOWN, code, notStarted });
 			return;
 		}
 		this.open.setAbort(response, () => this.refuse(gatewayResponse, fields, { ...SHUTTING_DOWN, notStarted }));
 		const { limits, version } = table.configuration;
 		if (handoverHeader !== undefined && handoverHeader.configurationVersion > version) {
-			this.refuse(gatewayResponse, fields, {
-				status: 503,
-				code: 'old-configuration',
-				retryAfterMs: NOT_READY_RETRY_MS,
-				notStarted,
-			});
-			request.resume();
+			refuse({ ...SHUTTING_DOWN, code: 'old-configuration', notStarted });
 			return;
 		}
 		if (headerBytes(request.rawHeaders) > limits.maximumHeaderBytes) {
-			this.refuse(gatewayResponse, fields, { status: 431, code: 'header-too-large' });
-			request.resume();
+			refuse({ status: 431, code: 'header-too-large' });
 			return;
 		}
 		const routing = findRouting(table, request, fields);
 		if (typeof routing === 'string') {
-			this.refuse(gatewayResponse, fields, { status: routing === 'unknown-route' ? 404 : 401, code: routing });
-			request.resume();
+			refuse({ status: routing === 'unknown-route' ? 404 : 401, code: routing });
 			return;
 		}
 		const quarantineMs = this.context.crashes.partQuarantineMs(() => sharedPartKeys(fields));
 		if (quarantineMs > 0) {
-			const refusal = { status: SERVICE_UNAVAILABLE, code: 'quarantined', retryAfterMs: quarantineMs };
-			this.refuse(gatewayResponse, fields, refusal, routing);
-			request.resume();
+			refuse({ status: SERVICE_UNAVAILABLE, code: 'quarantined', retryAfterMs: quarantineMs }, routing);
 			return;
 		}
 		let shareGrant: ShareGrant | undefined;
 		if (handoverHeader === undefined && table.service(routing.service)?.engine !== undefined) {
 			const status = this.recordArrival(fields, routing, arrivedAt);
 			if (status.throttledMs > 0) {
-				this.refuseOverShare(gatewayResponse, fields, routing, status);
-				request.resume();
+				refuse(overShareRefusal(fields, routing, status), routing, formatShareStatus(status));
 				return;
 			}
 			shareGrant = this.grantShare(response, fields, routing, arrivedAt);
@@ -289,20 +284,17 @@
 			const retryAfterMs = this.rotationController.retryAfterMs(arrivedAt, Math.random());
 			const code = 'overloaded';
 			const refusal = { status: 503, code, retryAfterMs, notStarted, closesConnection: isRelieved };
-			const refuse = (): void => this.refuse(gatewayResponse, fields, refusal, routing);
 			if (isRelieved) {
 				// Closing a connection before its request was read resets it, and the caller would lose the response.
-				readBody(request, limits.maximumBodyBytes, refuse);
+				readBody(request, limits.maximumBodyBytes, () => refuse(refusal, routing));
 			} else {
-				refuse();
-				request.resume();
+				refuse(refusal, routing);
 			}
 			return;
 		}
 		readBody(request, limits.maximumBodyBytes, (body) => {
 			if (body === 'too-large') {
-				this.refuse(gatewayResponse, fields, { status: 413, code: 'body-too-large' });
-				request.resume();
+				refuse({ status: 413, code: 'body-too-large' });
 			} else if (body !== 'incomplete') {
 				const arrivedFirstAt = arrivedAt - (handoverHeader?.elapsedMs ?? 0);
 				const parts = { fields, routing, body, shareGrant, arrivedAt: arrivedFirstAt };
@@ -352,25 +344,6 @@
 		return shareGrant;
 	}
 
-	private refuseOverShare(
-		gatewayResponse: GatewayResponse,
-		fields: IngressFields,
-		routing: RoutingResult,
-		status: ShareStatus,
-	): void {
-		const { route } = routing;
-		const deadlineLeftMs = fields.deadlineMs ?? route.timeoutMs;
-		const retryAfterMs = overShareRetryAfterMs(status.throttledMs, { aimMs: route.aimMs, deadlineLeftMs });
-		const refusal = { status: TOO_MANY_REQUESTS, code: 'over-share', retryAfterMs };
-		this.refuse(gatewayResponse, fields, refusal, routing, {
-			level: Math.round(status.level),
-			rate: Math.round(status.rate),
-			credit: Math.round(status.credit),
-			offeredShare: Number(status.offeredShare.toFixed(2)),
-			usedShare: Number(status.usedShare.toFixed(2)),
-		});
-	}
-
 	private runHandler(
 		request: http.IncomingMessage,
 		response: http.ServerResponse,
@@ -433,7 +406,7 @@
 	private refuse(
 		gatewayResponse: GatewayResponse,
 		fields: IngressFields,
-		refusal: Omit<LocalResponse, 'verdict'>,
+		refusal: Refusal,
 		routing?: RoutingResult,
 		details?: LogFields,
 	): void {
@@ -465,6 +438,30 @@
 	}
 }
 
+function overShareRefusal(
+	{ deadlineMs }: IngressFields,
+	{ route }: RoutingResult,
+	{ throttledMs }: ShareStatus,
+): Refusal {
+	const limits = { aimMs: route.aimMs, deadlineLeftMs: deadlineMs ?? route.timeoutMs };
+	return {
+		status: TOO_MANY_REQUESTS,
+		code: 'over-share',
+		retryAfterMs: overShareRetryAfterMs(throttledMs, limits),
+	};
+}
+
+/** Formats what a refusal for the share of an account is based on, for the log. */
+function formatShareStatus({ level, rate, credit, offeredShare, usedShare }: ShareStatus): LogFields {
+	return {
+		level: Math.round(level),
+		rate: Math.round(rate),
+		credit: Math.round(credit),
+		offeredShare: Number(offeredShare.toFixed(2)),
+		usedShare: Number(usedShare.toFixed(2)),
+	};
+}
+
 function createAcceptedRequest(
 	{ method = 'GET', url = '/', headers }: http.IncomingMessage,
 	table: RouteTable,
