--- a/src/gateway/test/accountShares.test.ts
+++ b/src/gateway/test/accountShares.test.ts
@@ -14,6 +14,7 @@
 	type GatewayFixture,
 	HOST,
 	KEY,
+	pause,
 	routeWith,
 	send,
 	serverOf,
@@ -31,8 +32,6 @@
 
 const DRAFT = { path: '/drafts/1', headers: { 'prompt-tokens': '4000' } };
 
-const pause = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
-
 /** Starts a router whose engines have a small capacity. */
 async function startRouter(
 	behaviours: readonly BackendBehaviour[],
--- a/src/gateway/test/crashingParts.test.ts
+++ b/src/gateway/test/crashingParts.test.ts
@@ -6,6 +6,7 @@
 	configurationWith,
 	type FixtureResponse,
 	type GatewayFixture,
+	pause,
 	routeWith,
 	send,
 	serverOf,
@@ -27,8 +28,6 @@
 /** Time after which a prompt may test which of several parts is the cause, with a margin. */
 const AMBIGUOUS_MS = 1_100;
 
-const pause = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
-
 /** Simulates servers that end when they begin to respond to a harmful prompt, and refuse connections from then on. */
 function crashOnHarmfulPrompt(ended: Set<string>): BackendBehaviour {
 	return (sink, request, target) =>
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -258,30 +258,39 @@
 		readonly body?: string;
 	} = {},
 ): Promise<FixtureResponse> {
+	const request = http.request({
+		port,
+		host: '127.0.0.1',
+		method: options.method ?? 'POST',
+		path: options.path ?? '/orders/1',
+		agent: false,
+		headers: { host: HOST, authorization: KEY, 'request-id': 'request-1', ...options.headers },
+	});
+	const response = receive(request);
+	request.end(options.body);
+	return response;
+}
+
+/** @returns the response to a request, even if its body is cut off */
+export function receive(request: http.ClientRequest): Promise<FixtureResponse> {
 	return new Promise((resolve, reject) => {
-		const request = http.request(
-			{
-				port,
-				host: '127.0.0.1',
-				method: options.method ?? 'POST',
-				path: options.path ?? '/orders/1',
-				agent: false,
-				headers: { host: HOST, authorization: KEY, 'request-id': 'request-1', ...options.headers },
-			},
-			(response) => {
-				let body = '';
-				response.on('data', (chunk: Buffer) => (body += chunk.toString()));
-				response.on('error', () => undefined);
-				response.on('close', () =>
-					resolve({ status: response.statusCode ?? 0, headers: response.headers, body, whole: response.complete }),
-				);
-			},
-		);
 		request.on('error', reject);
-		request.end(options.body);
+		request.on('response', (response) => {
+			let body = '';
+			response.on('data', (chunk: Buffer) => (body += chunk.toString()));
+			response.on('error', () => undefined);
+			response.on('close', () =>
+				resolve({ status: response.statusCode ?? 0, headers: response.headers, body, whole: response.complete }),
+			);
+		});
 	});
 }
 
+/** @param milliseconds to wait */
+export function pause(milliseconds: number): Promise<void> {
+	return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 /** Blocks the event loop, as a saturated CPU does, until the load shedders of this process have recorded the lag. */
 export async function blockEventLoop(): Promise<void> {
 	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 400);
--- a/src/gateway/test/plannedStop.test.ts
+++ b/src/gateway/test/plannedStop.test.ts
@@ -10,6 +10,8 @@
 	type GatewayFixture,
 	HOST,
 	KEY,
+	pause,
+	receive,
 	respondWith,
 	routeWith,
 	send,
@@ -23,8 +25,6 @@
 
 const DELAY_MS = 60;
 
-const pause = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
-
 async function startRouter(
 	behaviours: readonly BackendBehaviour[],
 	repeatPolicy: 'once' | 'repeatable' = 'once',
@@ -44,16 +44,7 @@
 function sendSlowly(port: number): { readonly finish: () => void; readonly response: Promise<FixtureResponse> } {
 	const headers = { host: HOST, authorization: KEY, 'request-id': 'slow', 'content-length': '10' };
 	const request = http.request({ port, host: '127.0.0.1', method: 'POST', path: '/orders/1', agent: false, headers });
-	const response = new Promise<FixtureResponse>((resolve, reject) => {
-		request.on('error', reject);
-		request.on('response', (incoming) => {
-			let body = '';
-			incoming.on('data', (chunk: Buffer) => (body += chunk.toString()));
-			incoming.on('close', () =>
-				resolve({ status: incoming.statusCode ?? 0, headers: incoming.headers, body, whole: incoming.complete }),
-			);
-		});
-	});
+	const response = receive(request);
 	request.write('half.');
 	return { finish: () => request.end('whole'), response };
 }
