--- a/src/admission/test/shareReplay.ts
+++ b/src/admission/test/shareReplay.ts
@@ -130,7 +130,6 @@
 	const pace = fleet.pace ?? ((): number => 1);
 	const delayMs = fleet.exchangeDelayMs ?? DEFAULT_EXCHANGE_DELAY_MS;
 	const time = VirtualTime.create();
-	const schedule = (at: number, run: (now: number) => void): void => time.schedule(at, run);
 	const engines = Array.from({ length: fleet.engines }, () => new ReplayedEngine());
 	let reportedLoad = 0;
 	const capacitySource = { nominalCapacityPerSecond: () => fleet.nominalTokensPerSecond, load: () => reportedLoad };
@@ -165,7 +164,7 @@
 		const { account, tokens, isRetry } = attempt;
 		ledger.add({ account: account.name, at: now, cost: tokens, isServed: false, wasDelayed: true });
 		if (!isRetry) {
-			schedule(now + retryAfterMs, (later) => arrive({ ...attempt, isRetry: true }, later));
+			time.schedule(now + retryAfterMs, (later) => arrive({ ...attempt, isRetry: true }, later));
 		}
 	};
 	const arrive = ({ account, key, tokens, router, isRetry }: Attempt, now: number): void => {
@@ -221,16 +220,16 @@
 				const router = (firstRouter + Math.floor(random() * account.routers)) % fleet.routers;
 				arrive({ account, key: index + 1, tokens, router, isRetry: false }, now);
 			}
-			schedule(now - (SECOND_MS * Math.log(1 - random())) / Math.max(1, rate), next);
+			time.schedule(now - (SECOND_MS * Math.log(1 - random())) / Math.max(1, rate), next);
 		};
-		schedule(random() * 100, next);
+		time.schedule(random() * 100, next);
 	}
 	const exchange = (now: number): void => {
 		const usages = shares.map((routerShares) => routerShares.ownUsage(now));
 		engines.forEach((engine) => engine.advance(now));
 		const load = engines.reduce((sum, { queue }) => sum + queue.load(now), 0) / engines.length;
 		const usageSum = fleet.hasRelays === true ? sumUsage(usages) : undefined;
-		schedule(now + delayMs, (later) => {
+		time.schedule(now + delayMs, (later) => {
 			reportedLoad = load;
 			shares.forEach((routerShares, router) => {
 				if (usageSum !== undefined) {
@@ -245,9 +244,9 @@
 				});
 			});
 		});
-		schedule(now + EXCHANGE_INTERVAL_MS, exchange);
+		time.schedule(now + EXCHANGE_INTERVAL_MS, exchange);
 	};
-	schedule(0, exchange);
+	time.schedule(0, exchange);
 	time.runUntil(endMs);
 	return {
 		windows: ledger.windows(),
--- a/src/base/common/shortKey.ts
+++ b/src/base/common/shortKey.ts
@@ -4,6 +4,7 @@
 const FNV_PRIME_SHIFT = 8; // The 64-bit FNV prime is 2^40 + 0x1b3; 2^40 shifts the low word into the high word by 8 bits.
 const WORD_RANGE = 0x1_0000_0000;
 const HIGH_BITS_KEPT = 0xffff;
+const HEXADECIMAL = 16;
 /**
  * Multiplies the first of two words, so that their sum depends on their order. Odd, and below 2^20 so that the product is
  * exact.
@@ -31,6 +32,14 @@
 	return (high & HIGH_BITS_KEPT) * WORD_RANGE + low;
 }
 
+/**
+ * @param keys short keys
+ * @returns the keys as hexadecimal numbers separated by spaces, for the log
+ */
+export function formatShortKeys(keys: readonly number[]): string {
+	return keys.map((key) => key.toString(HEXADECIMAL)).join(' ');
+}
+
 /**
  * Selects the member with the highest hash of key and member (rendezvous hashing). When a member leaves, only its own
  * keys are reassigned.
--- a/src/fleet/node/crashNotices.ts
+++ b/src/fleet/node/crashNotices.ts
@@ -1,5 +1,6 @@
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import type { IClock } from '../../base/common/clock.js';
+import { formatShortKeys } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
 import type { PromptSuspects } from '../../backends/common/promptSuspects.js';
@@ -12,8 +13,6 @@
  */
 const CLEAR_INTERVAL_MS = 4;
 
-const HEX_RADIX = 16;
-
 /** Dependencies of the exchange of crash notices. */
 export interface CrashNoticeContext {
 	readonly suspects: CrashSuspects;
@@ -44,14 +43,14 @@
 		);
 		this.register(
 			promptSuspects.onDidDetectCrash((crash) => {
-				log.write('parts-suspected', { server: crash.server, parts: formatParts(crash.parts) });
+				log.write('parts-suspected', { server: crash.server, parts: formatShortKeys(crash.parts) });
 				broadcast((outbox) => outbox.addPromptCrash(crash));
 			}),
 		);
 		this.register(
 			promptSuspects.onDidQuarantine((state) => {
 				const { part, crashes, quarantineMs } = state;
-				log.write('part-quarantined', { part: formatParts([part]), crashes, quarantineMs });
+				log.write('part-quarantined', { part: formatShortKeys([part]), crashes, quarantineMs });
 				broadcast((outbox) => outbox.addQuarantinedPart(state));
 			}),
 		);
@@ -89,7 +88,7 @@
 			promptSuspects.clear(datagram.clearedParts);
 		}
 		for (const state of datagram.quarantinedParts) {
-			log.write('part-quarantine-heard', { peer, ...state, part: formatParts([state.part]) });
+			log.write('part-quarantine-heard', { peer, ...state, part: formatShortKeys([state.part]) });
 			promptSuspects.applyQuarantine(state, now);
 		}
 	}
@@ -117,7 +116,7 @@
 				const due = [...this.cleared];
 				this.cleared.clear();
 				if (due.length > 0) {
-					log.write('parts-cleared', { parts: formatParts(due) });
+					log.write('parts-cleared', { parts: formatShortKeys(due) });
 					broadcast((outbox) => outbox.addClearedParts(due));
 				}
 			},
@@ -125,7 +124,3 @@
 		);
 	}
 }
-
-function formatParts(parts: readonly number[]): string {
-	return parts.map((part) => part.toString(HEX_RADIX)).join(' ');
-}
--- a/src/gateway/common/attemptProgress.ts
+++ b/src/gateway/common/attemptProgress.ts
@@ -52,12 +52,8 @@
 		}
 	}
 
-	/** Records that the response is complete. */
-	public recordEnd(): void {
-		this.recordSurvival();
-	}
-
-	private recordSurvival(): void {
+	/** Records that the server has survived the request, such as by a complete response. */
+	public recordSurvival(): void {
 		if (!this.survived) {
 			this.survived = true;
 			this.onSurvival();
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -10,6 +10,7 @@
 	ServerNotice,
 } from '../../backends/common/backendClient.js';
 import type { IClock } from '../../base/common/clock.js';
+import { formatShortKeys } from '../../base/common/shortKey.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { computeFingerprint } from '../../dispatch/node/fingerprint.js';
@@ -58,9 +59,6 @@
 
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
-/** Radix of the keys of prompt parts in the log. */
-const PART_KEY_RADIX = 16;
-
 const BAD_GATEWAY = 502;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
@@ -83,6 +81,8 @@
 	private readonly continuity: ResponseContinuity;
 	/** Short keys of the prompt parts that other requests may share: all but the last one. */
 	private readonly sharedParts: readonly number[];
+	/** Computed when it is first needed, since the body is hashed for it. */
+	private computedFingerprint: string | undefined;
 	/** Combined verdict of the attempts that have ended. */
 	private endedVerdict: Verdict = 'not-run';
 	/** Whether the current attempt has sent bytes, so that its server may run the request. */
@@ -248,7 +248,7 @@
 				const now = self.context.clock.now();
 				const { routing } = self.request;
 				const options = self.options(now);
-				const shareStatus = self.context.shares.shareStatusOf(accountKeyOf(self.request.routing), now);
+				const shareStatus = self.context.shares.shareStatusOf(accountKeyOf(routing), now);
 				const elapsedMs = now - self.request.arrivedAt;
 				if (declined >= MAXIMUM_DECLINED) {
 					options.forEach(({ server }) => declinedBy.add(server.id));
@@ -271,7 +271,7 @@
 					self.work,
 					self.triedServers,
 					reservationLimits(decision, declined),
-					{ account: accountKeyOf(self.request.routing), cost: self.cost },
+					{ account: accountKeyOf(routing), cost: self.cost },
 				);
 				if (result.kind === 'over-share') {
 					const refusal = self.overShare(decision);
@@ -370,7 +370,7 @@
 		const sequence = fleet.place(option, this.work, now, reservation);
 		if (request.engine !== undefined) {
 			if (this.attempts === 1) {
-				shares.recordAdmitted(accountKeyOf(this.request.routing), this.cost, now);
+				shares.recordAdmitted(accountKeyOf(routing), this.cost, now);
 			}
 			this.predictedMs = now - request.arrivedAt + (reservation?.waitMs ?? option.waitMs) + option.readMs;
 		}
@@ -493,7 +493,7 @@
 		isErrorResponse: boolean,
 	): ServerOutcome | undefined {
 		if (exit._tag === 'Success') {
-			this.progress.recordEnd();
+			this.progress.recordSurvival();
 			return isErrorResponse ? 'failed' : 'answered';
 		}
 		const { crashes } = this.context;
@@ -597,7 +597,7 @@
 			headSent: this.response.hasHead,
 			attemptBytes: progress.bytes,
 			sinceFirstBytesMs: round(progress.sinceFirstBytesMs(this.context.clock.now())),
-			parts: this.request.fields.parts.map(({ key }) => key.toString(PART_KEY_RADIX)).join(' '),
+			parts: formatShortKeys(this.request.fields.parts.map(({ key }) => key)),
 			reason: failure.message,
 		});
 	}
@@ -631,11 +631,12 @@
 
 	private fingerprint(): string {
 		const { routing, method, target, body } = this.request;
-		return computeFingerprint({
+		this.computedFingerprint ??= computeFingerprint({
 			account: { id: routing.account?.name ?? '' },
 			service: { id: routing.service },
 			request: { method, path: target, body },
 		});
+		return this.computedFingerprint;
 	}
 }
 
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -50,8 +50,9 @@
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
 
-/** Refusal of a request that arrives, or is complete, after the router has ceased to accept requests. */
-const SHUTTING_DOWN = { status: SERVICE_UNAVAILABLE, code: 'shutting-down', retryAfterMs: NOT_READY_RETRY_MS };
+/** Refusals while the router has no configuration, an outdated one, or is shutting down. */
+const NOT_READY = { status: SERVICE_UNAVAILABLE, retryAfterMs: NOT_READY_RETRY_MS };
+const SHUTTING_DOWN = { ...NOT_READY, code: 'shutting-down' };
 
 /** Size of the separator and the line end of a header field. */
 const BYTES_PER_HEADER = 4;
@@ -175,8 +176,9 @@
 	}
 
 	/**
-	 * Refuses new requests, and those that have not been sent to a server, and closes idle connections. The server continues to listen until the end, since a load
-	 * balancer without another instance continues to send connections, and a refusal is more informative than a reset.
+	 * Refuses new requests, and those that have not been sent to a server, and closes idle connections. The server
+	 * continues to listen until the end, since a load balancer without another instance continues to send connections, and
+	 * a refusal is more informative than a reset.
 	 */
 	public stopAccepting(): void {
 		this.isClosing = true;
@@ -241,13 +243,13 @@
 		const table = this.table();
 		if (table === undefined || this.isRefusing) {
 			const code = table === undefined ? 'no-configuration' : SHUTTING_DOWN.code;
-			refuse({ ...SHUTTING_DOWN, code, notStarted });
+			refuse({ ...NOT_READY, code, notStarted });
 			return;
 		}
 		this.open.setAbort(response, () => this.refuse(gatewayResponse, fields, { ...SHUTTING_DOWN, notStarted }));
 		const { limits, version } = table.configuration;
 		if (handoverHeader !== undefined && handoverHeader.configurationVersion > version) {
-			refuse({ ...SHUTTING_DOWN, code: 'old-configuration', notStarted });
+			refuse({ ...NOT_READY, code: 'old-configuration', notStarted });
 			return;
 		}
 		if (headerBytes(request.rawHeaders) > limits.maximumHeaderBytes) {
