Log how the connection of a response ended that only its connection delimits

The hypotheses could not be told apart: of a response with neither a length nor chunks nothing was logged unless it was broken off. No behaviour changes.

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -47,6 +47,15 @@
 	readonly unreadableTime: string | undefined;
 }
 
+/**
+ * How the connection of a response ended that has neither a length nor chunks, and so ends with its connection.
+ *
+ * - `closed`: the server closed it.
+ * - `reset`: it was reset.
+ * - `failed`: it ended in another way, as the failure of the attempt says.
+ */
+export type ConnectionEnd = 'closed' | 'reset' | 'failed';
+
 /** Receives the events and the response of one attempt at a backend server. */
 export interface IAttemptSink extends IResponseSink {
 	/** @param notice state reported by the server, passed before the rest of its response */
@@ -61,6 +70,8 @@
 	findFault?(): string | undefined;
 	/** @returns whether the bytes received so far show by themselves that the response is complete, however it is framed */
 	hasEndMarker?(): boolean;
+	/** @param end how the connection ended, passed before the result of an attempt whose response ends with its connection */
+	connectionEnded?(end: ConnectionEnd): void;
 }
 
 /**
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -9,6 +9,7 @@
 	BackendProtocol,
 	BackendRequest,
 	BackendTarget,
+	ConnectionEnd,
 	IAttemptSink,
 	IBackendClient,
 } from '../common/backendClient.js';
@@ -155,6 +156,8 @@
 	private sent = false;
 	private settled = false;
 	private silentChecks = 0;
+	/** Undefined when the response shows by itself where it ends. */
+	private connectionEnd: ConnectionEnd | undefined;
 
 	public constructor(
 		private readonly server: BackendTarget,
@@ -243,12 +246,12 @@
 			return;
 		}
 		const selfDelimited = isSelfDelimited(this.request.method, response);
-		let endedByReset = false;
 		if (!selfDelimited) {
+			this.connectionEnd = 'failed';
 			// Node.js reports a reset that arrives with the last bytes as a regular end, but the socket then has no remote
 			// address.
 			response.socket.prependOnceListener('end', () => {
-				endedByReset = response.socket.remoteAddress === undefined;
+				this.connectionEnd = response.socket.remoteAddress === undefined ? 'reset' : 'closed';
 			});
 		}
 		this.sink.head({ status, headers: filterHeaders(response.headers, HOP_BY_HOP_HEADERS) });
@@ -268,7 +271,7 @@
 		});
 		response.on('end', () => {
 			const mayEndWithConnection = this.protocol.allowsCloseDelimited || this.sink.hasEndMarker?.() === true;
-			if (selfDelimited || (mayEndWithConnection && !endedByReset)) {
+			if (selfDelimited || (mayEndWithConnection && this.connectionEnd === 'closed')) {
 				this.settle(Effect.void);
 			} else {
 				this.fail('broken', 'sent an answer without a length, which cannot be seen to be whole');
@@ -307,6 +310,9 @@
 	private settle(result: Effect.Effect<void, BackendFailure>): void {
 		if (!this.settled) {
 			this.settled = true;
+			if (this.connectionEnd !== undefined) {
+				this.sink.connectionEnded?.(this.connectionEnd);
+			}
 			this.resume(result);
 		}
 	}
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -5,6 +5,7 @@
 	ResponseHead,
 	BackendRequest,
 	BackendTarget,
+	ConnectionEnd,
 	IAttemptSink,
 	IBackendClient,
 	ServerNotice,
@@ -394,6 +395,7 @@
 				}
 			},
 			findFault: () => state.resumptionFault ?? this.continuity.findFault(),
+			connectionEnded: (end) => this.logConnectionEnd(server.id, end),
 			write: (chunk, resume) => {
 				if (state.resumptionFault !== undefined) {
 					return true; // The body of a failed resumption is not part of the stream.
@@ -602,6 +604,19 @@
 		});
 	}
 
+	private logConnectionEnd(server: string, connectionEnd: ConnectionEnd): void {
+		const { progress, continuity } = this;
+		this.context.log.write('unframed-response', {
+			id: this.request.fields.id,
+			server,
+			attempt: this.attempts,
+			connectionEnd,
+			endsWithinEvent: continuity.endsWithinEvent,
+			attemptBytes: progress.bytes,
+			sinceFirstBytesMs: round(progress.sinceFirstBytesMs(this.context.clock.now())),
+		});
+	}
+
 	private finish(exit: Exit.Exit<void>): void {
 		const { clock, metrics, log } = this.context;
 		const { fields, routing, arrivedAt } = this.request;
--- a/src/gateway/node/responseContinuity.ts
+++ b/src/gateway/node/responseContinuity.ts
@@ -65,10 +65,14 @@
 		return this.events?.findFault();
 	}
 
+	/** Whether the response is a stream of events and ends within one. */
+	public get endsWithinEvent(): boolean {
+		return this.head !== undefined && isEventStream(this.head) && this.events?.endsWithinEvent === true;
+	}
+
 	/** @returns why a response whose framing is complete is not whole; undefined if it may be */
 	public findEndFault(): string | undefined {
-		const isCutOff = this.head !== undefined && isEventStream(this.head) && this.events?.endsWithinEvent === true;
-		return this.events?.findFault() ?? (isCutOff ? 'ended the stream within an event' : undefined);
+		return this.events?.findFault() ?? (this.endsWithinEvent ? 'ended the stream within an event' : undefined);
 	}
 
 	/** Discards the incomplete rest of a failed attempt, before another server is asked. */
