Take a response that its connection delimits for whole only if its server still runs

Callers saw a stream that a crash had cut off between two events as a complete one: framed as complete, too short.

Cause: the end of a connection was taken for a statement of the server. The operating system closes the connections of a process that crashes, regularly when no bytes are unread, and framing and bytes are then those of a whole response. Class: the absence of an error is taken for a confirmation.

Why it works: the listener of a process that has ended is gone with its connections, so a new connection shows it. Only responses with neither a length nor chunks are probed; they had closed their connection anyway. Refused or silent: broken off, and resumed where the route allows it. Considered and left: the ends of other connections as evidence, which says nothing where there are none.

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -119,7 +119,10 @@
 	 * @returns the notice; undefined when the response has none, or may come from another server
 	 */
 	readonly parseNotice: (request: BackendRequest, head: ResponseHead, unixMs: number) => ServerNotice | undefined;
-	/** Whether a response without a length is complete when its connection is closed without a reset. */
+	/**
+	 * Whether a response without a length is complete when its connection is closed without a reset and its server still
+	 * accepts connections.
+	 */
 	readonly allowsCloseDelimited: boolean;
 }
 
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -13,6 +13,8 @@
 	IAttemptSink,
 	IBackendClient,
 } from '../common/backendClient.js';
+import type { ServerProbe } from '../common/serverProbe.js';
+import { probeByConnection } from './connectionProbe.js';
 import { GuardedAgent } from './guardedAgent.js';
 import { RefusedRequests } from './refusedRequests.js';
 
@@ -68,14 +70,21 @@
 	private readonly silenceTimer = setInterval(() => this.checkSilence(), SILENCE_CHECK_MS).unref();
 	private readonly endpoints = new Map<string, Endpoint>();
 
-	private constructor(private readonly protocol: BackendProtocol) {}
+	private constructor(
+		private readonly protocol: BackendProtocol,
+		private readonly probe: ServerProbe,
+	) {}
 
 	/**
 	 * @param protocol how to interpret the servers' responses
+	 * @param probe shows whether a server that has closed a connection still runs
 	 * @returns a client without open connections
 	 */
-	public static create(protocol: BackendProtocol = DEFAULT_PROTOCOL): HttpBackendClient {
-		return new HttpBackendClient(protocol);
+	public static create(
+		protocol: BackendProtocol = DEFAULT_PROTOCOL,
+		probe: ServerProbe = probeByConnection,
+	): HttpBackendClient {
+		return new HttpBackendClient(protocol, probe);
 	}
 
 	/** Number of connections opened since the start. */
@@ -110,7 +119,7 @@
 
 	public call(server: BackendTarget, request: BackendRequest, sink: IAttemptSink): Effect.Effect<void, BackendFailure> {
 		return Effect.callback<void, BackendFailure>((resume) => {
-			const attempt: Attempt = new Attempt(server, request, this.protocol, sink, (result) => {
+			const attempt: Attempt = new Attempt(server, request, this.protocol, this.probe, sink, (result) => {
 				this.active.delete(attempt);
 				resume(result);
 			});
@@ -163,6 +172,7 @@
 		private readonly server: BackendTarget,
 		private readonly request: BackendRequest,
 		private readonly protocol: BackendProtocol,
+		private readonly probe: ServerProbe,
 		private readonly sink: IAttemptSink,
 		private readonly resume: Settle,
 	) {}
@@ -269,18 +279,30 @@
 				response.pause();
 			}
 		});
-		response.on('end', () => {
-			const mayEndWithConnection = this.protocol.allowsCloseDelimited || this.sink.hasEndMarker?.() === true;
-			if (selfDelimited || (mayEndWithConnection && this.connectionEnd === 'closed')) {
-				this.settle(Effect.void);
-			} else {
-				this.fail('broken', 'sent an answer without a length, which cannot be seen to be whole');
-			}
-		});
+		response.on('end', () => this.endResponse());
 		response.on('error', (error) => this.fail('broken', error.message));
 		response.on('close', () => this.fail('broken', 'broke off its answer'));
 	}
 
+	private endResponse(): void {
+		if (this.connectionEnd === undefined || (this.connectionEnd === 'closed' && this.sink.hasEndMarker?.() === true)) {
+			this.settle(Effect.void);
+		} else if (this.connectionEnd === 'closed' && this.protocol.allowsCloseDelimited) {
+			this.settle(this.confirmServerRuns());
+		} else {
+			this.fail('broken', 'sent an answer without a length, which cannot be seen to be whole');
+		}
+	}
+
+	// The operating system closes the connections of a process that crashes, which looks like the end of a response.
+	private confirmServerRuns(): Effect.Effect<void, BackendFailure> {
+		return Effect.flatMap(this.probe(this.server), (result) =>
+			result === 'accepting'
+				? Effect.void
+				: Effect.fail(this.failureOf('broken', `closed the connection of its answer; a new connection: ${result}`)),
+		);
+	}
+
 	/**
 	 * Determines whether a response belongs to this request. A faulty server may repeat an earlier response on a connection
 	 * that is kept open, also one with the identifier of this request if the caller uses an identifier twice.
@@ -303,8 +325,12 @@
 	}
 
 	private fail(kind: BackendFailure['kind'], message: string): void {
+		this.settle(Effect.fail(this.failureOf(kind, message)));
+	}
+
+	private failureOf(kind: BackendFailure['kind'], message: string): BackendFailure {
 		const verdict = kind === 'unreachable' || kind === 'refused' ? 'not-run' : 'may-have-run';
-		this.settle(Effect.fail({ kind, verdict, message: `backend server ${this.server.id}: ${message}` }));
+		return { kind, verdict, message: `backend server ${this.server.id}: ${message}` };
 	}
 
 	private settle(result: Effect.Effect<void, BackendFailure>): void {
--- a/src/backends/test/closeDelimitedResponses.test.ts
+++ b/src/backends/test/closeDelimitedResponses.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect, type Result } from 'effect';
 import type { BackendFailure, BackendProtocol } from '../common/backendClient.js';
+import type { ServerProbe } from '../common/serverProbe.js';
 import { HttpBackendClient } from '../node/httpBackendClient.js';
 
 const protocol: BackendProtocol = {
@@ -49,8 +50,9 @@
 async function callUntilServerEnds(
 	server: RawServer,
 	calls: number,
+	probe?: ServerProbe,
 ): Promise<readonly Result.Result<void, BackendFailure>[]> {
-	const client = HttpBackendClient.create(protocol);
+	const client = HttpBackendClient.create(protocol, probe);
 	cleanUps.push(() => client.dispose());
 	let begun = 0;
 	const sink = {
@@ -78,4 +80,13 @@
 		expect(results.filter(({ _tag }) => _tag === 'Success')).toEqual([]);
 		expect(results[0]).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
 	});
+
+	test.each([
+		['whole when its server goes on running', 'accepting', 'Success'],
+		['not whole when its server can no longer be reached', 'unknown', 'Failure'],
+	] as const)('is %s', async (_, probeResult, expected) => {
+		const server = await startServer(HEAD + EVENT);
+		const [result] = await callUntilServerEnds(server, 1, () => Effect.succeed(probeResult));
+		expect(result?._tag).toBe(expected);
+	});
 });
