Take a response for chunked only if its last transfer coding is chunked

A response with another transfer coding (identity, gzip) ends with its connection, but counted as one that shows its own end, so a reset or the end of its server passed it on as complete.

Cause: the presence of a header was taken for the framing that the parser uses. Evidence: the three new cases of closeDelimitedResponses failed before and pass now. Ruled out: a body shorter than its Content-Length, or one cut inside a chunk; Node.js reports both.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -55,6 +55,9 @@
 
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
+/** Matches transfer codings that end with chunks; without chunks, a body ends with its connection. */
+const CHUNKED_LAST = /(?:^|,)[ \t]*chunked[ \t]*$/i;
+
 interface Endpoint {
 	readonly host: string;
 	readonly port: string;
@@ -377,12 +380,11 @@
 
 // A response that is delimited by the end of its connection looks complete when the server crashes while sending it.
 function isSelfDelimited(method: string, response: http.IncomingMessage): boolean {
-	return (
-		method === 'HEAD' ||
-		STATUSES_WITHOUT_BODY.has(response.statusCode ?? 0) ||
-		response.headers['content-length'] !== undefined ||
-		response.headers['transfer-encoding'] !== undefined
-	);
+	if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(response.statusCode ?? 0)) {
+		return true;
+	}
+	const { 'content-length': length, 'transfer-encoding': codings } = response.headers;
+	return codings === undefined ? length !== undefined : CHUNKED_LAST.test(codings);
 }
 
 function filterHeaders(
--- a/src/backends/test/closeDelimitedResponses.test.ts
+++ b/src/backends/test/closeDelimitedResponses.test.ts
@@ -89,4 +89,14 @@
 		const [result] = await callUntilServerEnds(server, 1, () => Effect.succeed(probeResult));
 		expect(result?._tag).toBe(expected);
 	});
+
+	// Guards against a transfer coding other than chunked being taken for one that shows where the response ends.
+	test.each(['identity', 'gzip', 'chunked, gzip'])(
+		'is not whole when a server that codes it as %s has ended',
+		async (coding) => {
+			const head = `HTTP/1.1 200 OK\r\ntransfer-encoding: ${coding}\r\n\r\n`;
+			const [result] = await callUntilServerEnds(await startServer(head + EVENT), 1);
+			expect(result?._tag).toBe('Failure');
+		},
+	);
 });
