Reset the connection of a caller without chunks when its response is broken off

A caller of HTTP/1.0 gets a response without chunks, which the end of its connection completes; a response that was broken off ended that connection regularly and looked complete.

Evidence: the new test of streamEnds fails without the change ('regular end') and passes with it. Callers of HTTP/1.1 get a length or chunks, so nothing changes for them.

--- a/src/callers/node/callerResponse.ts
+++ b/src/callers/node/callerResponse.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type { ResponseHead, IResponseSink } from '../../backends/common/backendClient.js';
+import { breakOff } from '../../base/node/brokenResponse.js';
 import { encodeProblem, type Problem } from '../common/problem.js';
 
 /** Writes the response to one request of a caller. */
@@ -69,7 +70,7 @@
 	 */
 	public sendProblem(problem: Problem): void {
 		if (this.response.destroyed || this.response.headersSent) {
-			this.response.destroy();
+			breakOff(this.response);
 			return;
 		}
 		const body = encodeProblem(problem, this.requestId);
--- a/src/callers/node/openRequests.ts
+++ b/src/callers/node/openRequests.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import { Effect } from 'effect';
+import { breakOff } from '../../base/node/brokenResponse.js';
 
 /** Tracks requests whose response is not complete, so that a shutdown can wait for them. */
 export class OpenRequests {
@@ -24,7 +25,7 @@
 	 * @param response response to the request
 	 */
 	public add(response: ServerResponse): void {
-		this.open.set(response, () => response.destroy());
+		this.open.set(response, () => breakOff(response));
 		response.once('close', () => {
 			this.open.delete(response);
 			if (this.open.size === 0) {
--- a/src/gateway/node/gatewayResponse.ts
+++ b/src/gateway/node/gatewayResponse.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type { ResponseHead, IResponseSink } from '../../backends/common/backendClient.js';
+import { breakOff } from '../../base/node/brokenResponse.js';
 import { NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
 import type { Verdict } from '../../base/common/verdict.js';
 
@@ -91,7 +92,7 @@
 
 	/** Breaks the connection, so that an incomplete response does not appear complete. */
 	public break(): void {
-		this.response.destroy();
+		breakOff(this.response);
 	}
 
 	/**
@@ -101,7 +102,7 @@
 	 */
 	public sendLocal(localResponse: LocalResponse): void {
 		if (this.response.destroyed || this.headSent) {
-			this.response.destroy();
+			this.break();
 			return;
 		}
 		this.headSent = true;
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -6,6 +6,7 @@
 import { HANDOVER_HEADER } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { afterNextPoll } from '../../base/node/eventLoop.js';
+import { breakOff } from '../../base/node/brokenResponse.js';
 import { listenOn } from '../../base/node/listen.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
 import { OpenRequests } from '../../callers/node/openRequests.js';
@@ -214,7 +215,7 @@
 				reason: error instanceof Error ? error.stack : String(error),
 			});
 			if (response.headersSent) {
-				response.destroy();
+				breakOff(response);
 			} else {
 				response.writeHead(SERVICE_UNAVAILABLE, { connection: 'close', 'content-length': 0 }).end();
 			}
--- a/src/gateway/test/streamEnds.test.ts
+++ b/src/gateway/test/streamEnds.test.ts
@@ -1,9 +1,12 @@
+import { connect } from 'node:net';
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import {
 	type BackendBehaviour,
 	configurationWith,
 	type GatewayFixture,
+	HOST,
+	KEY,
 	routeWith,
 	send,
 	serverOf,
@@ -83,6 +86,20 @@
 		expect(attempts.map(({ request }) => request.headers['resume-after'])).toEqual([undefined, '1']);
 	});
 
+	// Guards against a caller without chunks taking the end of its connection for the end of the stream.
+	test('resets the connection of an HTTP/1.0 caller when it is broken off', async () => {
+		const { port } = await startStreaming([streamOf([EVENT, 'id: 2\nda'])], false);
+		const request = `POST /orders/1 HTTP/1.0\r\nhost: ${HOST}\r\nauthorization: ${KEY}\r\ncontent-length: 0\r\n\r\n`;
+		const end = await new Promise((resolve) => {
+			const socket = connect(port, '127.0.0.1', () => socket.write(request));
+			socket.on('error', () => resolve('reset'));
+			// Node.js reports a reset that arrives with the last bytes as an end, without a remote address.
+			socket.on('end', () => resolve(socket.remoteAddress === undefined ? 'reset' : 'regular end'));
+			socket.resume();
+		});
+		expect(end).toBe('reset');
+	});
+
 	test('is judged by its events only if it is a stream of events', async () => {
 		const { port } = await startStreaming([streamOf(['id: 1\n'], 'text/plain')], false);
 		expect(await send(port)).toMatchObject({ body: 'id: 1\n', whole: true });
