--- a/src/store/node/httpJson.ts
+++ b/src/store/node/httpJson.ts
@@ -6,6 +6,7 @@
 /** Response to a JSON call. */
 export interface JsonResponse {
 	readonly status: number;
+	readonly headers: http.IncomingHttpHeaders;
 	readonly body: unknown;
 }
 
@@ -77,7 +78,8 @@
 				clearTimeout(timer);
 				try {
 					const text = Buffer.concat(chunks).toString('utf8');
-					resolve({ status: response.statusCode ?? 0, body: text === '' ? undefined : (JSON.parse(text) as unknown) });
+					const { statusCode = 0, headers } = response;
+					resolve({ status: statusCode, headers, body: text === '' ? undefined : (JSON.parse(text) as unknown) });
 				} catch (error) {
 					fail(error as Error);
 				}
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -133,6 +133,11 @@
 	 */
 	public apply(snapshot: Snapshot): boolean {
 		if (this.knownRevision !== undefined && snapshot.revision <= this.knownRevision) {
+			this.log.write('snapshot-ignored', {
+				prefix: this.prefix,
+				revision: snapshot.revision,
+				known: this.knownRevision,
+			});
 			return false;
 		}
 		const previous = this.entries;
