Show that routers miss what is written after the store was restored from an older copy

The stand-in of the store gains the operation: copy, go on, return to the copy, with Store-Era in all answers, revisions and leases given out again, and 410 for a watch from a revision that it doesn't have.

--- a/standins/platform/keyValueState.ts
+++ b/standins/platform/keyValueState.ts
@@ -25,6 +25,14 @@
 	timer: NodeJS.Timeout;
 }
 
+/** Content of a store at one moment. */
+export interface KeyValueCopy {
+	readonly revision: number;
+	readonly nextLease: number;
+	readonly items: readonly StoredValue[];
+	readonly leases: readonly { readonly id: string; readonly seconds: number }[];
+}
+
 /** Keys, leases and recent changes of a stand-in for the key-value service. */
 export class KeyValueState {
 	private readonly items = new Map<string, StoredValue>();
@@ -148,6 +156,38 @@
 		return () => this.listeners.delete(listener);
 	}
 
+	/** @returns the present content */
+	public copy(): KeyValueCopy {
+		return {
+			revision: this.currentRevision,
+			nextLease: this.nextLease,
+			items: [...this.items.values()],
+			leases: [...this.leases].map(([id, { seconds }]) => ({ id, seconds })),
+		};
+	}
+
+	/**
+	 * Returns to an earlier content. What was written since is gone, and its revisions and leases are given out again.
+	 *
+	 * @param copy earlier content
+	 */
+	public restore(copy: KeyValueCopy): void {
+		this.close();
+		this.leases.clear();
+		this.items.clear();
+		this.events.length = 0;
+		this.currentRevision = copy.revision;
+		this.droppedRevision = copy.revision;
+		this.nextLease = copy.nextLease;
+		copy.leases.forEach(({ id, seconds }) =>
+			this.leases.set(id, { seconds, keys: new Set(), timer: this.startExpiryTimer(id, seconds) }),
+		);
+		copy.items.forEach((item) => {
+			this.items.set(item.key, item);
+			this.leases.get(item.lease ?? '')?.keys.add(item.key);
+		});
+	}
+
 	/** Stops the timers of all leases. */
 	public close(): void {
 		for (const lease of this.leases.values()) {
--- a/standins/usersPlatform/platformStore.ts
+++ b/standins/usersPlatform/platformStore.ts
@@ -1,6 +1,6 @@
 import type * as http from 'node:http';
 import { BackendListener, parseObject, sendJson } from '../common/backendListener.js';
-import { type KeyEvent, KeyValueState, type StoredValue } from '../platform/keyValueState.js';
+import { type KeyEvent, type KeyValueCopy, KeyValueState, type StoredValue } from '../platform/keyValueState.js';
 import { StoreFaults, type StoreFaultSettings } from '../platform/storeFaults.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -34,9 +34,16 @@
 		this.receive(request, body, response),
 	);
 	private compactedRevision = 0;
+	private era = 1;
+	private calls = 0;
 
 	private constructor() {}
 
+	/** Number of calls since the start. */
+	public get callCount(): number {
+		return this.calls;
+	}
+
 	/** @returns a store without keys */
 	public static create(): PlatformStore {
 		return new PlatformStore();
@@ -98,7 +105,26 @@
 		this.compactedRevision = this.state.revision;
 	}
 
+	/** @returns the present content, to which the store can return */
+	public copy(): KeyValueCopy {
+		return this.state.copy();
+	}
+
+	/**
+	 * Returns to an earlier content with a new era, and resets all connections.
+	 *
+	 * @param copy earlier content
+	 */
+	public restore(copy: KeyValueCopy): void {
+		this.listener.crash(0);
+		this.state.restore(copy);
+		this.compactedRevision = Math.min(this.compactedRevision, copy.revision);
+		this.era++;
+	}
+
 	private receive(request: http.IncomingMessage, body: Buffer, response: http.ServerResponse): void {
+		this.calls++;
+		response.setHeader('store-era', this.era);
 		if (this.faults.mode === 'hanging') {
 			return;
 		}
@@ -191,7 +217,8 @@
 	): void {
 		const prefix = query.get('prefix') ?? '';
 		const after = Number(query.get('after'));
-		const changes = after < this.compactedRevision ? undefined : this.state.eventsSince(after + 1);
+		const isKnown = after >= this.compactedRevision && after <= this.state.revision;
+		const changes = isKnown ? this.state.eventsSince(after + 1) : undefined;
 		if (changes === undefined) {
 			send(GONE, {});
 			return;
