--- a/src/fleet/node/routerRegistration.ts
+++ b/src/fleet/node/routerRegistration.ts
@@ -5,6 +5,7 @@
 import { parseRemoteAddress } from '../../settings/node/values.js';
 import type { StoreError } from '../../store/common/keyValueStore.js';
 import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
+import { formatRevision } from '../../store/common/storeRevision.js';
 
 /** Prefix of the keys of router entries; the instance name follows. The value is the address for datagrams. */
 const PREFIX = 'masticloom/routers/';
@@ -142,7 +143,7 @@
 		for (let revision = 0; ;) {
 			const result = yield* store.compareAndSwap(PREFIX + instance, revision, value, lease);
 			if (result.swapped) {
-				log.write('registered', { revision: result.revision, lease });
+				log.write('registered', { revision: formatRevision(result.revision), lease });
 				return lease;
 			}
 			revision = result.current?.revision ?? 0;
--- a/src/fleet/node/snapshotExchange.ts
+++ b/src/fleet/node/snapshotExchange.ts
@@ -6,6 +6,7 @@
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import type { Snapshot } from '../../store/common/revisionedStore.js';
+import { formatRevision } from '../../store/common/storeRevision.js';
 import { callJson } from '../../store/node/httpJson.js';
 import type { PrefixFollower } from '../../store/node/prefixFollower.js';
 import {
@@ -115,7 +116,7 @@
 						this.log.write('peer-snapshot', {
 							peer: peer.instance,
 							prefix: follower.prefix,
-							revision: snapshot.revision,
+							revision: formatRevision(snapshot.revision),
 							applied,
 						});
 					}),
--- a/src/store/common/revisionedStore.ts
+++ b/src/store/common/revisionedStore.ts
@@ -22,7 +22,10 @@
 	readonly revision: number;
 }
 
-/** A key-value store with a single revision counter for all keys. */
+/**
+ * A key-value store with a single revision counter for all keys. Revisions rise also when the store is restored from an
+ * older copy, see `storeRevision.ts`.
+ */
 export interface IRevisionedStore extends Pick<
 	IKeyValueStore,
 	'get' | 'compareAndSwap' | 'remove' | 'grantLease' | 'keepAlive'
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -6,6 +6,7 @@
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { KeyValue, StoreError } from '../common/keyValueStore.js';
 import type { ChangeSet, IRevisionedStore, Snapshot } from '../common/revisionedStore.js';
+import { formatRevision } from '../common/storeRevision.js';
 
 /** Maximum duration of a watch call. It bounds the time to detect a dead connection, and each call has a cost. */
 const WATCH_WAIT_MS = 2_500;
@@ -135,8 +136,8 @@
 		if (this.knownRevision !== undefined && snapshot.revision <= this.knownRevision) {
 			this.log.write('snapshot-ignored', {
 				prefix: this.prefix,
-				revision: snapshot.revision,
-				known: this.knownRevision,
+				revision: formatRevision(snapshot.revision),
+				known: formatRevision(this.knownRevision),
 			});
 			return false;
 		}
@@ -199,7 +200,7 @@
 		return Effect.map(this.keyValues.waitForChanges(this.prefix, revision, this.watchWaitMs()), (result) => {
 			if (result === 'history-lost') {
 				this.historyLost = true;
-				this.log.write('store-history-lost', { prefix: this.prefix, revision });
+				this.log.write('store-history-lost', { prefix: this.prefix, revision: formatRevision(revision) });
 				return 'unchanged';
 			}
 			this.applyChanges(result);
@@ -216,7 +217,7 @@
 	private rest(): void {
 		if (this.connected) {
 			this.connected = false;
-			this.log.write('store-reading-left', { prefix: this.prefix, revision: this.knownRevision });
+			this.log.write('store-reading-left', { prefix: this.prefix, revision: formatRevision(this.knownRevision) });
 			this.contactEmitter.fire(false);
 		}
 	}
@@ -243,7 +244,7 @@
 		} catch (error) {
 			this.log.write('change-not-applied', {
 				prefix: this.prefix,
-				revision: this.lastChange,
+				revision: formatRevision(this.lastChange),
 				reason: error instanceof Error ? error.stack : String(error),
 			});
 		}
@@ -254,7 +255,7 @@
 		if (!this.connected) {
 			this.connected = true;
 			this.connectedAt = this.clock.now();
-			this.log.write('store-regained', { prefix: this.prefix, revision: this.knownRevision });
+			this.log.write('store-regained', { prefix: this.prefix, revision: formatRevision(this.knownRevision) });
 			this.contactEmitter.fire(true);
 		}
 	}
@@ -263,7 +264,11 @@
 		this.failures++;
 		if (this.connected) {
 			this.connected = false;
-			this.log.write('store-lost', { prefix: this.prefix, revision: this.knownRevision, reason: failure.message });
+			this.log.write('store-lost', {
+				prefix: this.prefix,
+				revision: formatRevision(this.knownRevision),
+				reason: failure.message,
+			});
 			this.contactEmitter.fire(false);
 		}
 		const maximumDelayMs = this.fleet.isStoreReadByPeers() ? MAXIMUM_INDIRECT_RETRY_DELAY_MS : MAXIMUM_RETRY_DELAY_MS;
