Wait before a read of the store is repeated whose result is older than what is known

A watch whose history was lost led to a read, its result was ignored as older, and the watch was tried again, without a pause between.

Cause: a step that brought nothing counted as a success, so no delay applied. It counts as a failure now, with the delays of one. What a peer has sent during the read is no reason to fail.

--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -191,10 +191,13 @@
 	private readOrWatch(): Effect.Effect<'changed' | 'unchanged', StoreError> {
 		const revision = this.knownRevision;
 		if (revision === undefined || this.historyLost) {
-			return Effect.map(this.keyValues.readAll(this.prefix), (snapshot) => {
-				this.historyLost = false;
+			return Effect.flatMap(this.keyValues.readAll(this.prefix), (snapshot) => {
 				this.apply(snapshot);
-				return 'changed';
+				if (snapshot.revision < (revision ?? 0)) {
+					return Effect.fail<StoreError>({ outcome: 'no-effect', message: 'the store returned an older state' });
+				}
+				this.historyLost = false;
+				return Effect.succeed('changed' as const);
 			});
 		}
 		return Effect.map(this.keyValues.waitForChanges(this.prefix, revision, this.watchWaitMs()), (result) => {
--- a/src/store/test/prefixFollower.test.ts
+++ b/src/store/test/prefixFollower.test.ts
@@ -43,6 +43,7 @@
 	routers = 1,
 	isReader: () => boolean = () => true,
 	peerSnapshotWaitMs = 0,
+	onStart: (follower: PrefixFollower) => void = () => undefined,
 ): Promise<{
 	readonly follower: PrefixFollower;
 	readonly contacts: readonly boolean[];
@@ -61,6 +62,7 @@
 	follower.onDidChangeStoreContact((contact) => contacts.push(contact));
 	follower.onDidChange((entries) => changes.push([...entries.keys()]));
 	const fiber = Effect.runFork(follower.run());
+	onStart(follower);
 	await new Promise((resolve) => setTimeout(resolve, milliseconds));
 	await Effect.runPromise(Fiber.interrupt(fiber));
 	return { follower, contacts, changes };
@@ -211,4 +213,17 @@
 		expect(store.watchedAfter).toEqual([5, 6]);
 		expect(lines.filter((line) => line === 'change-not-applied')).toHaveLength(2);
 	});
+
+	// Guards against a read whose result is older than what is known being repeated without a pause.
+	test('waits before it reads again when the store returns an older state', async () => {
+		const older = Effect.succeed({ entries: [entry('servers/a', 3)], revision: 3 });
+		const store = createStore(
+			[Effect.succeed({ entries: [entry('servers/a', 5)], revision: 5 }), ...Array<typeof older>(1_000).fill(older)],
+			Array<StoreCall<'history-lost'>>(1_000).fill(Effect.succeed('history-lost')),
+		);
+		const { follower, contacts } = await runFollower(store, 300);
+		expect(store.watchedAfter.length).toBeLessThanOrEqual(10);
+		expect(follower.snapshot()).toMatchObject({ revision: 5 });
+		expect(contacts).toEqual([true, false]);
+	});
 });
