Ignore the changes of a watch that are older than what a peer has sent meanwhile

Cause: the result of a call was applied as if nothing had happened since it was sent. Evidence: the new test of prefixFollower fails before (the value of revision 6 replaces the one of 9) and passes now.

--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -225,7 +225,9 @@
 		}
 	}
 
-	private applyChanges({ changes, revision }: ChangeSet): void {
+	private applyChanges({ changes: received, revision }: ChangeSet): void {
+		// A snapshot of a peer that arrived during the watch contains the changes up to its revision.
+		const changes = received.filter((change) => change.revision > (this.knownRevision ?? 0));
 		for (const change of changes) {
 			if (change.value === undefined) {
 				this.entries.delete(change.key);
--- a/src/store/test/prefixFollower.test.ts
+++ b/src/store/test/prefixFollower.test.ts
@@ -226,4 +226,20 @@
 		expect(follower.snapshot()).toMatchObject({ revision: 5 });
 		expect(contacts).toEqual([true, false]);
 	});
+
+	// Guards against the result of a watch replacing newer values that a peer has sent while the watch was waiting.
+	test('ignores changes of a watch that are older than a snapshot of a peer', async () => {
+		const late = Effect.delay(Effect.succeed({ changes: [entry('servers/a', 6)], revision: 6 }), 30);
+		const store = createStore([Effect.succeed({ entries: [entry('servers/a', 5)], revision: 5 })], [late]);
+		const { follower, changes } = await runFollower(
+			store,
+			80,
+			1,
+			() => true,
+			0,
+			(started) => setTimeout(() => started.apply({ entries: [entry('servers/a', 9)], revision: 9 }), 10),
+		);
+		expect(follower.snapshot()).toEqual({ entries: [entry('servers/a', 9)], revision: 9 });
+		expect(changes).toHaveLength(2);
+	});
 });
