Keep what a server last reported when a restored store holds an older entry of it

After a restore the store holds entries of servers from before: a server that was leaving, or whose entry had been removed, appears as ready again, and an earlier incarnation as a new one. Its requests would be sent to a server that leaves or is gone (DRAIN).

Cause: the last entry that was read counted as the newest. Across a restore, entries are now compared by what their server says of them: start and number of the report. A removed server is remembered for a minute. Evidence: the three new tests of serverDirectory that play a restore fail without the change, the fourth guards the order within an era.

--- a/src/engines/common/directory.ts
+++ b/src/engines/common/directory.ts
@@ -1,3 +1,5 @@
+import { eraOf } from '../../store/common/storeRevision.js';
+
 /** A backend server as described by its registration. */
 export interface RegisteredServer {
 	readonly id: string;
@@ -13,6 +15,34 @@
 	readonly startedAt: number | undefined;
 	/** Remaining milliseconds of the cold period at the time when the server wrote its registration. */
 	readonly coldLeftMs: number;
+	/** Number of the registration among those of this incarnation, which only rises; undefined when it has none. */
+	readonly reportNumber: number | undefined;
 	/** Revision of the registration in the store. */
 	readonly revision: number;
 }
+
+/**
+ * Compares a registration of a restored store with what was known of the server before the restore. Within one era of the
+ * store, the later entry is the newer one.
+ *
+ * @param registered entry in the store
+ * @param known last registration that was in force
+ * @returns whether the server wrote the entry before the known one, after it, or whether the two are the same; `newer` when
+ * this cannot be told
+ */
+export function compareRegistrations(
+	registered: RegisteredServer,
+	known: RegisteredServer,
+): 'older' | 'same' | 'newer' {
+	if (eraOf(registered.revision) <= eraOf(known.revision)) {
+		return 'newer';
+	}
+	const isSameIncarnation = registered.startedAt === known.startedAt;
+	const [time, knownTime] = isSameIncarnation
+		? [registered.reportNumber, known.reportNumber]
+		: [registered.startedAt, known.startedAt];
+	if (time === undefined || knownTime === undefined || time > knownTime) {
+		return 'newer';
+	}
+	return time < knownTime ? 'older' : 'same';
+}
--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -1,6 +1,6 @@
 import { Emitter } from '../../base/common/event.js';
 import { Disposable } from '../../base/common/lifecycle.js';
-import type { RegisteredServer } from './directory.js';
+import { compareRegistrations, type RegisteredServer } from './directory.js';
 
 /**
  * Servers rewrite their entries within 2 s after the store is available again; the remaining 0.2 s allow for reading
@@ -8,6 +8,18 @@
  */
 const REAPPEARANCE_PERIOD_MS = 2_200;
 
+/**
+ * Time for which a server that was removed is remembered, so that an entry of a restored store does not bring it back. A
+ * store is restored from a copy some seconds old.
+ */
+const REMOVED_RETENTION_MS = 60_000;
+
+interface RemovedServer {
+	readonly server: RegisteredServer;
+	/** Monotonic milliseconds. */
+	readonly at: number;
+}
+
 interface KnownServer {
 	readonly server: RegisteredServer;
 	/** Whether the entry is missing from the store but may reappear. */
@@ -24,10 +36,12 @@
 /**
  * Tracks which backend servers may receive new requests. A deleted entry means that its server is gone, unless the store
  * was unreachable for the whole fleet shortly before: entries expire during an outage although their servers are alive.
+ * Entries of a store that was restored from an older copy replace what is known only if their servers wrote them later.
  */
 export class ServerDirectory extends Disposable {
 	private readonly changeEmitter = this.register(Emitter.create<readonly DirectoryChange[]>());
 	private readonly known = new Map<string, KnownServer>();
+	private readonly removed = new Map<string, RemovedServer>();
 	private registered: readonly RegisteredServer[] = [];
 	/** Failure domains whose servers receive no new requests. */
 	private evacuated: ReadonlySet<string> = new Set();
@@ -105,6 +119,11 @@
 				changes.push({ server, change });
 			}
 		}
+		for (const [id, { at }] of this.removed) {
+			if (now - at > REMOVED_RETENTION_MS) {
+				this.removed.delete(id);
+			}
+		}
 		const contactStartedAt = this.contactSince();
 		const removesMissing = contactStartedAt !== undefined && now - contactStartedAt >= REAPPEARANCE_PERIOD_MS;
 		for (const [id, { server, missing }] of this.known) {
@@ -113,6 +132,7 @@
 			}
 			if (removesMissing || server.leaving) {
 				this.known.delete(id);
+				this.removed.set(id, { server, at: now });
 				changes.push({ server, change: 'removed' });
 			} else if (!missing) {
 				this.known.set(id, { server, missing: true });
@@ -126,10 +146,20 @@
 
 	private applyRegistration(server: RegisteredServer): DirectoryChange['change'] | undefined {
 		const before = this.known.get(server.id);
-		this.known.set(server.id, { server, missing: false });
 		if (before === undefined) {
+			const removed = this.removed.get(server.id)?.server;
+			if (removed !== undefined && compareRegistrations(server, removed) !== 'newer') {
+				return undefined;
+			}
+			this.removed.delete(server.id);
+			this.known.set(server.id, { server, missing: false });
 			return 'added';
 		}
+		if (compareRegistrations(server, before.server) === 'older') {
+			this.known.set(server.id, { server: before.server, missing: false });
+			return before.missing ? 'returned' : undefined;
+		}
+		this.known.set(server.id, { server, missing: false });
 		if (before.server.startedAt !== server.startedAt || before.server.address !== server.address) {
 			return 'restarted';
 		}
--- a/src/engines/test/engineFixture.ts
+++ b/src/engines/test/engineFixture.ts
@@ -19,6 +19,7 @@
 		leaving: false,
 		startedAt: 1,
 		coldLeftMs: 0,
+		reportNumber: undefined,
 		revision: 1,
 		...overrides,
 	};
--- a/src/engines/test/serverDirectory.test.ts
+++ b/src/engines/test/serverDirectory.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from '@jest/globals';
 import type { RegisteredServer } from '../common/directory.js';
+import { toRevision } from '../../store/common/storeRevision.js';
 import { type DirectoryChange, ServerDirectory } from '../common/serverDirectory.js';
 
 function serverWith(overrides: Partial<RegisteredServer> = {}): RegisteredServer {
@@ -12,6 +13,7 @@
 		leaving: false,
 		startedAt: 1,
 		coldLeftMs: 0,
+		reportNumber: undefined,
 		revision: 1,
 		...overrides,
 	};
@@ -102,4 +104,47 @@
 		directory.update([serverWith({ revision: 4 })], 8_400);
 		expect(changes).toEqual(['engine-1 added', 'engine-1 cold', 'engine-1 cold']);
 	});
+
+	describe('with a store that is restored from an older copy', () => {
+		const revisionIn = (era: number, counter: number): number => toRevision({ era, counter }) ?? 0;
+		const ready = serverWith({ reportNumber: 8, revision: revisionIn(1, 20) });
+
+		// Guards against requests to a server whose departure was acknowledged before the restore.
+		test('does not use a server again that was leaving', () => {
+			const { directory, changes } = directoryWith({ since: 0 });
+			directory.update([ready], 5_000);
+			directory.update([{ ...ready, leaving: true, reportNumber: 12, revision: revisionIn(1, 25) }], 6_000);
+			directory.update([{ ...ready, revision: revisionIn(2, 20) }], 7_000);
+			expect(directory.usable).toEqual([]);
+			directory.update([{ ...ready, leaving: true, reportNumber: 13, revision: revisionIn(2, 21) }], 8_000);
+			directory.update([], 9_000);
+			expect(changes).toEqual(['engine-1 added', 'engine-1 leaving', 'engine-1 removed']);
+		});
+
+		test('does not use a server again that was removed, unless it writes its entry anew', () => {
+			const { directory } = directoryWith({ since: 0 });
+			directory.update([ready], 5_000);
+			directory.update([], 6_000);
+			directory.update([{ ...ready, revision: revisionIn(2, 20) }], 7_000);
+			expect(directory.usable).toEqual([]);
+			directory.update([{ ...ready, reportNumber: 9, revision: revisionIn(2, 21) }], 8_000);
+			expect(directory.usable).toHaveLength(1);
+		});
+
+		test('does not take an earlier incarnation of a server for a new one', () => {
+			const { directory, changes } = directoryWith({ since: 0 });
+			directory.update([serverWith({ startedAt: 7, reportNumber: 2, revision: revisionIn(1, 25) })], 5_000);
+			directory.update([{ ...ready, revision: revisionIn(2, 20) }], 6_000);
+			expect(directory.usable).toMatchObject([{ startedAt: 7 }]);
+			directory.update([serverWith({ startedAt: 9, reportNumber: 1, revision: revisionIn(2, 22) })], 7_000);
+			expect(changes).toEqual(['engine-1 added', 'engine-1 restarted']);
+		});
+
+		test('accepts a later entry with a lower number within one era', () => {
+			const { directory, changes } = directoryWith({ since: 0 });
+			directory.update([ready], 5_000);
+			directory.update([{ ...ready, leaving: true, reportNumber: 3, revision: revisionIn(1, 21) }], 6_000);
+			expect(changes).toEqual(['engine-1 added', 'engine-1 leaving']);
+		});
+	});
 });
