Keep entries that a restored store lacks until they can have been written again

A key that was written after the copy was made is missing from the restored store for up to 2 s. It counted as removed: a server that had registered meanwhile was dropped at once when no call to the store had failed, and the evacuation of a failure domain ended.

Cause: absence was taken for a removal. A follower keeps such entries for the time in which the operator and the servers write again, and then drops and logs those that are still missing.

--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -1,13 +1,8 @@
 import { Emitter } from '../../base/common/event.js';
 import { Disposable } from '../../base/common/lifecycle.js';
+import { REAPPEARANCE_PERIOD_MS } from '../../store/common/revisionedStore.js';
 import { compareRegistrations, type RegisteredServer } from './directory.js';
 
-/**
- * Servers rewrite their entries within 2 s after the store is available again; the remaining 0.2 s allow for reading
- * them.
- */
-const REAPPEARANCE_PERIOD_MS = 2_200;
-
 /**
  * Time for which a server that was removed is remembered, so that an entry of a restored store does not bring it back. A
  * store is restored from a copy some seconds old.
--- a/src/store/common/revisionedStore.ts
+++ b/src/store/common/revisionedStore.ts
@@ -1,6 +1,12 @@
 import type { Effect } from 'effect';
 import type { IKeyValueStore, KeyValue, StoreError } from './keyValueStore.js';
 
+/**
+ * The operator and the servers write their entries again within 2 s after an outage or a restore of the store; the
+ * remaining 0.2 s allow for reading them.
+ */
+export const REAPPEARANCE_PERIOD_MS = 2_200;
+
 /** All values below a key prefix at one revision of the store. */
 export interface Snapshot {
 	readonly entries: readonly KeyValue[];
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -1,12 +1,17 @@
 import { Effect } from 'effect';
 import type { IClock } from '../../base/common/clock.js';
-import { Disposable } from '../../base/common/lifecycle.js';
+import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { Emitter } from '../../base/common/event.js';
 import { MAXIMUM_SMALL_FLEET_ROUTERS } from '../../base/common/fleetSize.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { KeyValue, StoreError } from '../common/keyValueStore.js';
-import type { ChangeSet, IRevisionedStore, Snapshot } from '../common/revisionedStore.js';
-import { formatRevision } from '../common/storeRevision.js';
+import {
+	type ChangeSet,
+	type IRevisionedStore,
+	REAPPEARANCE_PERIOD_MS,
+	type Snapshot,
+} from '../common/revisionedStore.js';
+import { eraOf, formatRevision } from '../common/storeRevision.js';
 
 /** Maximum duration of a watch call. It bounds the time to detect a dead connection, and each call has a cost. */
 const WATCH_WAIT_MS = 2_500;
@@ -61,6 +66,9 @@
 	private readonly changeEmitter = this.register(Emitter.create<ReadonlyMap<string, KeyValue>>());
 	private readonly contactEmitter = this.register(Emitter.create<boolean>());
 	private entries = new Map<string, KeyValue>();
+	/** Entries that a restored store lacks and that may be written again. */
+	private readonly retained = new Map<string, KeyValue>();
+	private retentionTimer: NodeJS.Timeout | undefined;
 	private knownRevision: number | undefined;
 	private lastChange = 0;
 	private failures = 0;
@@ -82,6 +90,7 @@
 		private readonly random: () => number,
 	) {
 		super();
+		this.register(toDisposable(() => clearTimeout(this.retentionTimer)));
 	}
 
 	/**
@@ -142,7 +151,11 @@
 			return false;
 		}
 		const previous = this.entries;
+		const isRestored = this.knownRevision !== undefined && eraOf(snapshot.revision) > eraOf(this.knownRevision);
 		this.entries = new Map(snapshot.entries.map((entry) => [entry.key, entry]));
+		if (isRestored) {
+			this.retainMissing(previous);
+		}
 		this.knownRevision = snapshot.revision;
 		const changed = previous.size !== this.entries.size || snapshot.entries.some(differsFrom(previous));
 		if (changed) {
@@ -156,6 +169,24 @@
 		return true;
 	}
 
+	/**
+	 * Keeps the entries that were known before a restore and are missing after it until they can have been written again,
+	 * since they are lost rather than removed. They are not part of the snapshots for peers, which keep their own.
+	 */
+	private retainMissing(previous: ReadonlyMap<string, KeyValue>): void {
+		previous.forEach((entry, key) => this.retained.set(key, entry));
+		this.entries.forEach((_, key) => this.retained.delete(key));
+		clearTimeout(this.retentionTimer);
+		this.retentionTimer = setTimeout(() => {
+			const missing = [...this.retained.keys()].filter((key) => !this.entries.has(key));
+			this.retained.clear();
+			if (missing.length > 0) {
+				this.log.write('entries-not-restored', { prefix: this.prefix, keys: missing.join(' ') });
+				this.fireChange();
+			}
+		}, REAPPEARANCE_PERIOD_MS);
+	}
+
 	/** Reads and watches the prefix until interrupted. */
 	public run(): Effect.Effect<never> {
 		const self = this;
@@ -231,6 +262,7 @@
 		for (const change of changes) {
 			if (change.value === undefined) {
 				this.entries.delete(change.key);
+				this.retained.delete(change.key);
 			} else {
 				this.entries.set(change.key, { key: change.key, revision: change.revision, value: change.value });
 			}
@@ -245,7 +277,7 @@
 	/** An exception in a listener is logged only, since a single invalid entry must not end the watch. */
 	private fireChange(): void {
 		try {
-			this.changeEmitter.fire(this.entries);
+			this.changeEmitter.fire(this.retained.size === 0 ? this.entries : new Map([...this.retained, ...this.entries]));
 		} catch (error) {
 			this.log.write('change-not-applied', {
 				prefix: this.prefix,
--- a/src/store/test/prefixFollower.test.ts
+++ b/src/store/test/prefixFollower.test.ts
@@ -1,8 +1,9 @@
-import { describe, expect, test } from '@jest/globals';
+import { afterEach, beforeEach, describe, expect, jest, test } from '@jest/globals';
 import { Effect, Fiber } from 'effect';
 import { systemClock } from '../../base/common/clock.js';
 import type { KeyValue, StoreError } from '../common/keyValueStore.js';
 import type { ChangeSet, IRevisionedStore, KeyChange, Snapshot } from '../common/revisionedStore.js';
+import { toRevision } from '../common/storeRevision.js';
 import { PrefixFollower } from '../node/prefixFollower.js';
 
 type StoreCall<T> = Effect.Effect<T, StoreError>;
@@ -242,4 +243,51 @@
 		expect(follower.snapshot()).toEqual({ entries: [entry('servers/a', 9)], revision: 9 });
 		expect(changes).toHaveLength(2);
 	});
+
+	describe('of a store that is restored from an older copy', () => {
+		const revisionIn = (era: number, counter: number): number => toRevision({ era, counter }) ?? 0;
+		const first = entry('servers/a', revisionIn(1, 20));
+		const second = entry('servers/b', revisionIn(1, 25));
+
+		function startRestored(): { readonly follower: PrefixFollower; readonly changes: (readonly string[])[] } {
+			const follower = PrefixFollower.create('servers/', createStore([], []), systemClock, { write: () => undefined });
+			const changes: (readonly string[])[] = [];
+			follower.apply({ entries: [first, second], revision: revisionIn(1, 25) });
+			follower.onDidChange((entries) => changes.push([...entries.keys()].sort()));
+			follower.apply({ entries: [entry('servers/a', revisionIn(2, 20))], revision: revisionIn(2, 20) });
+			return { follower, changes };
+		}
+
+		beforeEach(() => void jest.useFakeTimers());
+		afterEach(() => void jest.useRealTimers());
+
+		// Guards against an entry that the copy lacks being taken for one that was removed.
+		test('keeps an entry that is missing until it can have been written again', () => {
+			const { follower, changes } = startRestored();
+			expect(changes).toEqual([['servers/a', 'servers/b']]);
+			jest.advanceTimersByTime(2_300);
+			expect(changes).toEqual([['servers/a', 'servers/b'], ['servers/a']]);
+			follower.dispose();
+		});
+
+		test('does not drop an entry that was written again, also after a second restore', () => {
+			const { follower, changes } = startRestored();
+			const rewritten = entry('servers/b', revisionIn(2, 21));
+			follower.apply({ entries: [first, rewritten], revision: revisionIn(2, 21) });
+			follower.apply({ entries: [first], revision: revisionIn(3, 20) });
+			jest.advanceTimersByTime(1_000);
+			follower.apply({ entries: [first, rewritten], revision: revisionIn(3, 21) });
+			jest.advanceTimersByTime(2_000);
+			expect(changes.every((keys) => keys.length === 2)).toBe(true);
+			follower.dispose();
+		});
+
+		// Guards against the old era being restored by a router that was cut off.
+		test('ignores a snapshot of an earlier era', () => {
+			const { follower } = startRestored();
+			expect(follower.apply({ entries: [first, second], revision: revisionIn(1, 90) })).toBe(false);
+			expect(follower.snapshot()?.entries).toHaveLength(1);
+			follower.dispose();
+		});
+	});
 });
