Do not count a server as cold again for the entry that a restored store holds of it

Each entry has a new revision after a restore, and a new revision of an entry with a cold period started the period again, long after the server had warmed up; fewer requests were sent to it for that time.

Cause: a changed revision was taken for a new report of the server. An entry with the number of the known report is the known one. Evidence: the new test of serverDirectory fails before and passes now.

--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -150,7 +150,7 @@
 			this.known.set(server.id, { server, missing: false });
 			return 'added';
 		}
-		if (compareRegistrations(server, before.server) === 'older') {
+		if (compareRegistrations(server, before.server) !== 'newer') {
 			this.known.set(server.id, { server: before.server, missing: false });
 			return before.missing ? 'returned' : undefined;
 		}
--- a/src/engines/test/serverDirectory.test.ts
+++ b/src/engines/test/serverDirectory.test.ts
@@ -140,6 +140,15 @@
 			expect(changes).toEqual(['engine-1 added', 'engine-1 restarted']);
 		});
 
+		// Guards against a server that has warmed up being taken for cold again by the entry of its start.
+		test('does not count a server as cold again', () => {
+			const { directory, changes } = directoryWith({ since: 0 });
+			const cold = { ...ready, coldLeftMs: 3_000 };
+			directory.update([cold], 5_000);
+			directory.update([{ ...cold, revision: revisionIn(2, 20) }], 15_000);
+			expect(changes).toEqual(['engine-1 added']);
+		});
+
 		test('accepts a later entry with a lower number within one era', () => {
 			const { directory, changes } = directoryWith({ since: 0 });
 			directory.update([ready], 5_000);
