Let a notice that a server is leaving apply to the incarnation that sent it

Cause: notices named no incarnation, so a late one (a response, or a datagram of a router that has not read the new registration yet) excluded the new incarnation for good, which ends only with a further one. Responses and datagrams now name the start of the server. Evidence: the new test of serverNotices fails without the change.

--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -15,6 +15,7 @@
 import { PrefixCacheIndex, type PromptPart } from './prefixCacheIndex.js';
 import { type IQueueOwnership, fullQueueOwnership } from './queueDivision.js';
 import { longestBurstMs, nominalTokens, prefillMs } from './prefillTime.js';
+import type { LeavingNotice } from './serverNotices.js';
 import type { ServerOutcome, ServerOutcomes } from './serverOutcomes.js';
 
 interface KnownServer {
@@ -78,7 +79,7 @@
 	private readonly firstEventEmitter = Emitter.create<FirstEventNotice>();
 	private readonly endEmitter = Emitter.create<EndNotice>();
 	private readonly leavingEmitter = Emitter.create<string>();
-	private readonly leavingNoticeEmitter = Emitter.create<string>();
+	private readonly leavingNoticeEmitter = Emitter.create<LeavingNotice>();
 	private byId = new Map<string, KnownServer>();
 	private byService = new Map<string, KnownServer[]>();
 	private idByKey = new Map<number, string>();
@@ -90,8 +91,8 @@
 	public readonly onDidEndRequest: Event<EndNotice> = this.endEmitter.event;
 	/** Fires with the identifier of a server when its response or a peer first indicates that it is leaving. */
 	public readonly onDidDetectLeaving: Event<string> = this.leavingEmitter.event;
-	/** Fires with the identifier of a server when its response to this router first indicates that it is leaving. */
-	public readonly onDidReceiveLeavingNotice: Event<string> = this.leavingNoticeEmitter.event;
+	/** Fires when a response to this router first indicates that its server is leaving. */
+	public readonly onDidReceiveLeavingNotice: Event<LeavingNotice> = this.leavingNoticeEmitter.event;
 
 	/** This router. */
 	private readonly localOrigin: RequestOrigin;
@@ -201,19 +202,23 @@
 			.map(([id]) => id);
 	}
 
-	/** Identifiers of servers that are leaving. */
-	public get leaving(): readonly string[] {
-		return [...this.states].filter(([, { notices }]) => notices.isLeaving).map(([id]) => id);
+	/** Servers that have announced that they are leaving. */
+	public get leaving(): readonly LeavingNotice[] {
+		return [...this.states]
+			.filter(([, { notices }]) => notices.isLeaving)
+			.map(([server, { startedAt }]) => ({ server, startedAt }));
 	}
 
 	/**
 	 * Records that a server has announced to this router that it is leaving.
 	 *
 	 * @param server identifier of the server
+	 * @param startedAt Unix milliseconds at which the incarnation that announced it started; undefined when not known
 	 */
-	public recordLeaving(server: string): void {
-		if (this.states.get(server)?.notices.markLeaving() === true) {
-			this.leavingNoticeEmitter.fire(server);
+	public recordLeaving(server: string, startedAt?: number): void {
+		const state = this.states.get(server);
+		if (state !== undefined && isSameIncarnation(state, startedAt) && state.notices.markLeaving()) {
+			this.leavingNoticeEmitter.fire({ server, startedAt: state.startedAt });
 			this.leavingEmitter.fire(server);
 		}
 	}
@@ -245,10 +250,12 @@
 	 * Applies the notification of a peer that a server is leaving.
 	 *
 	 * @param server short key of the server
+	 * @param startedAt as for {@link recordLeaving}
 	 */
-	public applyLeaving(server: number): void {
+	public applyLeaving(server: number, startedAt?: number): void {
 		const id = this.idByKey.get(server);
-		if (id !== undefined && this.states.get(id)?.notices.markLeaving() === true) {
+		const state = id === undefined ? undefined : this.states.get(id);
+		if (id !== undefined && state !== undefined && isSameIncarnation(state, startedAt) && state.notices.markLeaving()) {
 			this.leavingEmitter.fire(id);
 		}
 	}
@@ -719,3 +726,8 @@
 		}
 	}
 }
+
+/** A notice about an earlier incarnation says nothing about the one that serves now. */
+function isSameIncarnation(state: EngineState, startedAt: number | undefined): boolean {
+	return startedAt === undefined || state.startedAt === undefined || state.startedAt === startedAt;
+}
--- a/src/engines/common/serverNotices.ts
+++ b/src/engines/common/serverNotices.ts
@@ -1,3 +1,10 @@
+/** A server that has announced that it is leaving. */
+export interface LeavingNotice {
+	readonly server: string;
+	/** Unix milliseconds at which this incarnation of the server started; undefined when not known. */
+	readonly startedAt: number | undefined;
+}
+
 /** For this long after a backoff, a router has at most one request in progress at the server. */
 const RAMP_UP_MS = 400;
 
--- a/src/engines/test/serverNotices.test.ts
+++ b/src/engines/test/serverNotices.test.ts
@@ -70,7 +70,7 @@
 	test('is announced to peers once', () => {
 		const fleet = fleetWith('engine-1');
 		const announced: string[] = [];
-		fleet.onDidReceiveLeavingNotice((server) => announced.push(server));
+		fleet.onDidReceiveLeavingNotice(({ server }) => announced.push(server));
 		fleet.recordLeaving('engine-1');
 		fleet.recordLeaving('engine-1');
 		fleet.applyLeaving(shortKey('engine-1'));
@@ -107,6 +107,17 @@
 		expect(usableAt(fleet, 3_000)).toEqual(['engine-1']);
 	});
 
+	// Guards against a notice of an earlier incarnation that arrives late and excludes the new one.
+	test('is used as a new incarnation although notices of the earlier one arrive later', () => {
+		const fleet = fleetWith('engine-1');
+		fleet.setServers([engineWith('engine-1', { startedAt: 2 })], 1_000);
+		fleet.recordLeaving('engine-1', 1);
+		fleet.applyLeaving(shortKey('engine-1'), 1);
+		expect(usableAt(fleet, 1_000)).toEqual(['engine-1']);
+		fleet.applyLeaving(shortKey('engine-1'), 2);
+		expect(usableAt(fleet, 1_000)).toEqual([]);
+	});
+
 	// Guards against excluding a server without a start time permanently.
 	test('and has not reported when it started is used again when it is registered again', () => {
 		const fleet = EngineFleet.create('router-1', 'a');
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -8,6 +8,7 @@
 	ReservationRequest,
 } from '../../engines/common/placementMessages.js';
 import type { EngineReport } from '../../engines/common/engineState.js';
+import type { LeavingNotice } from '../../engines/common/serverNotices.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import { encodeReport } from './fleetMessages.js';
 import * as wire from './generated/masticloom/fleet/v1/fleet.js';
@@ -95,13 +96,14 @@
 			this.outcomes.push({
 				engine: shortKey(server),
 				outcome: OUTCOMES.get(outcome) ?? wire.Outcome.OUTCOME_UNSPECIFIED,
+				startedAt: 0,
 			});
 		}
 	}
 
-	/** @param server identifier of a server that has reported that it is leaving */
-	public addLeaving(server: string): void {
-		this.outcomes.push({ engine: shortKey(server), outcome: wire.Outcome.OUTCOME_LEAVING });
+	/** @param notice a server that has reported that it is leaving */
+	public addLeaving({ server, startedAt = 0 }: LeavingNotice): void {
+		this.outcomes.push({ engine: shortKey(server), outcome: wire.Outcome.OUTCOME_LEAVING, startedAt });
 	}
 
 	/** @param notice a request that is suspected of crashing servers */
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -105,8 +105,8 @@
 			}),
 		);
 		this.register(
-			engines.onDidReceiveLeavingNotice((server) =>
-				this.notifyQueueOwner(server, (outbox) => outbox.addLeaving(server)),
+			engines.onDidReceiveLeavingNotice((notice) =>
+				this.notifyQueueOwner(notice.server, (outbox) => outbox.addLeaving(notice)),
 			),
 		);
 		this.crashNotices = this.register(
@@ -522,7 +522,7 @@
 				this.notifyQueueOwner(server, (outbox) => outbox.addEnd({ server, outcome: undefined }));
 			}
 		}
-		engines.leaving.forEach((server) => this.notifyQueueOwner(server, (outbox) => outbox.addLeaving(server)));
+		engines.leaving.forEach((notice) => this.notifyQueueOwner(notice.server, (outbox) => outbox.addLeaving(notice)));
 	}
 
 	private updateRelays(now: number): void {
--- a/src/fleet/node/peerStateApplier.ts
+++ b/src/fleet/node/peerStateApplier.ts
@@ -48,10 +48,10 @@
 				this.reports.add({ engine, report, reportedAt, isSameDomain });
 			}
 		}
-		for (const { engine, outcome } of datagram.outcomes) {
+		for (const { engine, outcome, startedAt } of datagram.outcomes) {
 			const decoded = decodeOutcome(outcome);
 			if (outcome === Outcome.OUTCOME_LEAVING) {
-				engines.applyLeaving(engine);
+				engines.applyLeaving(engine, startedAt === 0 ? undefined : startedAt);
 			} else if (decoded !== undefined) {
 				engines.applyOutcome(engine, decoded, now);
 			}
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -15,6 +15,7 @@
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { computeFingerprint } from '../../dispatch/node/fingerprint.js';
+import type { RegisteredServer } from '../../engines/common/directory.js';
 import type { EngineOption, PlacementLimits, PromptWork } from '../../engines/common/engineChoice.js';
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
 import type { Reservation } from '../../engines/common/placementMessages.js';
@@ -385,7 +386,7 @@
 				this.inProgress = true;
 				this.context.crashes.recordSent(this.sharedParts);
 			},
-			notice: (notice) => this.recordNotice(server.id, notice),
+			notice: (notice) => this.recordNotice(server, notice),
 			head: (head) => {
 				state.failed = head.status >= MINIMUM_ERROR_STATUS;
 				if (this.response.hasHead) {
@@ -441,11 +442,14 @@
 		);
 	}
 
-	private recordNotice(server: string, { isLeaving, restMs, unreadableTime }: ServerNotice): void {
+	private recordNotice(
+		{ id: server, startedAt }: RegisteredServer,
+		{ isLeaving, restMs, unreadableTime }: ServerNotice,
+	): void {
 		const { fleet, clock, log, metrics } = this.context;
 		const { service } = this.request.routing;
 		if (isLeaving) {
-			fleet.recordLeaving(server);
+			fleet.recordLeaving(server, startedAt);
 			metrics.countServerNotice(service, 'leaving');
 		}
 		if (restMs !== undefined) {
