Restore the store from an older copy in the soak, and check the version in force at its end

The soak played outages, lost answers and dropped histories, never a store that goes back. At its end each router must have the last version, not only serve.

--- a/tools/platformFleet/platformFleet.ts
+++ b/tools/platformFleet/platformFleet.ts
@@ -137,7 +137,8 @@
 	 */
 	public async sumMetric({ host }: PlatformRouterProcess, name: string, label = ''): Promise<number> {
 		const { text } = await getText(host, '/metrics');
-		const values = text.matchAll(new RegExp(`^${name}\\{.*${label}.*\\} (.+)$`, 'gm'));
+		const labels = label === '' ? '(?:\\{.*\\})?' : `\\{.*${label}.*\\}`;
+		const values = text.matchAll(new RegExp(`^${name}${labels} (.+)$`, 'gm'));
 		return [...values].reduce((sum, [, value]) => sum + Number(value), 0);
 	}
 
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -15,6 +15,8 @@
 const MINIMUM_FAULT_PAUSE_MS = 200;
 const FAULT_PAUSE_JITTER_MS = 900;
 const MAXIMUM_FAULT_MS = 1_500;
+/** Time within which the operator writes again what a restored store has lost. */
+const MAXIMUM_REWRITE_DELAY_MS = 2_000;
 const DOCUMENTS = 6;
 const SOCKETS_PER_ROUTER = 6;
 
@@ -115,10 +117,11 @@
 			engine.setFaults({});
 			engine.setNotices({});
 		});
-		this.platform.configure();
+		const version = this.platform.configure();
 		const violations: string[] = [];
 		try {
 			await pollUntil(RECOVERY_LIMIT_MS, 'all routers serve requests', () => this.checkAllServe());
+			await pollUntil(RECOVERY_LIMIT_MS, `version ${version} is in force`, () => this.checkVersion(version));
 		} catch (error) {
 			violations.push(String(error));
 		}
@@ -186,6 +189,13 @@
 				await sleep(faultMs);
 				this.platform.store.setFaults({ lose_answers: 0, delay_ms: 0 });
 			},
+			'store restored from an older copy': async () => {
+				const copy = this.platform.store.copy();
+				await sleep(faultMs);
+				this.platform.store.restore(copy);
+				await sleep(this.random() * MAXIMUM_REWRITE_DELAY_MS);
+				this.platform.configure();
+			},
 			'history dropped': () => {
 				this.platform.store.compact();
 				return Promise.resolve();
@@ -261,6 +271,16 @@
 		return true;
 	}
 
+	private async checkVersion(version: number): Promise<true | string> {
+		for (const router of this.fleet.startedRouters) {
+			const inForce = await this.fleet.sumMetric(router, 'masticloom_router_configuration_version');
+			if (inForce !== version) {
+				return `${router.name} has version ${inForce}`;
+			}
+		}
+		return true;
+	}
+
 	/** Compares the responses that callers received with the requests that servers ran. */
 	private findViolations(results: readonly CallResult[]): readonly string[] {
 		const executionCounts = new Map<string, number>();
