Compare registrations of a restored store by one question, for known and removed servers alike

The comparison told older from same, which no caller asks any more, and the directory had the same check twice. No behaviour changes; the tests are untouched. A variable of the backend client that was read once is gone.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -258,8 +258,7 @@
 			}
 			return;
 		}
-		const selfDelimited = isSelfDelimited(this.request.method, response);
-		if (!selfDelimited) {
+		if (!isSelfDelimited(this.request.method, response)) {
 			this.connectionEnd = 'failed';
 			// Node.js reports a reset that arrives with the last bytes as a regular end, but the socket then has no remote
 			// address.
--- a/src/engines/common/directory.ts
+++ b/src/engines/common/directory.ts
@@ -27,22 +27,15 @@
  *
  * @param registered entry in the store
  * @param known last registration that was in force
- * @returns whether the server wrote the entry before the known one, after it, or whether the two are the same; `newer` when
- * this cannot be told
+ * @returns whether the server wrote the entry after the known one; true when this cannot be told
  */
-export function compareRegistrations(
-	registered: RegisteredServer,
-	known: RegisteredServer,
-): 'older' | 'same' | 'newer' {
+export function isNewerRegistration(registered: RegisteredServer, known: RegisteredServer): boolean {
 	if (eraOf(registered.revision) <= eraOf(known.revision)) {
-		return 'newer';
+		return true;
 	}
 	const isSameIncarnation = registered.startedAt === known.startedAt;
 	const [time, knownTime] = isSameIncarnation
 		? [registered.reportNumber, known.reportNumber]
 		: [registered.startedAt, known.startedAt];
-	if (time === undefined || knownTime === undefined || time > knownTime) {
-		return 'newer';
-	}
-	return time < knownTime ? 'older' : 'same';
+	return time === undefined || knownTime === undefined || time > knownTime;
 }
--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -1,7 +1,7 @@
 import { Emitter } from '../../base/common/event.js';
 import { Disposable } from '../../base/common/lifecycle.js';
 import { REAPPEARANCE_PERIOD_MS } from '../../store/common/revisionedStore.js';
-import { compareRegistrations, type RegisteredServer } from './directory.js';
+import { isNewerRegistration, type RegisteredServer } from './directory.js';
 
 /**
  * Time for which a server that was removed is remembered, so that an entry of a restored store does not bring it back. A
@@ -141,20 +141,18 @@
 
 	private applyRegistration(server: RegisteredServer): DirectoryChange['change'] | undefined {
 		const before = this.known.get(server.id);
-		if (before === undefined) {
-			const removed = this.removed.get(server.id)?.server;
-			if (removed !== undefined && compareRegistrations(server, removed) !== 'newer') {
-				return undefined;
+		const last = before ?? this.removed.get(server.id);
+		if (last !== undefined && !isNewerRegistration(server, last.server)) {
+			if (before !== undefined) {
+				this.known.set(server.id, { server: before.server, missing: false });
 			}
+			return before?.missing === true ? 'returned' : undefined;
+		}
+		this.known.set(server.id, { server, missing: false });
+		if (before === undefined) {
 			this.removed.delete(server.id);
-			this.known.set(server.id, { server, missing: false });
 			return 'added';
 		}
-		if (compareRegistrations(server, before.server) !== 'newer') {
-			this.known.set(server.id, { server: before.server, missing: false });
-			return before.missing ? 'returned' : undefined;
-		}
-		this.known.set(server.id, { server, missing: false });
 		if (before.server.startedAt !== server.startedAt || before.server.address !== server.address) {
 			return 'restarted';
 		}
