Log the limit that a server names for the requests of all routers

The logs could not tell whether a limit had been received. Only answers that name the request and no other server count, as for notices. No decision uses it yet.

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -47,6 +47,14 @@
 	readonly unreadableTime: string | undefined;
 }
 
+/** How many requests a server accepts, according to the head of a response. */
+export interface RequestLimitNotice {
+	/** Requests per second from all routers together; undefined when the response names no limit. */
+	readonly requestsPerSecond: number | undefined;
+	/** Value of a limit that could not be parsed, for the log; the notice then says nothing about the limit. */
+	readonly unreadableLimit: string | undefined;
+}
+
 /**
  * How the connection of a response ended that has neither a length nor chunks, and so ends with its connection.
  *
@@ -60,6 +68,8 @@
 export interface IAttemptSink extends IResponseSink {
 	/** @param notice state reported by the server, passed before the rest of its response */
 	notice?(notice: ServerNotice): void;
+	/** @param notice limit that the response names or no longer names, passed before the rest of the response */
+	requestLimit?(notice: RequestLimitNotice): void;
 	/** Called before the first byte is sent to the backend server. From then on, the request may have run. */
 	sent(): void;
 	/**
@@ -119,6 +129,14 @@
 	 * @returns the notice; undefined when the response has none, or may come from another server
 	 */
 	readonly parseNotice: (request: BackendRequest, head: ResponseHead, unixMs: number) => ServerNotice | undefined;
+	/**
+	 * Extracts the limit that a server names for the requests of all routers together.
+	 *
+	 * @param request request that was sent
+	 * @param head status and headers of the response
+	 * @returns the limit or its absence; undefined when the response may come from another server
+	 */
+	readonly parseRequestLimit: (request: BackendRequest, head: ResponseHead) => RequestLimitNotice | undefined;
 	/**
 	 * Whether a response without a length is complete when its connection is closed without a reset and its server still
 	 * accepts connections.
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -46,6 +46,7 @@
 	},
 	requestIdentifierOf: () => undefined,
 	parseNotice: () => undefined,
+	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: false,
 };
 
@@ -248,6 +249,10 @@
 		if (notice !== undefined) {
 			this.sink.notice?.(notice);
 		}
+		const requestLimit = this.protocol.parseRequestLimit(this.request, received);
+		if (requestLimit !== undefined) {
+			this.sink.requestLimit?.(requestLimit);
+		}
 		if (refusal !== undefined) {
 			this.fail(refusal, `refused with status ${status}`);
 			if (match === 'unidentified') {
--- a/src/backends/test/closeDelimitedResponses.test.ts
+++ b/src/backends/test/closeDelimitedResponses.test.ts
@@ -10,6 +10,7 @@
 	classifyRefusal: () => undefined,
 	requestIdentifierOf: () => undefined,
 	parseNotice: () => undefined,
+	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: true,
 };
 
--- a/src/backends/test/endlessBytes.test.ts
+++ b/src/backends/test/endlessBytes.test.ts
@@ -10,6 +10,7 @@
 	classifyRefusal: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
 	requestIdentifierOf: () => undefined,
 	parseNotice: () => undefined,
+	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: true,
 };
 
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -10,6 +10,7 @@
 	requestIdentifierOf: ({ id }) => (typeof id === 'string' ? id : undefined),
 	parseNotice: (_request, { headers }) =>
 		headers.leaving === undefined ? undefined : { isLeaving: true, restMs: undefined, unreadableTime: undefined },
+	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: true,
 };
 
--- a/src/daemon/node/dispatchCounters.ts
+++ b/src/daemon/node/dispatchCounters.ts
@@ -46,6 +46,7 @@
 						findFault: () => sink.findFault?.(),
 						hasEndMarker: () => sink.hasEndMarker?.() === true,
 						notice: (notice) => sink.notice?.(notice),
+						requestLimit: (notice) => sink.requestLimit?.(notice),
 						sent: () => {
 							started = true;
 							this.addAttempt(server.id, 1, 1);
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -8,6 +8,7 @@
 	ConnectionEnd,
 	IAttemptSink,
 	IBackendClient,
+	RequestLimitNotice,
 	ServerNotice,
 } from '../../backends/common/backendClient.js';
 import type { IClock } from '../../base/common/clock.js';
@@ -387,6 +388,7 @@
 				this.context.crashes.recordSent(this.sharedParts);
 			},
 			notice: (notice) => this.recordNotice(server, notice),
+			requestLimit: (notice) => this.recordRequestLimit(server, notice),
 			head: (head) => {
 				state.failed = head.status >= MINIMUM_ERROR_STATUS;
 				if (this.response.hasHead) {
@@ -468,6 +470,16 @@
 		});
 	}
 
+	private recordRequestLimit({ id: server }: RegisteredServer, notice: RequestLimitNotice): void {
+		const { requestsPerSecond, unreadableLimit } = notice;
+		if (requestsPerSecond === undefined && unreadableLimit === undefined) {
+			return;
+		}
+		const { log, metrics } = this.context;
+		metrics.countServerNotice(this.request.routing.service, unreadableLimit === undefined ? 'limit' : 'unreadable');
+		log.write('server-limit', { id: this.request.fields.id, server, requestsPerSecond, unreadableLimit });
+	}
+
 	private forwardHead(head: ResponseHead): void {
 		this.status = head.status;
 		this.continuity.begin(head);
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -110,7 +110,7 @@
 	 * @param service of the server
 	 * @param kind of the notice
 	 */
-	public countServerNotice(service: string, kind: 'leaving' | 'rest' | 'unreadable'): void {
+	public countServerNotice(service: string, kind: 'leaving' | 'rest' | 'limit' | 'unreadable'): void {
 		this.notices.inc({ service, kind });
 	}
 
