--- a/standins/usersPlatform/noticeJudge.ts
+++ b/standins/usersPlatform/noticeJudge.ts
@@ -73,3 +73,66 @@
 		];
 	});
 }
+
+/** Window over which a limit is compared with the requests of all routers. */
+const LIMIT_WINDOW_MS = 4_000;
+
+/** A server may receive this many times its limit, and {@link LIMIT_SLACK} requests. */
+const LIMIT_TOLERANCE = 1.5;
+const LIMIT_SLACK = 5;
+
+/** Milliseconds after a response that names a limit from which on the requests of its router count. */
+const LIMIT_HEARD_MS = 500;
+
+/** What {@link findLimitViolations} compares. */
+export interface LimitCheckInput extends Pick<NoticeCheckInput, 'sentRequest' | 'wasInterrupted'> {
+	/** Requests that arrived at one engine, in the order of arrival. */
+	readonly arrivals: readonly RequestArrival[];
+	/** Milliseconds after the first response that names a limit from which on it applies. */
+	readonly contactMs: number;
+}
+
+/**
+ * Compares the limits that an engine has named with the requests that it received from the routers that had passed them on.
+ *
+ * @param input requests that arrived and were sent
+ * @returns messages for windows with more requests than the limits allow; empty if there are none
+ */
+export function findLimitViolations({
+	arrivals,
+	sentRequest,
+	wasInterrupted,
+	contactMs,
+}: LimitCheckInput): readonly string[] {
+	const heardAt = new Map<string, number>();
+	const limits: { readonly at: number; readonly requestsPerSecond: number }[] = [];
+	for (const { requestId, limitNamed } of arrivals) {
+		const router = sentRequest(requestId)?.router;
+		if (limitNamed !== undefined && router !== undefined) {
+			limits.push(limitNamed);
+			heardAt.set(router, Math.min(heardAt.get(router) ?? Infinity, limitNamed.at));
+		}
+	}
+	const firstNamedAt = Math.min(Infinity, ...limits.map(({ at }) => at));
+	const lastNamedAt = Math.max(-Infinity, ...limits.map(({ at }) => at));
+	const counted = arrivals
+		.filter(({ requestId, at }) => {
+			const router = sentRequest(requestId)?.router ?? '';
+			const heard = heardAt.get(router) ?? Infinity;
+			return at >= heard + LIMIT_HEARD_MS && !wasInterrupted(router, heard, at);
+		})
+		.map(({ at }) => at);
+	for (const from of counted.filter((at) => at >= firstNamedAt + contactMs && at + LIMIT_WINDOW_MS <= lastNamedAt)) {
+		const until = from + LIMIT_WINDOW_MS;
+		const inForce = limits.filter(({ at }) => at >= from - LIMIT_WINDOW_MS && at < until);
+		const requestsPerSecond = Math.max(...inForce.map((limit) => limit.requestsPerSecond));
+		const allowed = (requestsPerSecond * LIMIT_TOLERANCE * LIMIT_WINDOW_MS) / 1_000 + LIMIT_SLACK;
+		const received = counted.filter((at) => at >= from && at < until).length;
+		if (received > allowed) {
+			return [
+				`a server with a limit of ${requestsPerSecond} a second got ${received} requests in 4 s, allowed ${allowed}`,
+			];
+		}
+	}
+	return [];
+}
--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -44,6 +44,8 @@
 	readonly refusalRate?: number;
 	/** Seconds for which a router has to back off after a refused request. */
 	readonly retryAfterSeconds?: number;
+	/** Requests per second from all routers that it names as its limit in each response. */
+	readonly requestsPerSecond?: number;
 }
 
 /** A request that arrived, and what the server reported of itself in its response. */
@@ -56,6 +58,8 @@
 	leavingReportedAt: number | undefined;
 	/** Monotonic milliseconds until which the sender has to back off, as requested by a response at {@link at}. */
 	backoffUntil: number | undefined;
+	/** Limit that the response named, and monotonic milliseconds of the response. */
+	limitNamed: { readonly requestsPerSecond: number; readonly at: number } | undefined;
 }
 
 interface WaitingRequest {
@@ -142,6 +146,7 @@
 			at: performance.now(),
 			leavingReportedAt: undefined,
 			backoffUntil: undefined,
+			limitNamed: undefined,
 		};
 		const target = headerOf(request, 'x-target-instance');
 		if (target !== undefined && target !== this.options.id) {
@@ -150,13 +155,14 @@
 		}
 		this.arrivals.push(arrival);
 		if (this.waiting.length >= this.options.slots) {
-			sendJson(response, UNAVAILABLE, {}, { 'X-Not-Executed': '1' });
+			const notices = this.noticeHeaders(arrival);
+			sendJson(response, UNAVAILABLE, {}, { 'X-Not-Executed': '1', 'X-Request-Id': requestId, ...notices });
 			return;
 		}
 		const { refusalRate = 0, retryAfterSeconds = 0 } = this.notices;
 		if (refusalRate > 0 && this.random() < refusalRate) {
 			arrival.backoffUntil = performance.now() + retryAfterSeconds * MILLISECONDS_PER_SECOND;
-			const notices = { 'Retry-After': String(retryAfterSeconds), ...this.leavingHeader(arrival) };
+			const notices = { 'Retry-After': String(retryAfterSeconds), ...this.noticeHeaders(arrival) };
 			sendJson(response, UNAVAILABLE, {}, { 'X-Not-Executed': '1', 'X-Request-Id': requestId, ...notices });
 			return;
 		}
@@ -176,12 +182,18 @@
 		}
 	}
 
-	private leavingHeader(arrival: RequestArrival): http.OutgoingHttpHeaders {
-		if (this.notices.leaving !== true) {
-			return {};
+	private noticeHeaders(arrival: RequestArrival): http.OutgoingHttpHeaders {
+		const { leaving, requestsPerSecond } = this.notices;
+		const headers: http.OutgoingHttpHeaders = {};
+		if (leaving === true) {
+			arrival.leavingReportedAt = performance.now();
+			headers['Server-Leaving'] = '1';
+		}
+		if (requestsPerSecond !== undefined) {
+			arrival.limitNamed = { requestsPerSecond, at: performance.now() };
+			headers['Server-Limit'] = String(requestsPerSecond);
 		}
-		arrival.leavingReportedAt = performance.now();
-		return { 'Server-Leaving': '1' };
+		return headers;
 	}
 
 	private execute({ arrival, request, response, path }: WaitingRequest): void {
@@ -211,7 +223,7 @@
 		const headers = (): http.OutgoingHttpHeaders => ({
 			'X-Request-Id': requestId,
 			'X-Signature': signatureOf(requestId, path),
-			...this.leavingHeader(arrival),
+			...this.noticeHeaders(arrival),
 		});
 		if (this.random() < (this.faults.failureRate ?? 0)) {
 			sendJson(response, 500, {}, headers());
