Keep the limit that a server names for the requests of all routers together

Servers in need got up to twice what they had named, since no router read the limit. It is a limit for the sum over all routers, so it is kept where requests are counted: by the queue owner in a large fleet, by each router in a small one, which learns of all placements. A leaky bucket spaces the requests and makes up for one that was sent too early.

What goes past the count: requests to plain servers are announced in a small fleet while their server is limited; a reservation that its owner does not answer is not placed at a limited server; a router that does not hear others leaves them their part; a router that starts is told the limits with the first reply; a new owner knows them from the reports of the former one. A limit ends with a response without one to a request that was sent after the last that named it, or with the incarnation. One request in 5 s is sent however low it is, since only a response can end it. The used part counts as load, so that the fair level falls with the capacity; refusals for it have a reason of their own.

Ruled out: a part of the limit for each router (one request in minutes at 195 routers and 1 a second), and parts rounded up to one each.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -20,7 +20,7 @@
 }
 
 /** Why a request is refused. */
-export type RefusalReason = 'no-server' | 'over-share' | 'busy';
+export type RefusalReason = 'no-server' | 'server-limit' | 'over-share' | 'busy';
 
 /** The engine that gets a request, or the time after which the caller may retry. */
 export type AdmissionDecision =
@@ -106,7 +106,8 @@
 	const [preferred] = usable;
 	if (preferred === undefined) {
 		const retryMs = firstUsableMs(inputs) + inputs.retryJitter * RETRY_SPREAD_MS;
-		return { kind: 'refuse', reason: 'no-server', retryAfterMs: clampRetryMs(retryMs, inputs), limitMs: 0 };
+		const reason = inputs.options.some(({ isLimited }) => isLimited) ? 'server-limit' : 'no-server';
+		return { kind: 'refuse', reason, retryAfterMs: clampRetryMs(retryMs, inputs), limitMs: 0 };
 	}
 	const isOverShare = inputs.shareStatus.offeredShare > 1;
 	const limitMs = isOverShare ? overShareWaitLimitMs(inputs, preferred.readMs) : waitLimitMs(inputs, preferred.readMs);
--- a/src/engines/common/engineChoice.ts
+++ b/src/engines/common/engineChoice.ts
@@ -38,6 +38,8 @@
 	readonly cost: number;
 	/** Health of the engine based on recent requests. */
 	readonly health: EngineHealth;
+	/** Whether the engine is excluded now because of the limit that it names. */
+	readonly isLimited: boolean;
 }
 
 /** Limits that an engine must meet to be chosen for a request. */
@@ -128,7 +130,7 @@
  */
 export function evaluateCandidate(work: PromptWork, candidate: EngineCandidate): EngineOption {
 	const { server, view, workMs, cachedTokens, maximumCachedTokens } = candidate;
-	const { pace, inProgress, health, load } = view;
+	const { pace, inProgress, health, load, isLimited } = view;
 	const rereadTokens = Math.max(0, maximumCachedTokens - cachedTokens);
 	const waitMs = view.waitMs + slotWaitMs(candidate);
 	const readMs = workMs * pace;
@@ -145,7 +147,8 @@
 		(candidate.rank === 0 && maximumCachedTokens === 0 ? PREFERRED_GROUP_BONUS_MS : 0) -
 		(candidate.isSameDomain ? SAME_DOMAIN_BONUS_MS : 0) +
 		(candidate.isConnected ? 0 : NEW_CONNECTION_COST_MS);
-	return { server, waitMs, delayMs: view.delayMs, readMs, workMs, rereadTokens, inProgress, load, cost, health };
+	const { delayMs } = view;
+	return { server, waitMs, delayMs, readMs, workMs, rereadTokens, inProgress, load, cost, health, isLimited };
 }
 
 // An engine with a small batch can run out of slots long before its prefill queue is full.
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -15,6 +15,7 @@
 import { PrefixCacheIndex, type PromptPart } from './prefixCacheIndex.js';
 import { type IQueueOwnership, fullQueueOwnership } from './queueDivision.js';
 import { longestBurstMs, nominalTokens, prefillMs } from './prefillTime.js';
+import type { RequestLimitReport } from './requestLimit.js';
 import type { LeavingNotice } from './serverNotices.js';
 import type { ServerOutcome, ServerOutcomes } from './serverOutcomes.js';
 
@@ -57,6 +58,9 @@
 /** Slot occupancy time assumed for a plain request before the first observation. */
 const INITIAL_PLAIN_SLOT_TIME_MS = 50;
 
+/** Interval at which peers are told again of a limit that a server goes on naming, since a datagram may be lost. */
+const LIMIT_REPORT_INTERVAL_MS = 400;
+
 /** The state of an unregistered server is retained this long because its entry may reappear. */
 const UNREGISTERED_RETENTION_MS = 10_000;
 
@@ -80,6 +84,7 @@
 	private readonly endEmitter = Emitter.create<EndNotice>();
 	private readonly leavingEmitter = Emitter.create<string>();
 	private readonly leavingNoticeEmitter = Emitter.create<LeavingNotice>();
+	private readonly requestLimitEmitter = Emitter.create<RequestLimitReport>();
 	private byId = new Map<string, KnownServer>();
 	private byService = new Map<string, KnownServer[]>();
 	private idByKey = new Map<number, string>();
@@ -93,6 +98,8 @@
 	public readonly onDidDetectLeaving: Event<string> = this.leavingEmitter.event;
 	/** Fires when a response to this router first indicates that its server is leaving. */
 	public readonly onDidReceiveLeavingNotice: Event<LeavingNotice> = this.leavingNoticeEmitter.event;
+	/** Fires when responses to this router name a limit or end it, and at intervals while they name one. */
+	public readonly onDidReceiveRequestLimit: Event<RequestLimitReport> = this.requestLimitEmitter.event;
 
 	/** This router. */
 	private readonly localOrigin: RequestOrigin;
@@ -102,6 +109,7 @@
 		failureDomain: string,
 		private readonly queues: IQueueOwnership,
 		isConnectedTo: (server: RegisteredServer) => boolean,
+		private readonly heardFraction: () => number,
 	) {
 		this.localOrigin = { failureDomain, isConnectedTo: ({ server }) => isConnectedTo(server) };
 	}
@@ -111,6 +119,7 @@
 	 * @param failureDomain failure domain of this router
 	 * @param queues determines which servers' queues this router owns
 	 * @param isConnectedTo whether this router has an idle connection to a server
+	 * @param heardFraction returns the fraction of the routers whose placements this router learns of, from 0 to 1
 	 * @returns a fleet without servers
 	 */
 	public static create(
@@ -118,8 +127,9 @@
 		failureDomain: string,
 		queues: IQueueOwnership = fullQueueOwnership,
 		isConnectedTo: (server: RegisteredServer) => boolean = () => false,
+		heardFraction: () => number = () => 1,
 	): EngineFleet {
-		return new EngineFleet(router, failureDomain, queues, isConnectedTo);
+		return new EngineFleet(router, failureDomain, queues, isConnectedTo, heardFraction);
 	}
 
 	/**
@@ -149,7 +159,7 @@
 				this.prefixCache.discardEngine(server.id);
 			}
 			if (!this.states.has(server.id)) {
-				this.states.set(server.id, EngineState.create(server));
+				this.states.set(server.id, EngineState.create(server, this.heardFraction));
 			}
 			this.discardAt.delete(server.id);
 		}
@@ -235,6 +245,70 @@
 		this.states.get(server)?.cold.extend(remainingMs, requestsPerSecond, now);
 	}
 
+	/**
+	 * Records the limit that a response of a server names for the requests of all routers, or that it names none.
+	 *
+	 * @param report the server and its limit
+	 * @param sentAt monotonic milliseconds at which the request was sent
+	 * @param now monotonic milliseconds
+	 * @returns whether the limit has changed
+	 */
+	public recordRequestLimit(report: RequestLimitReport, sentAt: number, now: number): boolean {
+		const { server, startedAt, requestsPerSecond } = report;
+		const state = this.states.get(server);
+		if (state === undefined || !isSameIncarnation(state, startedAt)) {
+			return false;
+		}
+		const hasChanged =
+			requestsPerSecond === undefined ? state.limit.end(sentAt, now) : state.limit.apply(requestsPerSecond, now);
+		const isReportDue = requestsPerSecond !== undefined && now - state.limitReportedAt >= LIMIT_REPORT_INTERVAL_MS;
+		if (hasChanged || isReportDue) {
+			state.limitReportedAt = now;
+			this.requestLimitEmitter.fire({ server, startedAt: state.startedAt, requestsPerSecond });
+		}
+		return hasChanged;
+	}
+
+	/**
+	 * Applies the limit of a server that a peer has learned of.
+	 *
+	 * @param server short key of the server
+	 * @param report limit and incarnation of the server
+	 * @param now monotonic milliseconds
+	 */
+	public applyRequestLimit(server: number, report: Omit<RequestLimitReport, 'server'>, now: number): void {
+		const state = this.stateByKey(server);
+		if (state === undefined || !isSameIncarnation(state, report.startedAt)) {
+			return;
+		}
+		if (report.requestsPerSecond === undefined) {
+			state.limit.end(now, now);
+		} else {
+			state.limit.apply(report.requestsPerSecond, now);
+		}
+	}
+
+	/** Servers that name a limit for the requests of all routers. */
+	public get requestLimits(): readonly RequestLimitReport[] {
+		return [...this.states].flatMap(
+			([
+				server,
+				{
+					startedAt,
+					limit: { requestsPerSecond },
+				},
+			]) => (requestsPerSecond === undefined ? [] : [{ server, startedAt, requestsPerSecond }]),
+		);
+	}
+
+	/**
+	 * @param server identifier of a server
+	 * @returns whether the server names a limit for the requests of all routers
+	 */
+	public isRequestLimited(server: string): boolean {
+		return this.states.get(server)?.limit.requestsPerSecond !== undefined;
+	}
+
 	/**
 	 * Records that a server has asked this router to back off.
 	 *
@@ -303,7 +377,8 @@
 			state?.queue.place({ router: this.router, sequence }, now, workMs, reservation?.delayMs ?? option.delayMs);
 			this.prefixCache.record(id, parts, this.memoryTokens.get(option.server.service));
 		}
-		if (reservation?.confirmed !== true && (work.promptTokens > 0 || !this.queues.ownsQueueOf(id))) {
+		const isCounted = work.promptTokens > 0 || !this.queues.ownsQueueOf(id) || this.isRequestLimited(id);
+		if (reservation?.confirmed !== true && isCounted) {
 			this.placeEmitter.fire({ server: id, sequence, workMs, parts: shared, at: now });
 		}
 		return sequence;
@@ -463,7 +538,11 @@
 	 * @param reportedAt monotonic milliseconds at which the owner created the report
 	 */
 	public applyReport(server: number, report: EngineReport, reportedAt: number): void {
-		this.stateByKey(server)?.applyReport(report, reportedAt);
+		const state = this.stateByKey(server);
+		state?.applyReport(report, reportedAt);
+		if (!this.queues.ownsQueueOf(this.idByKey.get(server) ?? '')) {
+			state?.limit.applyReport(report.requestsPerSecond, reportedAt);
+		}
 	}
 
 	/**
--- a/src/engines/common/engineState.ts
+++ b/src/engines/common/engineState.ts
@@ -1,6 +1,7 @@
 import { ColdStart } from './coldStart.js';
 import type { RegisteredServer } from './directory.js';
 import { EngineQueue } from './engineQueue.js';
+import { RequestLimit } from './requestLimit.js';
 import { ServerNotices } from './serverNotices.js';
 import { type EngineHealth, ServerOutcomes } from './serverOutcomes.js';
 
@@ -18,6 +19,8 @@
 	readonly failureRate: number;
 	/** Milliseconds for which the server is excluded from placement. */
 	readonly suspendedMs: number;
+	/** Limit that the server names for the requests of all routers; undefined when it names none. */
+	readonly requestsPerSecond?: number | undefined;
 }
 
 /** A router's current estimate of a server's state. */
@@ -30,6 +33,8 @@
 	readonly load: number;
 	readonly inProgress: number;
 	readonly health: EngineHealth;
+	/** Whether the server is excluded now because of the limit that it names. */
+	readonly isLimited: boolean;
 }
 
 /** Prefill work of a prompt and the burst limit that applies to it. */
@@ -51,6 +56,9 @@
 /** Exclusion reported for a leaving engine; the queue owner renews it with each report. */
 const LEAVING_EXCLUSION_MS = 60_000;
 
+/** Exclusion of a limited server while its queue owner, which counts its requests, is not heard. */
+const UNCOUNTED_EXCLUSION_MS = 500;
+
 interface ReceivedReport extends EngineReport {
 	readonly receivedAt: number;
 }
@@ -61,20 +69,29 @@
 	public readonly outcomes = ServerOutcomes.create();
 	public readonly notices = ServerNotices.create();
 	public readonly cold = ColdStart.create();
+	public readonly limit: RequestLimit;
+	/** Monotonic milliseconds at which peers were last told of the limit. */
+	public limitReportedAt = -Infinity;
 	private ownRequests = 0;
 	private readonly peers = new Map<string, number>();
 	/** Cached sum of {@link peers}, which is read several times per request. */
 	private peersInProgress = 0;
 	private report: ReceivedReport | undefined;
 
-	private constructor(public readonly startedAt: number | undefined) {}
+	private constructor(
+		public readonly startedAt: number | undefined,
+		heardFraction: () => number,
+	) {
+		this.limit = RequestLimit.create(heardFraction);
+	}
 
 	/**
 	 * @param server registration of the server
+	 * @param heardFraction returns the fraction of the routers whose requests are known here
 	 * @returns the initial state, without requests or reports
 	 */
-	public static create(server: RegisteredServer): EngineState {
-		return new EngineState(server.startedAt);
+	public static create(server: RegisteredServer, heardFraction: () => number = () => 1): EngineState {
+		return new EngineState(server.startedAt, heardFraction);
 	}
 
 	/** Requests in progress from this router. */
@@ -95,8 +112,10 @@
 		const report = ownsQueue ? undefined : this.validReport(now);
 		if (report === undefined) {
 			const { delayMs, waitMs } = this.queue.planSend(now, prompt.workMs, prompt.longestBurstMs * this.queue.pace);
+			const limitedMs = this.limitedMs(ownsQueue, now);
 			const unusableMs = Math.max(
 				health.unusableMs,
+				limitedMs,
 				this.cold.blockedMs(now),
 				ownsQueue && this.queue.isStalled(now) ? STALL_EXCLUSION_MS : 0,
 				this.notices.isLeaving ? Infinity : 0,
@@ -105,9 +124,10 @@
 				delayMs,
 				waitMs,
 				pace: this.queue.pace,
-				load: this.queue.load(now),
+				load: Math.max(this.queue.load(now), this.limit.load(now)),
 				inProgress: this.ownRequests + (ownsQueue ? this.peersInProgress : 0),
 				health: { failureRate: health.failureRate, usable: unusableMs === 0, unusableMs },
+				isLimited: limitedMs > 0,
 			};
 		}
 		const ageMs = now - report.receivedAt;
@@ -123,6 +143,7 @@
 				failureRate: Math.max(health.failureRate, report.failureRate),
 				unusableMs: Math.max(0, unusableMs),
 			},
+			isLimited: report.requestsPerSecond !== undefined && report.suspendedMs > ageMs,
 		};
 	}
 
@@ -139,6 +160,7 @@
 			inProgress,
 			failureRate: health.failureRate,
 			suspendedMs: Math.min(LEAVING_EXCLUSION_MS, health.unusableMs),
+			requestsPerSecond: this.limit.requestsPerSecond,
 		};
 	}
 
@@ -164,6 +186,7 @@
 	public addOwnRequest(workMs: number, isReported: boolean, now: number): void {
 		this.ownRequests++;
 		this.cold.recordRequest(now);
+		this.limit.recordRequest(now);
 		const report = this.validReport(now);
 		if (report !== undefined && !isReported) {
 			const waitMs = Math.max(0, report.waitMs - (now - report.receivedAt)) + workMs * report.pace;
@@ -187,6 +210,7 @@
 	 */
 	public addPeerRequest(router: string, now: number): void {
 		this.cold.recordRequest(now);
+		this.limit.recordRequest(now);
 		this.setPeerRequests(router, (this.peers.get(router) ?? 0) + 1);
 	}
 
@@ -216,6 +240,13 @@
 		this.setPeerRequests(router, 0);
 	}
 
+	private limitedMs(ownsQueue: boolean, now: number): number {
+		if (ownsQueue) {
+			return this.limit.blockedMs(now);
+		}
+		return this.limit.requestsPerSecond === undefined ? 0 : UNCOUNTED_EXCLUSION_MS;
+	}
+
 	private validReport(now: number): ReceivedReport | undefined {
 		const { report } = this;
 		return report !== undefined && now - report.receivedAt <= REPORT_VALID_MS ? report : undefined;
--- a/src/engines/test/engineFixture.ts
+++ b/src/engines/test/engineFixture.ts
@@ -41,6 +41,7 @@
 		load: 0.3,
 		cost: 0,
 		health: { usable: true, failureRate: 0, unusableMs: 0 },
+		isLimited: false,
 		...overrides,
 	};
 }
--- a/src/fleet/common/fleetMessages.ts
+++ b/src/fleet/common/fleetMessages.ts
@@ -96,6 +96,7 @@
 		failureRate: report.failureRate,
 		suspendedMs: Math.round(report.suspendedMs),
 		ageMs: Math.max(0, Math.round(ageMs)),
+		requestsPerSecond: report.requestsPerSecond,
 	};
 }
 
@@ -112,9 +113,10 @@
  * @param state a received datagram
  * @returns whether the floating-point numbers of its reports and usage are finite and not negative
  */
-export function hasValidNumbers({ reports, usage, usageSum }: wire.RouterState): boolean {
+export function hasValidNumbers({ reports, usage, usageSum, outcomes }: wire.RouterState): boolean {
 	const numbers = [
 		...reports.flatMap(({ pace, load, failureRate }) => [pace, load, failureRate]),
+		...[...reports, ...outcomes].map(({ requestsPerSecond = 0 }) => requestsPerSecond),
 		...[...usage, ...(usageSum?.usage ?? [])].flatMap(({ offered, admitted }) => [offered, admitted]),
 	];
 	return numbers.every((number) => Number.isFinite(number) && number >= 0);
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -8,6 +8,7 @@
 	ReservationRequest,
 } from '../../engines/common/placementMessages.js';
 import type { EngineReport } from '../../engines/common/engineState.js';
+import type { RequestLimitReport } from '../../engines/common/requestLimit.js';
 import type { LeavingNotice } from '../../engines/common/serverNotices.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import { encodeReport } from './fleetMessages.js';
@@ -97,13 +98,25 @@
 				engine: shortKey(server),
 				outcome: OUTCOMES.get(outcome) ?? wire.Outcome.OUTCOME_UNSPECIFIED,
 				startedAt: 0,
+				requestsPerSecond: 0,
 			});
 		}
 	}
 
 	/** @param notice a server that has reported that it is leaving */
 	public addLeaving({ server, startedAt = 0 }: LeavingNotice): void {
-		this.outcomes.push({ engine: shortKey(server), outcome: wire.Outcome.OUTCOME_LEAVING, startedAt });
+		this.outcomes.push({
+			engine: shortKey(server),
+			outcome: wire.Outcome.OUTCOME_LEAVING,
+			startedAt,
+			requestsPerSecond: 0,
+		});
+	}
+
+	/** @param report limit that a server has named or no longer names */
+	public addRequestLimit({ server, startedAt = 0, requestsPerSecond }: RequestLimitReport): void {
+		const outcome = requestsPerSecond === undefined ? wire.Outcome.OUTCOME_UNLIMITED : wire.Outcome.OUTCOME_LIMITED;
+		this.outcomes.push({ engine: shortKey(server), outcome, startedAt, requestsPerSecond: requestsPerSecond ?? 0 });
 	}
 
 	/** @param notice a request that is suspected of crashing servers */
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -109,6 +109,11 @@
 				this.notifyQueueOwner(notice.server, (outbox) => outbox.addLeaving(notice)),
 			),
 		);
+		this.register(
+			engines.onDidReceiveRequestLimit((report) =>
+				this.notifyQueueOwner(report.server, (outbox) => outbox.addRequestLimit(report)),
+			),
+		);
 		this.crashNotices = this.register(
 			CrashNotices.create({
 				suspects: state.suspects,
@@ -157,6 +162,12 @@
 		return 1 + this.peers.filter(isServing).length;
 	}
 
+	/** Fraction of the routers that serve, as far as known, from which this router receives datagrams, from 0 to 1. */
+	public get heardFraction(): number {
+		const staying = this.peers.filter(({ leaving }) => !leaving);
+		return (1 + staying.filter(({ lost }) => !lost).length) / (1 + staying.length);
+	}
+
 	/**
 	 * Monotonic milliseconds since which some router has been reading the server registrations; undefined while none
 	 * can.
@@ -433,10 +444,15 @@
 
 	/**
 	 * Sends a router of a small fleet that has just started what it needs to place prompts: the queued prompts of this
-	 * router and the cached parts of all engines.
+	 * router, the cached parts of all engines and the limits that servers name.
 	 */
 	private sendEngineState(instance: string, now: number): void {
 		const { engines } = this.state;
+		const limits = FleetOutbox.create(() => undefined);
+		engines.requestLimits.forEach((report) => limits.addRequestLimit(report));
+		if (limits.hasEvents) {
+			this.sendTo([instance], this.writer.write({}, limits));
+		}
 		const notices = [...engines.pendingPlacements(), ...engines.cacheNotices(now)];
 		for (let start = 0; start < notices.length; start += STATE_NOTICES_PER_DATAGRAM) {
 			const outbox = FleetOutbox.create(() => undefined);
--- a/src/fleet/node/peerStateApplier.ts
+++ b/src/fleet/node/peerStateApplier.ts
@@ -48,10 +48,15 @@
 				this.reports.add({ engine, report, reportedAt, isSameDomain });
 			}
 		}
-		for (const { engine, outcome, startedAt } of datagram.outcomes) {
+		for (const { engine, outcome, startedAt: startedAtMs, requestsPerSecond } of datagram.outcomes) {
 			const decoded = decodeOutcome(outcome);
+			const startedAt = startedAtMs === 0 ? undefined : startedAtMs;
 			if (outcome === Outcome.OUTCOME_LEAVING) {
-				engines.applyLeaving(engine, startedAt === 0 ? undefined : startedAt);
+				engines.applyLeaving(engine, startedAt);
+			} else if (outcome === Outcome.OUTCOME_LIMITED) {
+				engines.applyRequestLimit(engine, { startedAt, requestsPerSecond }, now);
+			} else if (outcome === Outcome.OUTCOME_UNLIMITED) {
+				engines.applyRequestLimit(engine, { startedAt, requestsPerSecond: undefined }, now);
 			} else if (decoded !== undefined) {
 				engines.applyOutcome(engine, decoded, now);
 			}
--- a/src/fleet/node/queueReservations.ts
+++ b/src/fleet/node/queueReservations.ts
@@ -87,7 +87,8 @@
 				this.pending.delete(sequence);
 				const waitedMs = Math.round(this.clock.now() - requestedAt);
 				this.log.write('reservation-unanswered', { keeper, server, sequence, waitedMs });
-				resume(Effect.succeed(unconfirmed));
+				// Only the queue owner counts the requests of a limited server.
+				resume(Effect.succeed(this.engines.isRequestLimited(server) ? { kind: 'declined' } : unconfirmed));
 			}, this.timeoutMs);
 			this.pending.set(sequence, (chosen, { waitMs, delayMs, workMs, overShare }) => {
 				clearTimeout(timer);
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -380,15 +380,17 @@
 		const state = {
 			hadFirstEvent: request.engine === undefined,
 			failed: false,
+			sentAt: now,
 			resumptionFault: undefined as string | undefined,
 		};
 		const sink: IAttemptSink = {
 			sent: () => {
 				this.inProgress = true;
+				state.sentAt = clock.now();
 				this.context.crashes.recordSent(this.sharedParts);
 			},
 			notice: (notice) => this.recordNotice(server, notice),
-			requestLimit: (notice) => this.recordRequestLimit(server, notice),
+			requestLimit: (notice) => this.recordRequestLimit(server, notice, state.sentAt),
 			head: (head) => {
 				state.failed = head.status >= MINIMUM_ERROR_STATUS;
 				if (this.response.hasHead) {
@@ -470,14 +472,25 @@
 		});
 	}
 
-	private recordRequestLimit({ id: server }: RegisteredServer, notice: RequestLimitNotice): void {
-		const { requestsPerSecond, unreadableLimit } = notice;
-		if (requestsPerSecond === undefined && unreadableLimit === undefined) {
+	private recordRequestLimit(
+		{ id: server, startedAt }: RegisteredServer,
+		{ requestsPerSecond, unreadableLimit }: RequestLimitNotice,
+		sentAt: number,
+	): void {
+		const { fleet, clock, log, metrics } = this.context;
+		const { service } = this.request.routing;
+		const { id } = this.request.fields;
+		if (unreadableLimit !== undefined) {
+			metrics.countServerNotice(service, 'unreadable');
+			log.write('server-limit', { id, server, unreadableLimit });
 			return;
 		}
-		const { log, metrics } = this.context;
-		metrics.countServerNotice(this.request.routing.service, unreadableLimit === undefined ? 'limit' : 'unreadable');
-		log.write('server-limit', { id: this.request.fields.id, server, requestsPerSecond, unreadableLimit });
+		if (requestsPerSecond !== undefined) {
+			metrics.countServerNotice(service, 'limit');
+		}
+		if (fleet.recordRequestLimit({ server, startedAt, requestsPerSecond }, sentAt, clock.now())) {
+			log.write('server-limit', { id, server, requestsPerSecond, isLimited: requestsPerSecond !== undefined });
+		}
 	}
 
 	private forwardHead(head: ResponseHead): void {
--- a/src/shares/common/capacityEstimator.ts
+++ b/src/shares/common/capacityEstimator.ts
@@ -3,7 +3,7 @@
  * processed with it, so streams end within their deadline only on engines with prefill for less than two thirds of the
  * time.
  */
-const TARGET_LOAD = 0.65;
+export const TARGET_LOAD = 0.65;
 
 /** At a lower load, the admitted work says little about the capacity of the engines. */
 const MINIMUM_OBSERVED_LOAD = 0.15;
