--- a/src/engines/common/directory.ts
+++ b/src/engines/common/directory.ts
@@ -7,6 +7,8 @@
 	/** Address in the form `ip:port`. */
 	readonly address: string;
 	readonly failureDomain: string;
+	/** Version of the server's software; undefined when the registration has none. */
+	readonly softwareVersion: string | undefined;
 	/** Maximum number of requests that the server runs concurrently. */
 	readonly slots: number;
 	/** Whether the server is shutting down and accepts no new requests. */
--- a/src/engines/test/engineFixture.ts
+++ b/src/engines/test/engineFixture.ts
@@ -15,6 +15,7 @@
 		service: SERVICE,
 		address: '10.0.0.1:80',
 		failureDomain: 'a',
+		softwareVersion: 'v1',
 		slots: 64,
 		leaving: false,
 		startedAt: 1,
--- a/src/engines/test/serverDirectory.test.ts
+++ b/src/engines/test/serverDirectory.test.ts
@@ -9,6 +9,7 @@
 		service: 'drafts',
 		address: '10.0.0.1:80',
 		failureDomain: 'a',
+		softwareVersion: 'v1',
 		slots: 8,
 		leaving: false,
 		startedAt: 1,
--- a/src/gateway/common/ingress.ts
+++ b/src/gateway/common/ingress.ts
@@ -1,6 +1,14 @@
 import type { HeaderFields } from '../../base/common/headerFields.js';
 import type { PromptPart } from '../../engines/common/prefixCacheIndex.js';
 
+/** Stream that a caller takes up again after it was broken off. */
+export interface StreamResumption {
+	/** Identifier of the attempt that brought the first event of the stream; undefined when the caller names none. */
+	readonly firstAttempt: string | undefined;
+	/** Identifier of the last event that the caller has received; undefined when absent. */
+	readonly lastEventId: string | undefined;
+}
+
 /** Properties of a request, decoded from the caller's headers. */
 export interface IngressFields {
 	/** Request identifier set by the caller; empty when absent. */
@@ -14,6 +22,8 @@
 	readonly maximumOutputTokens: number;
 	/** The caller's estimate of the output, in tokens; undefined when absent. */
 	readonly expectedOutputTokens: number | undefined;
+	/** Stream of an earlier attempt that the request continues; undefined for a request that begins anew. */
+	readonly resumption: StreamResumption | undefined;
 }
 
 /** Values for the headers of a request to a backend server. */
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -24,7 +24,7 @@
 import { FleetShares } from '../../shares/common/fleetShares.js';
 import { CrashDetector } from '../common/crashDetector.js';
 import type { HeaderFields } from '../../base/common/headerFields.js';
-import type { IHeaderCodec } from '../common/ingress.js';
+import type { IHeaderCodec, StreamResumption } from '../common/ingress.js';
 import { type Neighbour, NeighbourSelector } from '../common/neighbourSelector.js';
 import { FleetRetryBudget } from '../common/fleetRetryBudget.js';
 import { GatewayMetrics } from '../node/gatewayMetrics.js';
@@ -136,6 +136,11 @@
 	return typeof header === 'string' ? header.split(',').map((name) => ({ key: shortKey(name), tokens: 100 })) : [];
 }
 
+function decodeResumption(headers: HeaderFields): StreamResumption | undefined {
+	const { resumes, 'resume-after': lastEventId } = headers;
+	return typeof resumes === 'string' ? { firstAttempt: resumes, lastEventId: String(lastEventId) } : undefined;
+}
+
 /** Header codec for tests; the platform defines its own. */
 export const testCodec: IHeaderCodec = {
 	requestIdHeader: 'request-id',
@@ -148,6 +153,7 @@
 		promptTokens: Number(headers['prompt-tokens'] ?? 0),
 		maximumOutputTokens: 100,
 		expectedOutputTokens: undefined,
+		resumption: decodeResumption(headers),
 	}),
 	encode: (headers, egress) => ({
 		'request-id': String(headers['request-id'] ?? ''),
