--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -25,6 +25,10 @@
 	readonly path: string;
 	/** Number of the first event; greater than 1 if the stream was resumed. */
 	readonly firstEvent: number;
+	/** Attempt that began the stream, as named by a request that takes it up; otherwise the request itself. */
+	readonly firstAttempt: string;
+	/** Version of the server's software. */
+	readonly softwareVersion: string;
 	end: 'running' | 'whole' | 'cancelled' | 'crashed' | 'answer-lost';
 }
 
@@ -81,6 +85,8 @@
 	private faults: SimulatedFaults = {};
 	private notices: SimulatedNotices = {};
 	private incarnation = 1;
+	/** Version of the software, as in the registration. */
+	public softwareVersion = 'v1';
 
 	private constructor(
 		public readonly options: PlatformServerOptions,
@@ -203,6 +209,8 @@
 			requestId,
 			path,
 			firstEvent,
+			firstAttempt: headerOf(request, 'resumes') ?? requestId,
+			softwareVersion: this.softwareVersion,
 			account: headerOf(request, 'x-tenant'),
 			end: 'running',
 		};
--- a/standins/usersPlatform/usersPlatform.ts
+++ b/standins/usersPlatform/usersPlatform.ts
@@ -153,6 +153,19 @@
 		}
 	}
 
+	/**
+	 * Sets the software version that servers register with and serve.
+	 *
+	 * @param softwareVersion version
+	 * @param ids of the servers
+	 */
+	public setVersion(softwareVersion: string, ids: readonly string[]): void {
+		this.engines
+			.filter(({ options }) => ids.includes(options.id))
+			.forEach((engine) => (engine.softwareVersion = softwareVersion));
+		this.register();
+	}
+
 	/**
 	 * Replaces a server by a new incarnation, which registers at the same address.
 	 *
@@ -186,7 +199,7 @@
 				service: engine.options.tokensPerMs === undefined ? PLAIN_SERVICE : MODEL_SERVICE,
 				address,
 				zone: DOMAINS[index++ % DOMAINS.length],
-				version: 'v1',
+				version: engine.softwareVersion,
 				slots: engine.options.slots,
 				state,
 				seq: this.sequence,
--- a/tools/platformFleet/caller.ts
+++ b/tools/platformFleet/caller.ts
@@ -15,6 +15,8 @@
 	/** What is wrong with a complete response with status 200; undefined when nothing is wrong. */
 	readonly fault: string | undefined;
 	readonly totalMs: number;
+	/** Number of the last event of a stream that was received; 0 when there was none. */
+	readonly lastEvent: number;
 	/** Time to the first bytes of the body in milliseconds; undefined when there were none. */
 	readonly firstBytesMs: number | undefined;
 }
@@ -38,6 +40,8 @@
 	/** Agent whose connections are reused; without it the request opens its own connection. */
 	readonly agent?: http.Agent;
 	readonly path?: string;
+	/** Stream of an earlier attempt that the request takes up. */
+	readonly resumption?: { readonly firstAttempt: string; readonly lastEvent: number };
 }
 
 const DOCUMENT_TOKENS = 2_000;
@@ -69,6 +73,12 @@
 		headers['x-token-usage'] = `${DOCUMENT_TOKENS + ownTokens},${outputTokens}`;
 		headers['x-prefix-hash'] = `d${options.document ?? 0}:${DOCUMENT_TOKENS},${id}:${ownTokens}`;
 	}
+	const { resumption } = options;
+	if (resumption !== undefined) {
+		headers.resumes = resumption.firstAttempt;
+		headers['last-event-id'] = String(resumption.lastEvent);
+	}
+	const firstEvent = (resumption?.lastEvent ?? 0) + 1;
 	return new Promise((resolve) => {
 		let body = '';
 		let firstBytesMs: number | undefined;
@@ -83,6 +93,7 @@
 				status,
 				whole,
 				firstBytesMs,
+				lastEvent: eventNumbers(body).at(-1) ?? 0,
 				retryAfterSeconds: retryAfter === undefined ? undefined : Number(retryAfter),
 				fault:
 					status === 200 && whole
@@ -90,7 +101,7 @@
 								id,
 								path,
 								signature,
-								isStream ? { body, events: Math.ceil(outputTokens / TOKENS_PER_EVENT) } : undefined,
+								isStream ? { body, firstEvent, lastEvent: Math.ceil(outputTokens / TOKENS_PER_EVENT) } : undefined,
 							)
 						: undefined,
 				totalMs: performance.now() - startedAt,
@@ -122,7 +133,7 @@
 	id: string,
 	path: string,
 	signature: string | readonly string[] | undefined,
-	stream: { readonly body: string; readonly events: number } | undefined,
+	stream: { readonly body: string; readonly firstEvent: number; readonly lastEvent: number } | undefined,
 ): string | undefined {
 	if (signature !== signatureOf(id, path)) {
 		return 'the signature belongs to another request';
@@ -130,7 +141,14 @@
 	if (stream === undefined) {
 		return undefined;
 	}
-	const numbers = [...stream.body.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number));
-	const isComplete = numbers.length === stream.events && numbers.every((number, index) => number === index + 1);
-	return isComplete ? undefined : `events ${numbers.join(',')} of ${stream.events}`;
+	const { firstEvent, lastEvent } = stream;
+	const numbers = eventNumbers(stream.body);
+	const isComplete =
+		numbers.length === lastEvent - firstEvent + 1 && numbers.every((number, index) => number === firstEvent + index);
+	return isComplete ? undefined : `events ${numbers.join(',')} of ${firstEvent} to ${lastEvent}`;
+}
+
+/** Numbers of the events that have been received completely. */
+function eventNumbers(body: string): readonly number[] {
+	return [...body.matchAll(/^id: (\d+)\n.*\n\n/gm)].map(([, number]) => Number(number));
 }
