Let streams go on only at the software version that began them

Callers got answers joined from two versions: a router resumed a broken stream at any engine, and a stream that its caller took up again was placed like a new request, at any router and after any loss. Nothing knew a version.

The version at which the first event came now belongs to the request. Further attempts are offered engines of that version alone, also by queue owners, and the answer is broken off when there is none. For take-ups, routers keep which version began a stream: nothing while a service has had one version for as long as a stream lasts, which a history in the store shows; records in the store four times a second while there are several. A version that is not known is never guessed; the request is refused at once as not run. A request that goes on with a stream waits for longer than a new one and may overdraw its account's credit by 0.8 s, since its work was admitted when it began. A registration with another version is another incarnation.

Ruled out: a version that follows from the request's identifier (all streams uncertain when all engines are replaced at once), first events held until their record is safe (delays all while the store is away), datagrams (lost with all routers).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 const LAYERS = [
 	['base'],
 	['settings', 'store', 'peers', 'routing', 'shares'],
-	['configuration', 'membership', 'idempotency', 'engines'],
+	['configuration', 'membership', 'idempotency', 'engines', 'streams'],
 	['backends', 'scheduling', 'admission'],
 	['dispatch', 'fleet'],
 	['callers'],
--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -15,6 +15,8 @@
 	readonly aimLeftMs: number;
 	/** Milliseconds until the caller's deadline. */
 	readonly deadlineLeftMs: number;
+	/** Whether the request goes on with a stream, whose work was admitted when it began. */
+	readonly isContinuation?: boolean;
 	/** Jitter from 0 to 1 that keeps callers from retrying at the same time. */
 	readonly retryJitter: number;
 }
@@ -41,6 +43,12 @@
 /** Wait accepted for prompts whose prefill takes most of the target, as a fraction of it, so that these are served. */
 const LARGE_PROMPT_WAIT_FRACTION = 0.3;
 
+/**
+ * Wait accepted for a stream that goes on, as a fraction of the target. Its caller gives it up after a pause of several
+ * targets, and what it has received would be lost.
+ */
+const CONTINUATION_WAIT_FRACTION = 1.5;
+
 /** Wait accepted for responses that can only be late, as a fraction of the target. */
 const LATE_WAIT_FRACTION = 0.25;
 
@@ -109,7 +117,7 @@
 		const reason = inputs.options.some(({ isLimited }) => isLimited) ? 'server-limit' : 'no-server';
 		return { kind: 'refuse', reason, retryAfterMs: clampRetryMs(retryMs, inputs), limitMs: 0 };
 	}
-	const isOverShare = inputs.shareStatus.offeredShare > 1;
+	const isOverShare = inputs.isContinuation !== true && inputs.shareStatus.offeredShare > 1;
 	const limitMs = isOverShare ? overShareWaitLimitMs(inputs, preferred.readMs) : waitLimitMs(inputs, preferred.readMs);
 	const maximumRereadTokens = isOverShare ? OVER_SHARE_REREAD_TOKENS : Infinity;
 	const limits: PlacementLimits = { limitMs, maximumLoad: 1, maximumRereadTokens };
@@ -144,6 +152,9 @@
 
 function waitLimitMs(inputs: AdmissionInputs, prefillMs: number): number {
 	const { aimMs, aimLeftMs } = inputs;
+	if (inputs.isContinuation === true) {
+		return aimMs * CONTINUATION_WAIT_FRACTION;
+	}
 	const remainingMs = aimLeftMs - prefillMs - FIRST_EVENT_OVERHEAD_MS;
 	return aimLeftMs <= FIRST_EVENT_OVERHEAD_MS
 		? aimMs * LATE_WAIT_FRACTION
--- a/src/engines/common/serverDirectory.ts
+++ b/src/engines/common/serverDirectory.ts
@@ -57,6 +57,11 @@
 		return new ServerDirectory(contactSince);
 	}
 
+	/** All known servers, including those that are leaving and those whose entries are missing for a while. */
+	public get all(): readonly RegisteredServer[] {
+		return [...this.known.values()].map(({ server }) => server);
+	}
+
 	/** Servers that may receive new requests. */
 	public get usable(): readonly RegisteredServer[] {
 		return [...this.known.values()]
@@ -153,7 +158,7 @@
 			this.removed.delete(server.id);
 			return 'added';
 		}
-		if (before.server.startedAt !== server.startedAt || before.server.address !== server.address) {
+		if (isOtherIncarnation(server, before.server)) {
 			return 'restarted';
 		}
 		if (server.leaving && !before.server.leaving) {
@@ -165,3 +170,10 @@
 		return server.coldLeftMs > 0 && server.revision !== before.server.revision ? 'cold' : undefined;
 	}
 }
+
+/** Some registrations have no start time, so the address and the version of the software are compared too. */
+function isOtherIncarnation(one: RegisteredServer, other: RegisteredServer): boolean {
+	return (
+		one.startedAt !== other.startedAt || one.address !== other.address || one.softwareVersion !== other.softwareVersion
+	);
+}
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -22,6 +22,7 @@
 import type { Reservation } from '../../engines/common/placementMessages.js';
 import type { IQueueReservations, ReservationResult } from '../../engines/common/queueReservations.js';
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
+import type { IStreamVersions, StreamIdentity } from '../../streams/common/streamVersions.js';
 import type { FleetShares, ShareStatus } from '../../shares/common/fleetShares.js';
 import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
 import type { CrashDetector } from '../common/crashDetector.js';
@@ -43,6 +44,7 @@
 	readonly client: IBackendClient;
 	readonly codec: IHeaderCodec;
 	readonly retryBudget: FleetRetryBudget;
+	readonly streamVersions: IStreamVersions;
 	readonly crashes: CrashDetector;
 	readonly log: IDecisionLog;
 	readonly metrics: GatewayMetrics;
@@ -60,6 +62,9 @@
 /** Maximum number of declined reservations for one request; if so many servers are full, the next one most likely is too. */
 const MAXIMUM_DECLINED = 5;
 
+/** Retry delay when the version of a stream is not known and will not be, as a fraction of the caller's deadline. */
+const UNKNOWN_VERSION_RETRY_FRACTION = 0.33;
+
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 const BAD_GATEWAY = 502;
@@ -95,6 +100,8 @@
 	private predictedMs: number | undefined;
 	private lastBytesAt = 0;
 	private longestPauseMs = 0;
+	/** Software version at which the stream has begun, and must go on; undefined while it has not. */
+	private begunAt: { readonly version: string | undefined } | undefined;
 	/** Progress of the current attempt. */
 	private progress = this.startProgress();
 	private status = 0;
@@ -173,6 +180,9 @@
 		const self = this;
 		return Effect.gen(function* () {
 			self.countRequest();
+			if (!(yield* self.findBegunVersion())) {
+				return;
+			}
 			for (;;) {
 				if (self.isQuarantined() || self.isTooLate()) {
 					return;
@@ -200,6 +210,39 @@
 		});
 	}
 
+	/** Finds the version of the stream that the request takes up; refuses the request when it is not known. */
+	private findBegunVersion(): Effect.Effect<boolean> {
+		const { fields, routing } = this.request;
+		if (fields.resumption === undefined || !routing.route.resumable) {
+			return Effect.succeed(true);
+		}
+		const { streamVersions, log, metrics } = this.context;
+		const stream = this.streamOf(fields.resumption.firstAttempt);
+		return Effect.map(streamVersions.findOrigin(routing.service, stream), (origin) => {
+			const source = origin.kind === 'known' ? origin.source : 'unknown';
+			const version = origin.kind === 'known' ? origin.version : undefined;
+			metrics.countResumption(routing.service, source);
+			log.write('stream-taken-up', { id: fields.id, resumes: stream.attempt, source, version });
+			if (origin.kind === 'known') {
+				this.begunAt = { version: origin.version };
+				return true;
+			}
+			const deadlineMs = fields.deadlineMs ?? routing.route.timeoutMs;
+			const retryAfterMs = origin.isTemporary ? NOT_RUN_RETRY_MS : deadlineMs * UNKNOWN_VERSION_RETRY_FRACTION;
+			this.sendFailure('unknown-stream-version', BAD_GATEWAY, retryAfterMs);
+			return false;
+		});
+	}
+
+	private streamOf(attempt: string | undefined): StreamIdentity {
+		return { account: this.request.routing.account?.name ?? '', attempt };
+	}
+
+	/** Whether the request goes on with a stream, whose work was admitted when it began. */
+	private get isContinuation(): boolean {
+		return this.begunAt !== undefined;
+	}
+
 	/** Whether what has become known since the server was chosen still allows the request to be sent to it. */
 	private maySendTo(server: string): boolean {
 		const { fleet, clock, crashes } = this.context;
@@ -260,6 +303,7 @@
 					options,
 					declinedBy,
 					shareStatus,
+					isContinuation: self.isContinuation,
 					aimMs: routing.route.aimMs,
 					aimLeftMs: routing.route.aimMs - self.request.elapsedBeforeMs - elapsedMs,
 					retryJitter: Math.random(),
@@ -272,9 +316,9 @@
 				const result = yield* self.context.reservations.reserve(
 					decision.option,
 					self.work,
-					self.triedServers,
+					self.serversToAvoid(now),
 					reservationLimits(decision, declined),
-					{ account: accountKeyOf(routing), cost: self.cost },
+					{ account: accountKeyOf(routing), cost: self.isContinuation ? 0 : self.cost },
 				);
 				if (result.kind === 'over-share') {
 					const refusal = self.overShare(decision);
@@ -309,10 +353,27 @@
 	private options(now: number): readonly EngineOption[] {
 		const { fleet } = this.context;
 		const { service } = this.request.routing;
-		const untried = fleet.rankedOptions(service, this.work, this.triedServers, now);
+		const untried = fleet.rankedOptions(service, this.work, this.triedServers, now).filter(this.mayServe);
 		return untried.length > 0 || this.triedServers.size === 0
 			? untried
-			: fleet.rankedOptions(service, this.work, NO_SERVERS, now);
+			: fleet.rankedOptions(service, this.work, NO_SERVERS, now).filter(this.mayServe);
+	}
+
+	/** Whether a server may receive the request, by the version at which its stream has begun. */
+	private readonly mayServe = ({ server }: EngineOption): boolean =>
+		this.begunAt === undefined ||
+		(this.begunAt.version !== undefined && this.begunAt.version === server.softwareVersion);
+
+	/** Identifiers of the servers that the owner of a queue must not choose. */
+	private serversToAvoid(now: number): ReadonlySet<string> {
+		if (this.begunAt === undefined) {
+			return this.triedServers;
+		}
+		const others = this.context.fleet
+			.rankedOptions(this.request.routing.service, this.work, this.triedServers, now)
+			.filter((option) => !this.mayServe(option))
+			.map(({ server }) => server.id);
+		return new Set([...this.triedServers, ...others]);
 	}
 
 	private logAdmission(
@@ -414,7 +475,7 @@
 				}
 				this.progress.recordBytes(chunk.length, clock.now());
 				this.recordBytes();
-				return this.forwardBytes(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length), resume);
+				return this.forwardBytes(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length), resume, server);
 			},
 		};
 		const outgoingRequest = (): BackendRequest => ({
@@ -502,9 +563,23 @@
 		this.response.head(head);
 	}
 
-	private forwardBytes(chunk: Buffer, resume: () => void): boolean {
+	private forwardBytes(chunk: Buffer, resume: () => void, server: RegisteredServer): boolean {
 		const ready = this.continuity.push(chunk);
-		return ready === undefined || this.response.write(ready, resume);
+		if (ready === undefined) {
+			return true;
+		}
+		if (this.begunAt === undefined && this.request.routing.route.resumable) {
+			this.recordBegin(server);
+		}
+		return this.response.write(ready, resume);
+	}
+
+	/** Records the version of the server whose first event is passed on. */
+	private recordBegin({ softwareVersion }: RegisteredServer): void {
+		const { fields, routing } = this.request;
+		this.begunAt = { version: softwareVersion };
+		const lifetimeMs = fields.deadlineMs ?? routing.route.timeoutMs;
+		this.context.streamVersions.recordBegin(this.streamOf(fields.id), softwareVersion, lifetimeMs);
 	}
 
 	private recordBytes(): void {
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { VersionSource } from '../../streams/common/streamVersions.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.2, 2, 4, 8, 16];
 const ERROR_BUCKETS_SECONDS = [-0.4, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5];
@@ -31,6 +32,12 @@
 		labelNames: ['service', 'kind'],
 		registers: [this.registry],
 	});
+	private readonly resumptions = new Counter({
+		name: 'masticloom_gateway_resumptions_total',
+		help: 'Requests that take a stream up, by service and from where the version that began it is known.',
+		labelNames: ['service', 'source'],
+		registers: [this.registry],
+	});
 	private readonly firstEvent = new Histogram({
 		name: 'masticloom_gateway_first_event_seconds',
 		help: 'Time from the arrival of a request to the first bytes of its answer, by service.',
@@ -114,6 +121,14 @@
 		this.notices.inc({ service, kind });
 	}
 
+	/**
+	 * @param service of a request that takes a stream up
+	 * @param source from where the version that began the stream is known
+	 */
+	public countResumption(service: string, source: VersionSource | 'unknown'): void {
+		this.resumptions.inc({ service, source });
+	}
+
 	/**
 	 * @param service of the request that was handed over
 	 * @param reason why the response of the other router was not passed on; empty when it was
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -48,6 +48,9 @@
 /** Retry delay for callers while the router has no configuration, an outdated one, or is shutting down. */
 const NOT_READY_RETRY_MS = 500;
 
+/** Overdraft of requests that take streams up, as the time in which the account's rate accrues it. */
+const RESUMPTION_OVERDRAFT_MS = 800;
+
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
 
@@ -270,7 +273,7 @@
 		let shareGrant: ShareGrant | undefined;
 		if (handoverHeader === undefined && table.service(routing.service)?.engine !== undefined) {
 			const status = this.recordArrival(fields, routing, arrivedAt);
-			if (status.throttledMs > 0) {
+			if (status.throttledMs > overdraftMs(fields, routing)) {
 				refuse(overShareRefusal(fields, routing, status), routing, formatShareStatus(status));
 				return;
 			}
@@ -441,6 +444,14 @@
 	}
 }
 
+/**
+ * A request that takes a stream up goes on with work that was admitted when it began, so it may overdraw the credit of its
+ * account.
+ */
+function overdraftMs({ resumption }: IngressFields, { route }: RoutingResult): number {
+	return resumption !== undefined && route.resumable ? RESUMPTION_OVERDRAFT_MS : 0;
+}
+
 function overShareRefusal(
 	{ deadlineMs }: IngressFields,
 	{ route }: RoutingResult,
--- a/src/gateway/test/gateway.test.ts
+++ b/src/gateway/test/gateway.test.ts
@@ -327,6 +327,88 @@
 	});
 });
 
+describe('streams of several software versions', () => {
+	const route = routeWith({
+		streams: true,
+		resumable: true,
+		repeatPolicy: 'repeatable',
+		maximumAttempts: 3,
+		targets: [{ service: 'scribes', weight: 1 }],
+	});
+	const headers = { 'content-type': EVENT_STREAM };
+	const endWith =
+		(text: string): BackendBehaviour =>
+		(sink) =>
+			Effect.sync(() => {
+				sink.sent();
+				sink.head({ status: 200, headers });
+				sink.write(Buffer.from(text), () => undefined);
+			});
+	const scribes = [
+		{ ...serverOf('scribes', 'old-1'), softwareVersion: 'v1' },
+		{ ...serverOf('scribes', 'old-2'), softwareVersion: 'v1' },
+		...['new-1', 'new-2', 'new-3', 'new-4'].map((id) => ({ ...serverOf('scribes', id), softwareVersion: 'v2' })),
+	];
+	const versionsOf = ({ attempts }: GatewayFixture): readonly (string | undefined)[] =>
+		attempts.map(({ target }) => scribes.find(({ id }) => id === target.id)?.softwareVersion);
+	const rest = 'id: 2\ndata: b\n\n';
+	const broken = breakConnectionAfter('id: 1\ndata: a\n\n', headers);
+
+	// Guards against joining a stream from two versions within one answer.
+	test('a stream goes on at the version that began it, or is broken off when no server of it is left', async () => {
+		for (let round = 0; round < 8; round++) {
+			const fixture = await start(
+				[broken, breakConnectionAfter(rest, headers), endWith('id: 3\ndata: c\n\n')],
+				configurationWith([route]),
+				scribes,
+			);
+			const response = await send(fixture.port);
+			const [first, ...others] = versionsOf(fixture);
+			expect(others.length).toBeGreaterThan(0);
+			expect(new Set(others)).toEqual(new Set([first]));
+			expect(response.whole).toBe(first === 'v2');
+		}
+	});
+
+	test('a stream that has sent no event may begin at any version', async () => {
+		const refused = failWith({ kind: 'refused', verdict: 'not-run' });
+		const fixture = await start(
+			[refused, refused, endWith('id: 1\ndata: a\n\n')],
+			configurationWith([route]),
+			scribes.slice(1, 4),
+		);
+		expect((await send(fixture.port)).status).toBe(200);
+		expect(new Set(versionsOf(fixture)).size).toBe(2);
+	});
+
+	// Guards against a caller's next attempt that goes on at any version.
+	test('a request that takes a stream up goes on at the version that began it', async () => {
+		const fixture = await start(
+			[broken, broken, broken, endWith(rest)],
+			configurationWith([{ ...route, maximumAttempts: 1 }]),
+			scribes,
+		);
+		await send(fixture.port, { headers: { 'request-id': 'first' } });
+		const takenUp = { resumes: 'first', 'resume-after': '1' };
+		for (let attempt = 0; attempt < 6; attempt++) {
+			await send(fixture.port, { headers: { 'request-id': `later-${attempt}`, ...takenUp } });
+		}
+		expect(fixture.attempts.length).toBeGreaterThan(3);
+		expect(new Set(versionsOf(fixture)).size).toBe(1);
+	});
+
+	test('a request that takes up a stream of unknown version is refused at once as not run', async () => {
+		const fixture = await start([endWith(rest)], configurationWith([route]), scribes);
+		const response = await send(fixture.port, {
+			headers: { 'request-id': 'later', resumes: 'never-begun', 'resume-after': '1', deadline: '9000' },
+		});
+		expect(response.status).toBe(503);
+		expect(JSON.parse(response.body)).toMatchObject({ code: 'unknown-stream-version', verdict: 'not-run' });
+		expect(Number(response.headers['retry-after'])).toBeGreaterThan(0);
+		expect(fixture.attempts).toEqual([]);
+	});
+});
+
 describe('shutdown', () => {
 	test('a request in progress is answered, and its connection is closed', async () => {
 		const slow: BackendBehaviour = (sink, request, target) =>
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -27,6 +27,7 @@
 import type { IHeaderCodec, StreamResumption } from '../common/ingress.js';
 import { type Neighbour, NeighbourSelector } from '../common/neighbourSelector.js';
 import { FleetRetryBudget } from '../common/fleetRetryBudget.js';
+import type { IStreamVersions, StreamIdentity } from '../../streams/common/streamVersions.js';
 import { GatewayMetrics } from '../node/gatewayMetrics.js';
 import { GatewayServer } from '../node/gatewayServer.js';
 
@@ -141,6 +142,21 @@
 	return typeof resumes === 'string' ? { firstAttempt: resumes, lastEventId: String(lastEventId) } : undefined;
 }
 
+/** Streams whose versions are remembered by the router itself; others are not known. */
+function rememberVersions(): IStreamVersions {
+	const versions = new Map<string, string>();
+	const keyOf = ({ account, attempt }: StreamIdentity): string => `${account} ${attempt}`;
+	return {
+		recordBegin: (stream, version) => versions.set(keyOf(stream), version ?? ''),
+		findOrigin: (_service, stream) => {
+			const version = versions.get(keyOf(stream));
+			return Effect.succeed(
+				version === undefined ? { kind: 'unknown', isTemporary: false } : { kind: 'known', version, source: 'own' },
+			);
+		},
+	};
+}
+
 /** Header codec for tests; the platform defines its own. */
 export const testCodec: IHeaderCodec = {
 	requestIdHeader: 'request-id',
@@ -218,6 +234,7 @@
 				() => 1,
 			),
 			codec: testCodec,
+			streamVersions: rememberVersions(),
 			retryBudget: FleetRetryBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }, () => 1),
 			crashes: CrashDetector.create({
 				suspects: CrashSuspects.create('router-1', systemClock),
--- /dev/null
+++ b/src/streams/node/streamVersionRecords.ts
@@ -0,0 +1,308 @@
+import { Effect } from 'effect';
+import type { IClock } from '../../base/common/clock.js';
+import type { IDecisionLog } from '../../base/node/structuredLog.js';
+import type { StoreError } from '../../store/common/keyValueStore.js';
+import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
+import { BegunStreams, streamKeyOf } from '../common/begunStreams.js';
+import type { IStreamVersions, StreamIdentity, StreamOrigin } from '../common/streamVersions.js';
+import { type StoredHistory, VersionHistory, type VersionedServer } from '../common/versionHistory.js';
+import { decodeHistory, decodeRecord, encodeHistory, encodeRecord } from './recordCodec.js';
+
+/** Prefix of all keys of this module. */
+const PREFIX = 'masticloom/streams/';
+
+/** Key of the versions of all services. */
+const HISTORY_KEY = `${PREFIX}versions`;
+
+/** Prefix of the streams that a router has begun; its name and the start of its process follow. */
+const RECORDS_PREFIX = `${PREFIX}begun/`;
+
+/** Minimum interval at which a router writes its streams; what began since the last write is lost with the router. */
+const MINIMUM_WRITE_INTERVAL_MS = 250;
+
+/** Part of the store's writes that the records of all routers may use. */
+const WRITES_FRACTION = 0.2;
+
+/** A lease lasts for longer than a stream, so that the record outlives its router for as long as it is needed. */
+const LEASE_SECONDS = 60;
+
+/** A lease older than this is replaced by a new one. */
+const LEASE_RENEWAL_MS = 30_000;
+
+/** Interval at which the stored versions are compared with the known ones, which a restored store may lack. */
+const HISTORY_CHECK_INTERVAL_MS = 10_000;
+
+/** Content that was read before this time may lack versions of servers that came and left while this router was cut off. */
+const CONTENT_VALID_MS = 5_000;
+
+/** Minimum interval between reads for streams that are not in the content; grows with the number of routers. */
+const MINIMUM_READ_INTERVAL_MS = 100;
+const READ_INTERVAL_PER_ROUTER_MS = 6;
+
+/** Maximum wait for a read before a request is answered; the store answers within 4 ms, or 200 ms when it is slow. */
+const READ_TIMEOUT_MS = 500;
+
+/** Margin for clocks that differ between routers, in addition to the longest time for which a stream is taken up. */
+const CLOCK_MARGIN_MS = 10_000;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** State of the fleet that this module depends on. */
+export interface StreamRecordFleet {
+	/** Name of this router. */
+	readonly instance: string;
+	/** Number of routers in service. */
+	readonly countRouters: () => number;
+	/** Write calls a second that the store takes from all routers. */
+	readonly writesPerSecond: number;
+	/** Whether this router is one of the few that write the history. */
+	readonly isHistoryWriter: () => boolean;
+	/** Whether this router would learn of new servers: somebody reads their registrations, or nobody can. */
+	readonly knowsRegistrations: () => boolean;
+	/** Longest time for which the configuration lets a request last, in milliseconds. */
+	readonly longestRequestMs: () => number;
+}
+
+/** State of the records, for the state dump. */
+export interface StreamRecordState {
+	readonly versions: StoredHistory;
+	readonly ownStreams: number;
+	readonly recordedStreams: number;
+}
+
+/**
+ * Keeps the software versions of streams in the store while several versions serve side by side, and for as long as a
+ * stream can last afterwards. While there has been one version for that time, nothing is written or read for a stream.
+ *
+ * Load pattern: all routers are killed at once during a release, and all their callers take their streams up in the
+ * first second of the new processes.
+ */
+export class StreamVersionRecords implements IStreamVersions {
+	private readonly begun = BegunStreams.create();
+	private readonly history: VersionHistory;
+	private readonly recordKey: string;
+	/** Versions of the streams that routers have recorded, by stream key. */
+	private recorded: ReadonlyMap<number, string> = new Map();
+	private readAt: number | undefined;
+	private reading: Promise<boolean> | undefined;
+	private longestLifetimeMs = 0;
+	private hasUnwritten = false;
+	private revision = 0;
+	private lease: { readonly id: string; readonly grantedAt: number } | undefined;
+	private historyCheckedAt = -Infinity;
+
+	private constructor(
+		private readonly store: IRevisionedStore,
+		private readonly fleet: StreamRecordFleet,
+		private readonly clock: IClock,
+		private readonly unixMs: () => number,
+		private readonly log: IDecisionLog,
+	) {
+		this.recordKey = `${RECORDS_PREFIX}${fleet.instance}.${unixMs().toString(36)}`;
+		this.history = VersionHistory.create(
+			() => Math.max(this.longestLifetimeMs, fleet.longestRequestMs()) + CLOCK_MARGIN_MS,
+		);
+	}
+
+	/**
+	 * @param store holds the records
+	 * @param fleet state of the fleet
+	 * @param clock measures intervals
+	 * @param unixMs returns the time of day in Unix milliseconds
+	 * @param log records changes and failures
+	 * @returns records without streams; {@link run} reads and writes the store
+	 */
+	public static create(
+		store: IRevisionedStore,
+		fleet: StreamRecordFleet,
+		clock: IClock,
+		unixMs: () => number,
+		log: IDecisionLog,
+	): StreamVersionRecords {
+		return new StreamVersionRecords(store, fleet, clock, unixMs, log);
+	}
+
+	/** @param servers all registered servers, including those that are leaving */
+	public setRegistered(servers: readonly VersionedServer[]): void {
+		const wasMixed = this.isMixed;
+		this.history.setRegistered(servers, this.unixMs());
+		if (this.isMixed && !wasMixed) {
+			// Streams that began while there was one version were not recorded.
+			this.hasUnwritten = true;
+			this.log.write('versions-mixed', { versions: JSON.stringify(this.history.toStored()) });
+		}
+	}
+
+	public recordBegin(stream: StreamIdentity, version: string | undefined, lifetimeMs: number): void {
+		if (version === undefined || stream.attempt === undefined) {
+			return;
+		}
+		this.longestLifetimeMs = Math.max(this.longestLifetimeMs, lifetimeMs);
+		this.begun.add(stream, version, this.clock.now() + lifetimeMs);
+		this.hasUnwritten = true;
+	}
+
+	public findOrigin(service: string, stream: StreamIdentity): Effect.Effect<StreamOrigin> {
+		const self = this;
+		return Effect.gen(function* () {
+			const version = self.begun.versionOf(stream);
+			if (version !== undefined) {
+				return { kind: 'known', version, source: 'own' };
+			}
+			const isCurrent = !self.isReadDue(service) || (yield* self.readInTime());
+			const recorded = self.recorded.get(streamKeyOf(stream));
+			if (recorded !== undefined) {
+				return { kind: 'known', version: recorded, source: 'record' };
+			}
+			const single = self.singleVersionOf(service);
+			return single === undefined
+				? { kind: 'unknown', isTemporary: !isCurrent }
+				: { kind: 'known', version: single, source: 'single-version' };
+		});
+	}
+
+	/** @returns the state of the records */
+	public describe(): StreamRecordState {
+		return {
+			versions: this.history.toStored(),
+			ownStreams: this.begun.size,
+			recordedStreams: this.recorded.size,
+		};
+	}
+
+	/** @returns an effect that reads the records once and then writes those of this router, until interrupted */
+	public run(): Effect.Effect<never> {
+		const self = this;
+		return Effect.gen(function* () {
+			for (;;) {
+				yield* Effect.sleep(self.writeIntervalMs);
+				if (self.readAt === undefined) {
+					yield* Effect.promise(() => self.read());
+					continue;
+				}
+				const streams = self.begun.list(self.clock.now());
+				yield* self.writeHistoryIfDue();
+				if (self.isMixed && self.hasUnwritten) {
+					self.hasUnwritten = false;
+					const result = yield* Effect.result(self.writeRecord(encodeRecord(streams)));
+					if (result._tag === 'Failure') {
+						self.hasUnwritten = true;
+						self.lease = undefined;
+						self.log.write('stream-record-failed', { ...result.failure });
+					}
+				}
+			}
+		});
+	}
+
+	private get isMixed(): boolean {
+		return this.history.isAnyMixed(this.unixMs());
+	}
+
+	/** The only version that can have begun a stream; undefined when there are several, or others may be unknown. */
+	private singleVersionOf(service: string): string | undefined {
+		const versions = this.history.possibleVersions(service, this.unixMs());
+		const isComplete = this.readAt !== undefined && this.fleet.knowsRegistrations();
+		return isComplete && versions.length === 1 ? versions[0] : undefined;
+	}
+
+	private isReadDue(service: string): boolean {
+		const ageMs = this.clock.now() - (this.readAt ?? -Infinity);
+		const intervalMs =
+			this.singleVersionOf(service) === undefined
+				? MINIMUM_READ_INTERVAL_MS + READ_INTERVAL_PER_ROUTER_MS * this.fleet.countRouters()
+				: CONTENT_VALID_MS;
+		return ageMs >= intervalMs;
+	}
+
+	private get writeIntervalMs(): number {
+		const writesPerMs = (this.fleet.writesPerSecond * WRITES_FRACTION) / MILLISECONDS_PER_SECOND;
+		return Math.max(MINIMUM_WRITE_INTERVAL_MS, this.fleet.countRouters() / writesPerMs);
+	}
+
+	private readInTime(): Effect.Effect<boolean> {
+		return Effect.map(
+			Effect.timeoutOption(
+				Effect.promise(() => this.read()),
+				READ_TIMEOUT_MS,
+			),
+			(result) => result._tag === 'Some' && result.value,
+		);
+	}
+
+	/** Reads the records of all routers; callers that come during a read share its result. */
+	private read(): Promise<boolean> {
+		this.reading ??= Effect.runPromise(Effect.result(this.store.readAll(PREFIX))).then((result) => {
+			this.reading = undefined;
+			if (result._tag === 'Failure') {
+				this.log.write('stream-records-unread', { ...result.failure });
+				return false;
+			}
+			const { entries } = result.success;
+			const history = entries.find(({ key }) => key === HISTORY_KEY);
+			this.history.merge(history === undefined ? {} : decodeHistory(history.value), this.unixMs());
+			this.recorded = new Map(
+				entries
+					.filter(({ key }) => key.startsWith(RECORDS_PREFIX))
+					.flatMap(({ value }) => Object.entries(decodeRecord(value)))
+					.flatMap(([version, keys]) => keys.map((key) => [key, version] as const)),
+			);
+			this.readAt = this.clock.now();
+			return true;
+		});
+		return this.reading;
+	}
+
+	private writeHistoryIfDue(): Effect.Effect<void> {
+		const now = this.clock.now();
+		const isCheckDue = this.isMixed && now - this.historyCheckedAt >= HISTORY_CHECK_INTERVAL_MS;
+		if (!this.fleet.isHistoryWriter() || (!this.history.needsWrite && !isCheckDue)) {
+			return Effect.void;
+		}
+		this.historyCheckedAt = now;
+		return Effect.map(Effect.result(this.writeHistory()), (result) => {
+			if (result._tag === 'Failure') {
+				this.log.write('version-history-failed', { ...result.failure });
+			}
+		});
+	}
+
+	private writeHistory(): Effect.Effect<void, StoreError> {
+		const self = this;
+		return Effect.gen(function* () {
+			let current = yield* self.store.get(HISTORY_KEY);
+			for (;;) {
+				self.history.merge(current === undefined ? {} : decodeHistory(current.value), self.unixMs());
+				if (!self.history.needsWrite) {
+					return;
+				}
+				self.history.prune(self.unixMs());
+				const stored = self.history.toStored();
+				const result = yield* self.store.compareAndSwap(HISTORY_KEY, current?.revision ?? 0, encodeHistory(stored));
+				if (result.swapped) {
+					self.history.merge(stored, self.unixMs());
+					self.log.write('version-history-written', { versions: JSON.stringify(stored) });
+					return;
+				}
+				current = result.current;
+			}
+		});
+	}
+
+	private writeRecord(value: Uint8Array): Effect.Effect<void, StoreError> {
+		const self = this;
+		return Effect.gen(function* () {
+			const now = self.clock.now();
+			if (self.lease === undefined || now - self.lease.grantedAt >= LEASE_RENEWAL_MS) {
+				self.lease = { id: yield* self.store.grantLease(LEASE_SECONDS), grantedAt: now };
+			}
+			for (;;) {
+				const result = yield* self.store.compareAndSwap(self.recordKey, self.revision, value, self.lease.id);
+				self.revision = result.swapped ? result.revision : (result.current?.revision ?? 0);
+				if (result.swapped) {
+					return;
+				}
+			}
+		});
+	}
+}
--- /dev/null
+++ b/src/streams/test/streamVersionRecords.test.ts
@@ -0,0 +1,225 @@
+import { afterEach, describe, expect, test } from '@jest/globals';
+import { Effect, Fiber } from 'effect';
+import type { KeyValue, StoreError } from '../../store/common/keyValueStore.js';
+import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
+import type { StreamOrigin } from '../common/streamVersions.js';
+import { type StreamRecordFleet, StreamVersionRecords } from '../node/streamVersionRecords.js';
+
+const SERVICE = 'drafts';
+const LIFETIME_MS = 10_000;
+
+/** Longer than the interval at which records are written. */
+const WRITTEN_MS = 700;
+
+/** Store in memory whose calls can be made to fail. */
+class MemoryStore implements IRevisionedStore {
+	public readonly items = new Map<string, KeyValue>();
+	public isDown = false;
+	public reads = 0;
+	public writes = 0;
+	private revision = 0;
+	private lease = 0;
+
+	public get(key: string): Effect.Effect<KeyValue | undefined, StoreError> {
+		return this.call(() => this.items.get(key));
+	}
+
+	public readAll(prefix: string): ReturnType<IRevisionedStore['readAll']> {
+		return this.call(() => {
+			this.reads++;
+			const entries = [...this.items.values()].filter(({ key }) => key.startsWith(prefix));
+			return { entries, revision: this.revision };
+		});
+	}
+
+	public compareAndSwap(
+		key: string,
+		expected: number,
+		value: Uint8Array,
+	): ReturnType<IRevisionedStore['compareAndSwap']> {
+		return this.call(() => {
+			this.writes++;
+			const current = this.items.get(key);
+			if ((current?.revision ?? 0) !== expected) {
+				return { swapped: false, current };
+			}
+			this.items.set(key, { key, value, revision: ++this.revision });
+			return { swapped: true, revision: this.revision };
+		});
+	}
+
+	public grantLease(): Effect.Effect<string, StoreError> {
+		return this.call(() => String(++this.lease));
+	}
+
+	public keepAlive(): Effect.Effect<boolean, StoreError> {
+		return Effect.succeed(true);
+	}
+
+	public remove(): never {
+		throw new Error('not used');
+	}
+
+	public waitForChanges(): never {
+		throw new Error('not used');
+	}
+
+	private call<T>(run: () => T): Effect.Effect<T, StoreError> {
+		return Effect.suspend(() =>
+			this.isDown ? Effect.fail({ outcome: 'no-effect', message: 'the store is away' }) : Effect.succeed(run()),
+		);
+	}
+}
+
+const stops: (() => void)[] = [];
+
+afterEach(() => stops.splice(0).forEach((stop) => stop()));
+
+/** Starts the records of one router process. */
+function startRecords(
+	store: MemoryStore,
+	instance: string,
+	overrides: Partial<StreamRecordFleet> = {},
+): StreamVersionRecords & { readonly kill: () => void } {
+	const fleet: StreamRecordFleet = {
+		instance,
+		countRouters: () => 2,
+		writesPerSecond: 400,
+		isHistoryWriter: () => true,
+		knowsRegistrations: () => true,
+		longestRequestMs: () => LIFETIME_MS,
+		...overrides,
+	};
+	const clock = { now: () => performance.now() };
+	const records = StreamVersionRecords.create(store, fleet, clock, () => Date.now(), { write: () => undefined });
+	const fiber = Effect.runFork(records.run());
+	const kill = (): void => void Effect.runFork(Fiber.interrupt(fiber));
+	stops.push(kill);
+	return Object.assign(records, { kill });
+}
+
+function register(records: StreamVersionRecords, ...versions: readonly string[]): void {
+	records.setRegistered(versions.map((softwareVersion) => ({ service: SERVICE, softwareVersion })));
+}
+
+function begin(records: StreamVersionRecords, attempt: string, version: string, account = 'harbour'): void {
+	records.recordBegin({ account, attempt }, version, LIFETIME_MS);
+}
+
+function find(records: StreamVersionRecords, attempt: string | undefined, account = 'harbour'): Promise<StreamOrigin> {
+	return Effect.runPromise(records.findOrigin(SERVICE, { account, attempt }));
+}
+
+const sleep = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+describe('StreamVersionRecords', () => {
+	// Guards against streams that are joined or lost when all routers are killed at once during a release.
+	test('a new router knows the streams of routers that were killed', async () => {
+		const store = new MemoryStore();
+		const before = ['router-1', 'router-2'].map((instance) => startRecords(store, instance));
+		before.forEach((records) => register(records, 'v1', 'v2'));
+		before.forEach((records, index) => begin(records, `old-${index}`, 'v1'));
+		before.forEach((records, index) => begin(records, `new-${index}`, 'v2'));
+		await sleep(WRITTEN_MS);
+		before.forEach(({ kill }) => kill());
+		const after = startRecords(store, 'router-1');
+		register(after, 'v2');
+		expect(await find(after, 'old-1')).toEqual({ kind: 'known', version: 'v1', source: 'record' });
+		expect(await find(after, 'new-0')).toEqual({ kind: 'known', version: 'v2', source: 'record' });
+		expect(await find(after, 'never-begun')).toEqual({ kind: 'unknown', isTemporary: false });
+		expect(await find(after, 'old-1', 'another account')).toMatchObject({ kind: 'unknown' });
+		expect(await find(after, undefined)).toMatchObject({ kind: 'unknown' });
+	});
+
+	test('streams that began before a second version came are recorded too', async () => {
+		const store = new MemoryStore();
+		const before = startRecords(store, 'router-1');
+		register(before, 'v1');
+		begin(before, 'old', 'v1');
+		await sleep(WRITTEN_MS);
+		register(before, 'v1', 'v2');
+		await sleep(WRITTEN_MS);
+		before.kill();
+		const after = startRecords(store, 'router-2');
+		register(after, 'v2');
+		expect(await find(after, 'old')).toMatchObject({ version: 'v1' });
+	});
+
+	test('while there is one version, streams cost no calls and any router knows it', async () => {
+		const store = new MemoryStore();
+		const before = startRecords(store, 'router-1');
+		register(before, 'v1');
+		await sleep(WRITTEN_MS);
+		const { reads, writes } = store;
+		for (let index = 0; index < 50; index++) {
+			begin(before, `stream-${index}`, 'v1');
+			await sleep(10);
+		}
+		const after = startRecords(store, 'router-2');
+		register(after, 'v1');
+		for (let index = 0; index < 50; index++) {
+			expect(await find(after, `stream-${index}`)).toEqual({ kind: 'known', version: 'v1', source: 'single-version' });
+		}
+		expect(store.writes - writes).toBeLessThanOrEqual(1);
+		expect(store.reads - reads).toBeLessThanOrEqual(2);
+	});
+
+	// Guards against guessing the version that is registered when the old one left while nobody ran.
+	test('a router that starts after the old version has left does not guess', async () => {
+		const store = new MemoryStore();
+		const before = startRecords(store, 'router-1');
+		register(before, 'v1');
+		begin(before, 'old', 'v1');
+		await sleep(WRITTEN_MS);
+		before.kill();
+		const after = startRecords(store, 'router-1');
+		register(after, 'v2');
+		expect(await find(after, 'old')).toEqual({ kind: 'unknown', isTemporary: false });
+	});
+
+	test('a router that cannot read the records does not guess, and says that it may know later', async () => {
+		const store = new MemoryStore();
+		const before = startRecords(store, 'router-1');
+		register(before, 'v1', 'v2');
+		begin(before, 'old', 'v1');
+		await sleep(WRITTEN_MS);
+		store.isDown = true;
+		const after = startRecords(store, 'router-2');
+		register(after, 'v2');
+		expect(await find(after, 'old')).toEqual({ kind: 'unknown', isTemporary: true });
+		expect(await find(before, 'old')).toMatchObject({ version: 'v1', source: 'own' });
+		store.isDown = false;
+		expect(await find(after, 'old')).toMatchObject({ version: 'v1', source: 'record' });
+	});
+
+	test('a router that may have missed the registration of a version does not guess', async () => {
+		const store = new MemoryStore();
+		const records = startRecords(store, 'router-1', { knowsRegistrations: () => false });
+		register(records, 'v1');
+		await sleep(WRITTEN_MS);
+		expect(await find(records, 'any')).toMatchObject({ kind: 'unknown' });
+	});
+
+	// Guards against records that are missing for good after the store was restored from an older copy.
+	test('the records are written again when the store has lost them', async () => {
+		const store = new MemoryStore();
+		const before = startRecords(store, 'router-1');
+		register(before, 'v1', 'v2');
+		begin(before, 'old', 'v1');
+		await sleep(WRITTEN_MS);
+		store.items.clear();
+		begin(before, 'next', 'v2');
+		await sleep(WRITTEN_MS);
+		const after = startRecords(store, 'router-2');
+		register(after, 'v2');
+		expect(await find(after, 'old')).toMatchObject({ version: 'v1' });
+	});
+
+	test('many requests that take streams up at once share one read', async () => {
+		const store = new MemoryStore();
+		const records = startRecords(store, 'router-1');
+		register(records, 'v1', 'v2');
+		await Promise.all(Array.from({ length: 500 }, (_, index) => find(records, `unknown-${index}`)));
+		expect(store.reads).toBeLessThanOrEqual(2);
+	});
+});
--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -29,6 +29,8 @@
 	readonly firstAttempt: string;
 	/** Version of the server's software. */
 	readonly softwareVersion: string;
+	/** Monotonic milliseconds. */
+	readonly startedAt: number;
 	end: 'running' | 'whole' | 'cancelled' | 'crashed' | 'answer-lost';
 }
 
@@ -211,6 +213,7 @@
 			firstEvent,
 			firstAttempt: headerOf(request, 'resumes') ?? requestId,
 			softwareVersion: this.softwareVersion,
+			startedAt: performance.now(),
 			account: headerOf(request, 'x-tenant'),
 			end: 'running',
 		};
