Let the soak name limits, update servers and take broken streams up again

Servers name a limit for 9 s or are replaced by one with another software version and identifier, and callers take broken streams up at any router; the judges of limits and versions check the whole run. The judge of limits compares each period of a limit by itself, since a server may name several in one run. No product code is changed.

--- a/standins/usersPlatform/noticeJudge.ts
+++ b/standins/usersPlatform/noticeJudge.ts
@@ -1,4 +1,4 @@
-import type { RequestArrival } from './promptEngine.js';
+import type { LimitPeriod, RequestArrival } from './promptEngine.js';
 
 /** A request as its caller sent it. */
 export interface SentRequest {
@@ -88,6 +88,7 @@
 export interface LimitCheckInput extends Pick<NoticeCheckInput, 'sentRequest' | 'wasInterrupted'> {
 	/** Requests that arrived at one engine, in the order of arrival. */
 	readonly arrivals: readonly RequestArrival[];
+	readonly limitPeriods: readonly LimitPeriod[];
 	/** Milliseconds after the first response that names a limit from which on it applies. */
 	readonly contactMs: number;
 }
@@ -100,39 +101,34 @@
  */
 export function findLimitViolations({
 	arrivals,
+	limitPeriods,
 	sentRequest,
 	wasInterrupted,
 	contactMs,
 }: LimitCheckInput): readonly string[] {
-	const heardAt = new Map<string, number>();
-	const limits: { readonly at: number; readonly requestsPerSecond: number }[] = [];
-	for (const { requestId, limitNamed } of arrivals) {
-		const router = sentRequest(requestId)?.router;
-		if (limitNamed !== undefined && router !== undefined) {
-			limits.push(limitNamed);
-			heardAt.set(router, Math.min(heardAt.get(router) ?? Infinity, limitNamed.at));
+	return limitPeriods.flatMap(({ requestsPerSecond, from: periodFrom, until: periodUntil }) => {
+		const heardAt = new Map<string, number>();
+		for (const { requestId, limitNamedAt = -Infinity } of arrivals) {
+			const router = sentRequest(requestId)?.router;
+			if (router !== undefined && limitNamedAt >= periodFrom && limitNamedAt <= periodUntil) {
+				heardAt.set(router, Math.min(heardAt.get(router) ?? Infinity, limitNamedAt));
+			}
 		}
-	}
-	const firstNamedAt = Math.min(Infinity, ...limits.map(({ at }) => at));
-	const lastNamedAt = Math.max(-Infinity, ...limits.map(({ at }) => at));
-	const counted = arrivals
-		.filter(({ requestId, at }) => {
-			const router = sentRequest(requestId)?.router ?? '';
-			const heard = heardAt.get(router) ?? Infinity;
-			return at >= heard + LIMIT_HEARD_MS && !wasInterrupted(router, heard, at);
-		})
-		.map(({ at }) => at);
-	for (const from of counted.filter((at) => at >= firstNamedAt + contactMs && at + LIMIT_WINDOW_MS <= lastNamedAt)) {
-		const until = from + LIMIT_WINDOW_MS;
-		const inForce = limits.filter(({ at }) => at >= from - LIMIT_WINDOW_MS && at < until);
-		const requestsPerSecond = Math.max(...inForce.map((limit) => limit.requestsPerSecond));
+		const appliesFrom = Math.min(Infinity, ...heardAt.values()) + contactMs;
+		const counted = arrivals
+			.filter(({ requestId, at }) => {
+				const router = sentRequest(requestId)?.router ?? '';
+				const heard = heardAt.get(router) ?? Infinity;
+				return at >= heard + LIMIT_HEARD_MS && !wasInterrupted(router, heard, at);
+			})
+			.map(({ at }) => at);
 		const allowed = (requestsPerSecond * LIMIT_TOLERANCE * LIMIT_WINDOW_MS) / 1_000 + LIMIT_SLACK;
-		const received = counted.filter((at) => at >= from && at < until).length;
-		if (received > allowed) {
-			return [
-				`a server with a limit of ${requestsPerSecond} a second got ${received} requests in 4 s, allowed ${allowed}`,
-			];
-		}
-	}
-	return [];
+		const received = counted
+			.filter((from) => from >= appliesFrom && from + LIMIT_WINDOW_MS <= periodUntil)
+			.map((from) => counted.filter((at) => at >= from && at < from + LIMIT_WINDOW_MS).length);
+		const most = Math.max(0, ...received);
+		return most <= allowed
+			? []
+			: [`a server with a limit of ${requestsPerSecond} a second got ${most} requests in 4 s, allowed ${allowed}`];
+	});
 }
--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -64,8 +64,16 @@
 	leavingReportedAt: number | undefined;
 	/** Monotonic milliseconds until which the sender has to back off, as requested by a response at {@link at}. */
 	backoffUntil: number | undefined;
-	/** Limit that the response named, and monotonic milliseconds of the response. */
-	limitNamed: { readonly requestsPerSecond: number; readonly at: number } | undefined;
+	/** Monotonic milliseconds of a response that named a limit. */
+	limitNamedAt: number | undefined;
+}
+
+/** Time during which a server named the same limit, in monotonic milliseconds. */
+export interface LimitPeriod {
+	readonly requestsPerSecond: number;
+	readonly from: number;
+	/** Infinite while it lasts. */
+	until: number;
 }
 
 interface WaitingRequest {
@@ -79,6 +87,7 @@
 export class PlatformServer {
 	public readonly runs: RequestExecution[] = [];
 	public readonly arrivals: RequestArrival[] = [];
+	public readonly limitPeriods: LimitPeriod[] = [];
 	private readonly held = new Set<string>();
 	private readonly listener = BackendListener.create((request, _body, response) => this.receive(request, response));
 	private readonly waiting: WaitingRequest[] = [];
@@ -117,11 +126,20 @@
 	/** Begins a new incarnation, which has sent no notices. */
 	public replace(): void {
 		this.incarnation++;
-		this.notices = {};
+		this.setNotices({});
 	}
 
 	/** @param notices that are sent from now on */
 	public setNotices(notices: SimulatedNotices): void {
+		const now = performance.now();
+		const last = this.limitPeriods.at(-1);
+		if (last !== undefined) {
+			last.until = Math.min(last.until, now);
+		}
+		const { requestsPerSecond } = notices;
+		if (requestsPerSecond !== undefined) {
+			this.limitPeriods.push({ requestsPerSecond, from: now, until: Infinity });
+		}
 		this.notices = notices;
 	}
 
@@ -154,7 +172,7 @@
 			at: performance.now(),
 			leavingReportedAt: undefined,
 			backoffUntil: undefined,
-			limitNamed: undefined,
+			limitNamedAt: undefined,
 		};
 		const target = headerOf(request, 'x-target-instance');
 		if (target !== undefined && target !== this.options.id) {
@@ -198,7 +216,7 @@
 			headers['Server-Leaving'] = '1';
 		}
 		if (requestsPerSecond !== undefined) {
-			arrival.limitNamed = { requestsPerSecond, at: performance.now() };
+			arrival.limitNamedAt = performance.now();
 			headers['Server-Limit'] = String(requestsPerSecond);
 		}
 		return headers;
--- a/standins/usersPlatform/usersPlatform.ts
+++ b/standins/usersPlatform/usersPlatform.ts
@@ -52,10 +52,12 @@
 	private version = 0;
 	private extraRoutes: readonly object[] = [];
 	private sequence = 0;
+	private updates = 0;
 
 	private constructor(
 		public readonly store: PlatformStore,
 		public readonly storeAddress: string,
+		private readonly random: () => number,
 	) {}
 
 	/**
@@ -67,7 +69,7 @@
 	 */
 	public static async start(size: PlatformSize, random: () => number): Promise<UsersPlatform> {
 		const store = PlatformStore.create();
-		const platform = new UsersPlatform(store, new URL(await store.listen(0)).host);
+		const platform = new UsersPlatform(store, new URL(await store.listen(0)).host, random);
 		for (let index = 1; index <= size.engines + size.plainServers; index++) {
 			const options: PlatformServerOptions =
 				index <= size.engines
@@ -82,9 +84,9 @@
 		return platform;
 	}
 
-	/** Servers of both kinds. */
+	/** Servers of both kinds, without those that were replaced. */
 	public get engines(): readonly PlatformServer[] {
-		return [...this.registrations.values()].map(({ engine }) => engine);
+		return [...this.registrations.values()].filter(({ state }) => state !== 'replaced').map(({ engine }) => engine);
 	}
 
 	/**
@@ -147,7 +149,7 @@
 	 */
 	public setServerState(id: string, state: 'ready' | 'draining' | undefined): void {
 		const entry = this.registrations.get(id);
-		if (entry !== undefined) {
+		if (entry !== undefined && entry.state !== 'replaced') {
 			entry.state = state ?? 'gone';
 			this.register();
 		}
@@ -180,15 +182,40 @@
 		}
 	}
 
-	/** @returns all executions at all servers */
+	/**
+	 * Starts a server with another software version and a new identifier, and lets the one that it replaces leave.
+	 *
+	 * @param id of the server that is replaced
+	 * @param softwareVersion version of the new server
+	 * @param drainMs milliseconds for which the old server serves on after it has reported that it is leaving
+	 */
+	public async updateServer(id: string, softwareVersion: string, drainMs: number): Promise<void> {
+		const entry = this.registrations.get(id);
+		if (entry?.state !== 'ready') {
+			return;
+		}
+		const newId = `${id}-update-${++this.updates}`;
+		const engine = PlatformServer.create({ ...entry.engine.options, id: newId }, this.random);
+		engine.softwareVersion = softwareVersion;
+		const address = new URL(await engine.listen()).host;
+		this.registrations.set(newId, { engine, address, state: 'ready', startedAt: FIRST_STARTED_AT_MS });
+		entry.state = 'draining';
+		this.register();
+		await new Promise((resolve) => setTimeout(resolve, drainMs));
+		entry.state = 'replaced';
+		this.register();
+		await entry.engine.close();
+	}
+
+	/** @returns all executions at all servers, including those that were replaced */
 	public executions(): readonly PlatformServer['runs'][number][] {
-		return this.engines.flatMap(({ runs }) => runs);
+		return [...this.registrations.values()].flatMap(({ engine }) => engine.runs);
 	}
 
 	public dispose(): void {
 		clearInterval(this.heartbeat);
 		void this.store.close();
-		this.engines.forEach((engine) => void engine.close());
+		[...this.registrations.values()].forEach(({ engine }) => void engine.close());
 	}
 
 	private register(): void {
@@ -205,7 +232,7 @@
 				seq: this.sequence,
 				born: startedAt,
 			};
-			this.store.put(`servers/${id}`, state === 'gone' ? undefined : registration);
+			this.store.put(`servers/${id}`, state === 'gone' || state === 'replaced' ? undefined : registration);
 		}
 	}
 }
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -3,10 +3,15 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { Relay } from '../../standins/relay/relay.js';
-import { findNoticeViolations, type SentRequest } from '../../standins/usersPlatform/noticeJudge.js';
+import {
+	findLimitViolations,
+	findNoticeViolations,
+	type SentRequest,
+} from '../../standins/usersPlatform/noticeJudge.js';
+import { findJoinedVersions } from '../../standins/usersPlatform/versionJudge.js';
 import { ACCOUNTS, type RequestKind, ROUTES, UsersPlatform } from '../../standins/usersPlatform/usersPlatform.js';
 import { ProcessGroup, sleep, pollUntil } from '../fleet/processes.js';
-import { callRouter, type CallResult } from '../platformFleet/caller.js';
+import { callRouter, type CallOptions, type CallResult } from '../platformFleet/caller.js';
 import { PlatformFleet, type PlatformRouterProcess } from '../platformFleet/platformFleet.js';
 
 /** Number of routers of a small fleet, in which every router receives all placements. */
@@ -30,6 +35,16 @@
 const REJECTED_FRACTION = 0.3;
 const MAXIMUM_BACKOFF_SECONDS = 3;
 
+/** Limits that servers name, in requests per second, and the time for which they do. */
+const MAXIMUM_LIMIT = 8;
+const LIMITED_MS = 9_000;
+
+/** Time after a server first names a limit from which on it has to be kept. */
+const CONTACT_MS = 3_000;
+
+/** Pause after which a caller takes a broken stream up again. */
+const TAKE_UP_DELAY_MS = 300;
+
 /** Result of a run. */
 export interface SoakResult {
 	readonly seed: number;
@@ -83,8 +98,16 @@
 	}
 }
 
+type SoakRequest = Pick<CallOptions, 'kind' | 'account' | 'document' | 'promptTokens' | 'resumption'>;
+
+interface SoakCall {
+	readonly request: SoakRequest;
+	readonly result: Promise<CallResult>;
+}
+
 class SoakRun {
 	private readonly results: Promise<CallResult>[] = [];
+	private readonly takeUps: Promise<void>[] = [];
 	private readonly sent = new Map<string, SentRequest>();
 	private readonly interruptions: { readonly router: string; readonly from: number; until: number }[] = [];
 	private readonly faults: string[] = [];
@@ -92,6 +115,7 @@
 	private readonly down = new Set<string>();
 	private readonly cut = new Set<string>();
 	private readonly agents = new Map<string, http.Agent>();
+	private softwareVersions = 1;
 
 	public constructor(
 		private readonly platform: UsersPlatform,
@@ -125,8 +149,10 @@
 		} catch (error) {
 			violations.push(String(error));
 		}
+		await Promise.all(this.takeUps);
 		const results = await Promise.all(this.results);
 		violations.push(...this.findViolations(results), ...(await this.findNoticeViolations()));
+		violations.push(...findJoinedVersions(this.platform.executions()));
 		this.agents.forEach((agent) => agent.destroy());
 		const answered = results.filter(({ status, whole }) => status === 200 && whole).length;
 		return { calls: results.length, answered, faults: this.faults, violations };
@@ -135,25 +161,39 @@
 	private async callUntil(end: number): Promise<void> {
 		const kinds = Object.keys(ROUTES) as readonly RequestKind[];
 		while (performance.now() < end) {
-			const router = this.pickRandom(this.fleet.startedRouters);
-			const id = randomBytes(8).toString('hex');
-			this.sent.set(id, { router: router.name, at: performance.now() });
-			this.results.push(
-				callRouter({
-					id,
-					host: router.host,
-					port: router.port,
-					kind: this.pickRandom(kinds),
-					account: this.pickRandom(ACCOUNTS),
-					document: Math.floor(this.random() * DOCUMENTS),
-					promptTokens: Math.floor(this.random() ** 3 * 20_000),
-					agent: this.random() < 0.5 ? this.agentOf(router) : undefined,
-				}),
-			);
+			const call = this.call({
+				kind: this.pickRandom(kinds),
+				account: this.pickRandom(ACCOUNTS),
+				document: Math.floor(this.random() * DOCUMENTS),
+				promptTokens: Math.floor(this.random() ** 3 * 20_000),
+			});
+			this.results.push(call.result);
+			this.takeUps.push(this.takeUpWhenBroken(call));
 			await sleep(CALL_INTERVAL_MS);
 		}
 	}
 
+	/** Sends a request to a random router. */
+	private call(request: SoakRequest): SoakCall {
+		const router = this.pickRandom(this.fleet.startedRouters);
+		const id = randomBytes(8).toString('hex');
+		this.sent.set(id, { router: router.name, at: performance.now() });
+		const agent = this.random() < 0.5 ? this.agentOf(router) : undefined;
+		return { request, result: callRouter({ id, host: router.host, port: router.port, agent, ...request }) };
+	}
+
+	/** Takes a stream up again, at any router, when it was broken off after an event. */
+	private async takeUpWhenBroken({ request, result }: SoakCall): Promise<void> {
+		const { id, whole, lastEvent } = await result;
+		if (whole || lastEvent === 0 || !ROUTES[request.kind].resumable) {
+			return;
+		}
+		await sleep(TAKE_UP_DELAY_MS);
+		const call = this.call({ ...request, resumption: { firstAttempt: id, lastEvent } });
+		this.results.push(call.result);
+		await call.result;
+	}
+
 	private async injectRandomFault(): Promise<void> {
 		const faultMs = this.random() * MAXIMUM_FAULT_MS;
 		const router = this.pickRandom(this.fleet.startedRouters);
@@ -227,6 +267,15 @@
 				await sleep(faultMs);
 				engine.setNotices({});
 			},
+			'server names a limit': async () => {
+				engine.setNotices({ requestsPerSecond: 0.5 + this.random() * MAXIMUM_LIMIT });
+				await sleep(LIMITED_MS);
+				engine.setNotices({});
+			},
+			'server is replaced by another software version': async () => {
+				this.softwareVersions++;
+				await this.platform.updateServer(engine.options.id, `v${this.softwareVersions}`, DRAIN_MS);
+			},
 			'configuration changes': () => {
 				this.platform.configure();
 				return Promise.resolve();
@@ -311,15 +360,13 @@
 			this.faults.push('notices of servers not checked, since requests were handed over');
 			return [];
 		}
-		return this.platform.engines.flatMap(({ arrivals }) =>
-			findNoticeViolations({
-				arrivals,
-				drainMs: DRAIN_MS,
-				sentRequest: (requestId) => this.sent.get(requestId),
-				wasInterrupted: (router, from, to) =>
-					this.interruptions.some((one) => one.router === router && one.from <= to && one.until >= from),
-			}),
-		);
+		const sentRequest = (requestId: string): SentRequest | undefined => this.sent.get(requestId);
+		const wasInterrupted = (router: string, from: number, to: number): boolean =>
+			this.interruptions.some((one) => one.router === router && one.from <= to && one.until >= from);
+		return this.platform.engines.flatMap(({ arrivals, limitPeriods }) => [
+			...findNoticeViolations({ arrivals, sentRequest, wasInterrupted, drainMs: DRAIN_MS }),
+			...findLimitViolations({ arrivals, limitPeriods, sentRequest, wasInterrupted, contactMs: CONTACT_MS }),
+		]);
 	}
 
 	private agentOf({ name }: PlatformRouterProcess): http.Agent {
