Let the fair level fall at once with the capacity that limits take away

The queue owner knows how many requests its engine took before the limit, and reports the fraction that is left. The estimate of the capacity is multiplied by the mean fraction, relative to the one that its running means contain, so a limit counts at once and not twice. Without limits nothing changes.

--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -260,7 +260,7 @@
 			return false;
 		}
 		const hasChanged =
-			requestsPerSecond === undefined ? state.limit.end(sentAt, now) : state.limit.apply(requestsPerSecond, now);
+			requestsPerSecond === undefined ? state.limit.end(sentAt, now) : state.applyLimit(requestsPerSecond, now);
 		const isReportDue = requestsPerSecond !== undefined && now - state.limitReportedAt >= LIMIT_REPORT_INTERVAL_MS;
 		if (hasChanged || isReportDue) {
 			state.limitReportedAt = now;
@@ -284,7 +284,7 @@
 		if (report.requestsPerSecond === undefined) {
 			state.limit.end(now, now);
 		} else {
-			state.limit.apply(report.requestsPerSecond, now);
+			state.applyLimit(report.requestsPerSecond, now);
 		}
 	}
 
@@ -466,6 +466,18 @@
 		return views.length === 0 ? undefined : views.reduce((sum, { load }) => sum + load, 0) / views.length;
 	}
 
+	/**
+	 * @param services names of services
+	 * @param now monotonic milliseconds
+	 * @returns mean fraction of the capacity of their servers that the limits of these leave, from 0 to 1
+	 */
+	public remainingFraction(services: readonly string[], now: number): number {
+		const fractions = services
+			.flatMap((service) => this.byService.get(service) ?? [])
+			.map(({ server: { id } }) => this.states.get(id)?.remainingFraction(this.queues.ownsQueueOf(id), now) ?? 1);
+		return fractions.length === 0 ? 1 : fractions.reduce((sum, fraction) => sum + fraction, 0) / fractions.length;
+	}
+
 	/**
 	 * @param service short key of a service
 	 * @returns fraction of its servers whose queues this router owns, from 0 to 1
--- a/src/engines/common/engineState.ts
+++ b/src/engines/common/engineState.ts
@@ -21,6 +21,8 @@
 	readonly suspendedMs: number;
 	/** Limit that the server names for the requests of all routers; undefined when it names none. */
 	readonly requestsPerSecond?: number | undefined;
+	/** Fraction of the server's capacity that its limit leaves, from 0 to 1; undefined when it names none. */
+	readonly remainingFraction?: number | undefined;
 }
 
 /** A router's current estimate of a server's state. */
@@ -147,6 +149,26 @@
 		};
 	}
 
+	/**
+	 * Applies the limit that a response of the server names.
+	 *
+	 * @param requestsPerSecond limit for all routers together
+	 * @param now monotonic milliseconds
+	 * @returns whether the limit has changed
+	 */
+	public applyLimit(requestsPerSecond: number, now: number): boolean {
+		return this.limit.apply(requestsPerSecond, now, this.queue.load(now));
+	}
+
+	/**
+	 * @param ownsQueue whether this router owns the queue and therefore is notified of all placements
+	 * @param now monotonic milliseconds
+	 * @returns fraction of the server's capacity that its limit leaves, from 0 to 1; 1 without a limit
+	 */
+	public remainingFraction(ownsQueue: boolean, now: number): number {
+		return ownsQueue ? this.limit.remainingFraction : (this.validReport(now)?.remainingFraction ?? 1);
+	}
+
 	/**
 	 * @param now monotonic milliseconds
 	 * @returns the report that the queue owner sends to other routers
@@ -161,6 +183,7 @@
 			failureRate: health.failureRate,
 			suspendedMs: Math.min(LEAVING_EXCLUSION_MS, health.unusableMs),
 			requestsPerSecond: this.limit.requestsPerSecond,
+			remainingFraction: this.limit.requestsPerSecond === undefined ? undefined : this.limit.remainingFraction,
 		};
 	}
 
--- a/src/engines/common/requestLimit.ts
+++ b/src/engines/common/requestLimit.ts
@@ -19,6 +19,9 @@
 /** Window over which the used fraction of a limit is measured. */
 const LOAD_WINDOW_MS = 2_000;
 
+/** At a lower load, the requests of a server say little about how many it can handle. */
+const MINIMUM_OBSERVED_LOAD = 0.3;
+
 /** Tells peers which limit a server has named. */
 export interface RequestLimitReport {
 	readonly server: string;
@@ -39,6 +42,8 @@
 export class RequestLimit {
 	private readonly recent = SlidingSum.create(LOAD_WINDOW_MS);
 	private limit: number | undefined;
+	/** Requests per second that the server would handle at its target load without the limit; undefined when not known. */
+	private unlimitedRate: number | undefined;
 	private changedAt = -Infinity;
 	private namedAt = -Infinity;
 	/** Time of the next request; may lie in the past. */
@@ -70,10 +75,15 @@
 	 *
 	 * @param requestsPerSecond limit for all routers together
 	 * @param now monotonic milliseconds
+	 * @param serverLoad fraction of the time that the server spends on prefill, from 0 to 1
 	 * @returns whether the limit has changed
 	 */
-	public apply(requestsPerSecond: number, now: number): boolean {
+	public apply(requestsPerSecond: number, now: number, serverLoad: number): boolean {
 		this.namedAt = now;
+		if (this.limit === undefined) {
+			const rate = (this.recent.sum(now) * MILLISECONDS_PER_SECOND) / LOAD_WINDOW_MS;
+			this.unlimitedRate = (rate * TARGET_LOAD) / Math.max(MINIMUM_OBSERVED_LOAD, serverLoad);
+		}
 		return this.change(requestsPerSecond, now);
 	}
 
@@ -106,10 +116,10 @@
 	 * @param now monotonic milliseconds
 	 */
 	public recordRequest(now: number): void {
+		this.recent.add(1, now);
 		if (this.limit === undefined) {
 			return;
 		}
-		this.recent.add(1, now);
 		this.nextAt = Math.max(this.nextAt, now - SAVING_PERIOD_MS) + this.intervalMs;
 		this.jitterMs = this.random() * Math.min(MAXIMUM_JITTER_MS, this.intervalMs * JITTER_FRACTION);
 	}
@@ -131,6 +141,13 @@
 		return this.limit === undefined ? 0 : TARGET_LOAD * Math.min(1, this.recent.sum(now) / limitPerWindow);
 	}
 
+	/** Fraction of the server's capacity that its limit leaves, from 0 to 1; 1 without a limit. */
+	public get remainingFraction(): number {
+		return this.limit === undefined || this.unlimitedRate === undefined
+			? 1
+			: Math.min(1, Math.max(MINIMUM_REQUESTS_PER_SECOND, this.limit) / this.unlimitedRate);
+	}
+
 	private change(requestsPerSecond: number | undefined, now: number): boolean {
 		if (requestsPerSecond === this.limit) {
 			return false;
--- a/src/engines/test/requestLimit.test.ts
+++ b/src/engines/test/requestLimit.test.ts
@@ -214,7 +214,7 @@
 	// Guards against a limit that is never lifted, since no response can end it.
 	test('of 0 leaves a few requests whose responses can end it', () => {
 		const limit = RequestLimit.create();
-		limit.apply(0, 0);
+		limit.apply(0, 0, 1);
 		limit.recordRequest(0);
 		expect(limit.blockedMs(10)).toBeGreaterThan(0);
 		expect(limit.blockedMs(10)).toBeLessThanOrEqual(10_000);
@@ -227,10 +227,24 @@
 				() => heardFraction,
 				() => 0,
 			);
-			limit.apply(4, 0);
+			limit.apply(4, 0, 1);
 			limit.recordRequest(1_000);
 			return limit.blockedMs(1_000);
 		});
 		expect(times).toEqual([750, 0]);
 	});
+
+	test('leaves the fraction of the capacity that it takes away, by the requests before', () => {
+		const limit = RequestLimit.create();
+		for (let now = 0; now < 2_000; now += 100) {
+			limit.recordRequest(now);
+		}
+		limit.apply(5, 2_000, 0.65);
+		// The rate before is exact to one of 16 parts of its window and to one request.
+		expect(Math.abs(limit.remainingFraction - 0.5)).toBeLessThan(0.1);
+		limit.apply(2.5, 2_100, 0.65);
+		expect(Math.abs(limit.remainingFraction - 0.25)).toBeLessThan(0.05);
+		limit.end(2_200, 2_200);
+		expect(limit.remainingFraction).toBe(1);
+	});
 });
--- a/src/fleet/common/fleetMessages.ts
+++ b/src/fleet/common/fleetMessages.ts
@@ -97,6 +97,7 @@
 		suspendedMs: Math.round(report.suspendedMs),
 		ageMs: Math.max(0, Math.round(ageMs)),
 		requestsPerSecond: report.requestsPerSecond,
+		remainingFraction: report.remainingFraction,
 	};
 }
 
@@ -117,6 +118,7 @@
 	const numbers = [
 		...reports.flatMap(({ pace, load, failureRate }) => [pace, load, failureRate]),
 		...[...reports, ...outcomes].map(({ requestsPerSecond = 0 }) => requestsPerSecond),
+		...reports.map(({ remainingFraction = 0 }) => remainingFraction),
 		...[...usage, ...(usageSum?.usage ?? [])].flatMap(({ offered, admitted }) => [offered, admitted]),
 	];
 	return numbers.every((number) => Number.isFinite(number) && number >= 0);
--- a/src/shares/common/capacityEstimator.ts
+++ b/src/shares/common/capacityEstimator.ts
@@ -20,6 +20,8 @@
 	readonly admittedPerSecond: number;
 	/** Mean fraction of the time that engines spend on prefill, from 0 to 1; undefined when unknown. */
 	readonly load: number | undefined;
+	/** Fraction of the engines' capacity that the limits which they name leave, from 0 to 1; 1 when not stated. */
+	readonly remainingFraction?: number;
 }
 
 /**
@@ -28,7 +30,10 @@
  */
 export class CapacityEstimator {
 	/** Running means over the averaging period; undefined before the first observation. */
-	private means: { readonly admittedPerSecond: number; readonly load: number } | undefined;
+	private means:
+		{ readonly admittedPerSecond: number; readonly load: number; readonly remainingFraction: number } | undefined;
+	/** Last observed fraction, which changes at once when engines name limits. */
+	private remainingFraction = 1;
 	private lastObservedAt = -Infinity;
 
 	private constructor() {}
@@ -42,17 +47,19 @@
 	 * @param observation load of the engines
 	 * @param now monotonic milliseconds
 	 */
-	public observe({ admittedPerSecond, load }: CapacityObservation, now: number): void {
+	public observe({ admittedPerSecond, load, remainingFraction = 1 }: CapacityObservation, now: number): void {
 		const elapsedMs = now - this.lastObservedAt;
 		this.lastObservedAt = now;
+		this.remainingFraction = remainingFraction;
 		if (load === undefined || load < MINIMUM_OBSERVED_LOAD || admittedPerSecond <= 0) {
 			return;
 		}
-		const before = this.means ?? { admittedPerSecond, load };
+		const before = this.means ?? { admittedPerSecond, load, remainingFraction };
 		const gain = 1 - Math.exp(-elapsedMs / AVERAGING_PERIOD_MS);
 		this.means = {
 			admittedPerSecond: before.admittedPerSecond + gain * (admittedPerSecond - before.admittedPerSecond),
 			load: before.load + gain * (load - before.load),
+			remainingFraction: before.remainingFraction + gain * (remainingFraction - before.remainingFraction),
 		};
 	}
 
@@ -61,8 +68,12 @@
 	 * @returns cost units per second to divide among accounts
 	 */
 	public estimatePerSecond(nominal: number): number {
-		const { means } = this;
-		const estimated = means === undefined ? nominal : (means.admittedPerSecond / means.load) * TARGET_LOAD;
+		const { means, remainingFraction } = this;
+		// The means follow a change of the limits slowly, and contain as much of it as their own fraction.
+		const estimated =
+			means === undefined
+				? nominal * remainingFraction
+				: ((means.admittedPerSecond / means.load) * TARGET_LOAD * remainingFraction) / means.remainingFraction;
 		return Math.min(nominal * MAXIMUM_CORRECTION_FACTOR, Math.max(nominal / MAXIMUM_CORRECTION_FACTOR, estimated));
 	}
 }
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -40,6 +40,11 @@
 	 * @returns mean fraction of the time that engines spend on prefill, from 0 to 1; undefined when no engine is known
 	 */
 	readonly load: (now: number) => number | undefined;
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns fraction of the engines' capacity that the limits which they name leave, from 0 to 1; absent when they name none
+	 */
+	readonly remainingFraction?: (now: number) => number;
 }
 
 /** Usage of an account relative to its fair share, and whether it is throttled. */
@@ -390,7 +395,8 @@
 		this.takeSnapshot(now);
 		const perSecond = SECOND_MS / this.windowMs;
 		const admittedPerSecond = usage.reduce((sum, { admitted }) => sum + admitted, 0) * perSecond;
-		this.capacityEstimator.observe({ admittedPerSecond, load: this.engines.load(now) }, now);
+		const remainingFraction = this.engines.remainingFraction?.(now) ?? 1;
+		this.capacityEstimator.observe({ admittedPerSecond, load: this.engines.load(now), remainingFraction }, now);
 		const nominal = this.engines.nominalCapacityPerSecond();
 		const demands = usage.map(({ offered }) => offered * perSecond);
 		const capacity = nominal === undefined ? Infinity : this.capacityEstimator.estimatePerSecond(nominal);
--- a/src/shares/test/shares.test.ts
+++ b/src/shares/test/shares.test.ts
@@ -188,3 +188,24 @@
 		expect(capacity.estimatePerSecond(1_000)).toBeLessThanOrEqual(4_000);
 	});
 });
+
+describe('the capacity of engines that name limits', () => {
+	const admittedPerSecond = 1_000;
+
+	// Guards against a fair level that stays too high for seconds, while engines refuse requests whatever their account.
+	test('falls at once by what the limits take away, and rises at once when they end', () => {
+		const capacity = CapacityEstimator.create();
+		for (let now = 0; now <= 20_000; now += 50) {
+			capacity.observe({ admittedPerSecond, load: 0.65, remainingFraction: 1 }, now);
+		}
+		const before = capacity.estimatePerSecond(admittedPerSecond);
+		capacity.observe({ admittedPerSecond, load: 0.65, remainingFraction: 0.5 }, 20_050);
+		expect(capacity.estimatePerSecond(admittedPerSecond) / before).toBeCloseTo(0.5, 1);
+		for (let now = 20_100; now <= 60_000; now += 50) {
+			capacity.observe({ admittedPerSecond: admittedPerSecond / 2, load: 0.65, remainingFraction: 0.5 }, now);
+		}
+		expect(capacity.estimatePerSecond(admittedPerSecond) / before).toBeCloseTo(0.5, 1);
+		capacity.observe({ admittedPerSecond: admittedPerSecond / 2, load: 0.65, remainingFraction: 1 }, 60_050);
+		expect(capacity.estimatePerSecond(admittedPerSecond) / before).toBeCloseTo(1, 1);
+	});
+});
