--- a/src/engines/common/coldStart.ts
+++ b/src/engines/common/coldStart.ts
@@ -39,6 +39,14 @@
 		this.requestsPerSecond = requestsPerSecond;
 	}
 
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns whether the request rate of the server is limited now
+	 */
+	public isLimited(now: number): boolean {
+		return now < this.coldUntil && this.requestsPerSecond !== Infinity;
+	}
+
 	/**
 	 * Counts a request that is sent to the server.
 	 *
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -377,7 +377,9 @@
 			state?.queue.place({ router: this.router, sequence }, now, workMs, reservation?.delayMs ?? option.delayMs);
 			this.prefixCache.record(id, parts, this.memoryTokens.get(option.server.service));
 		}
-		const isCounted = work.promptTokens > 0 || !this.queues.ownsQueueOf(id) || this.isRequestLimited(id);
+		// Peers have to know of all requests to a server whose rate is limited.
+		const isRateLimited = this.isRequestLimited(id) || state?.cold.isLimited(now) === true;
+		const isCounted = work.promptTokens > 0 || !this.queues.ownsQueueOf(id) || isRateLimited;
 		if (reservation?.confirmed !== true && isCounted) {
 			this.placeEmitter.fire({ server: id, sequence, workMs, parts: shared, at: now });
 		}
--- a/src/engines/test/coldStart.test.ts
+++ b/src/engines/test/coldStart.test.ts
@@ -87,4 +87,35 @@
 		expect(fleet.ownedQueueReports(10).get(shortKey('engine-1'))?.suspendedMs).toBeGreaterThan(0);
 		expect(fleet.ownedQueueReports(COLD_MS + 10).get(shortKey('engine-1'))?.suspendedMs).toBe(0);
 	});
+
+	// Guards against plain servers, whose requests routers of a small fleet do not tell each other otherwise.
+	test('receives no more requests than it can handle also when it is a plain server of a small fleet', () => {
+		const plain: PromptWork = { ...WORK, promptTokens: 0 };
+		const fleets = Array.from({ length: 8 }, (_, index) => {
+			const fleet = EngineFleet.create(`router-${index}`, 'a');
+			fleet.setServers([engineWith('plain-1')], 0);
+			fleet.recordCold('plain-1', COLD_MS, REQUESTS_PER_SECOND, 0);
+			return fleet;
+		});
+		fleets.forEach((fleet, index) =>
+			fleet.onDidPlace((notice) =>
+				fleets
+					.filter((other) => other !== fleet)
+					.forEach((other) =>
+						other.applyPlacement(`router-${index}`, { ...notice, server: shortKey(notice.server) }, notice.at),
+					),
+			),
+		);
+		const receivedAt: number[] = [];
+		for (let now = 0; now < COLD_MS; now += 10) {
+			const fleet = fleets[(now / 10) % fleets.length];
+			const [option] = fleet?.rankedOptions(SERVICE, plain, new Set(), now) ?? [];
+			if (fleet !== undefined && option?.health.usable === true) {
+				fleet.place(option, plain, now);
+				receivedAt.push(now);
+			}
+		}
+		expect(receivedAt.length).toBeGreaterThan(2 * REQUESTS_PER_SECOND);
+		expect(mostInASecond(receivedAt)).toBeLessThanOrEqual(REQUESTS_PER_SECOND * RATE_TOLERANCE);
+	});
 });
