Pause after failed calls for the versions of streams, and count the routers that are heard once a tick

The fraction of the routers that are heard was computed over all peers for each view of a limited engine; it is computed with the membership. The list of limits is built in a readable way.

--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -290,15 +290,9 @@
 
 	/** Servers that name a limit for the requests of all routers. */
 	public get requestLimits(): readonly RequestLimitReport[] {
-		return [...this.states].flatMap(
-			([
-				server,
-				{
-					startedAt,
-					limit: { requestsPerSecond },
-				},
-			]) => (requestsPerSecond === undefined ? [] : [{ server, startedAt, requestsPerSecond }]),
-		);
+		return [...this.states]
+			.map(([server, { startedAt, limit }]) => ({ server, startedAt, requestsPerSecond: limit.requestsPerSecond }))
+			.filter(({ requestsPerSecond }) => requestsPerSecond !== undefined);
 	}
 
 	/**
--- a/src/engines/common/requestLimit.ts
+++ b/src/engines/common/requestLimit.ts
@@ -137,8 +137,11 @@
 	 * @returns load that corresponds to the used fraction of the limit: the target load when all of it is used
 	 */
 	public load(now: number): number {
+		if (this.limit === undefined) {
+			return 0;
+		}
 		const limitPerWindow = (LOAD_WINDOW_MS * this.rate) / MILLISECONDS_PER_SECOND;
-		return this.limit === undefined ? 0 : TARGET_LOAD * Math.min(1, this.recent.sum(now) / limitPerWindow);
+		return TARGET_LOAD * Math.min(1, this.recent.sum(now) / limitPerWindow);
 	}
 
 	/** Fraction of the server's capacity that its limit leaves, from 0 to 1; 1 without a limit. */
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -59,6 +59,7 @@
 	private lastUsageAt = 0;
 	private lastProbeAt = 0;
 	private wasRelay = false;
+	private heard = 1;
 	private wasLarge = false;
 	private sent = 0;
 
@@ -164,8 +165,7 @@
 
 	/** Fraction of the routers that serve, as far as known, from which this router receives datagrams, from 0 to 1. */
 	public get heardFraction(): number {
-		const staying = this.peers.filter(({ leaving }) => !leaving);
-		return (1 + staying.filter(({ lost }) => !lost).length) / (1 + staying.length);
+		return this.heard;
 	}
 
 	/**
@@ -564,6 +564,8 @@
 			this.outboxes.delete(instance);
 		}
 		this.applyUpdates(updates, this.identity.instance, now);
+		const staying = this.peers.filter(({ leaving }) => !leaving);
+		this.heard = (1 + staying.filter(({ lost }) => !lost).length) / (1 + staying.length);
 		updates.forEach(({ peer }) => this.peerUpdateEmitter.fire(peer));
 		if (removed.length > 0) {
 			this.updateAssignments(now);
--- a/src/streams/node/streamVersionRecords.ts
+++ b/src/streams/node/streamVersionRecords.ts
@@ -42,6 +42,9 @@
 /** Maximum wait for a read before a request is answered; the store answers within 4 ms, or 200 ms when it is slow. */
 const READ_TIMEOUT_MS = 500;
 
+/** Pause after a call that has failed, since the store counts refused calls too. */
+const RETRY_DELAY_MS = 1_000;
+
 /** Margin for clocks that differ between routers, in addition to the longest time for which a stream is taken up. */
 const CLOCK_MARGIN_MS = 10_000;
 
@@ -176,20 +179,9 @@
 		return Effect.gen(function* () {
 			for (;;) {
 				yield* Effect.sleep(self.writeIntervalMs);
-				if (self.readAt === undefined) {
-					yield* Effect.promise(() => self.read());
-					continue;
-				}
-				const streams = self.begun.list(self.clock.now());
-				yield* self.writeHistoryIfDue();
-				if (self.isMixed && self.hasUnwritten) {
-					self.hasUnwritten = false;
-					const result = yield* Effect.result(self.writeRecord(encodeRecord(streams)));
-					if (result._tag === 'Failure') {
-						self.hasUnwritten = true;
-						self.lease = undefined;
-						self.log.write('stream-record-failed', { ...result.failure });
-					}
+				const isRead = self.readAt !== undefined || (yield* Effect.promise(() => self.read()));
+				if (!isRead || !(yield* self.writeHistoryIfDue()) || !(yield* self.writeRecordIfDue())) {
+					yield* Effect.sleep(RETRY_DELAY_MS);
 				}
 			}
 		});
@@ -253,17 +245,36 @@
 		return this.reading;
 	}
 
-	private writeHistoryIfDue(): Effect.Effect<void> {
+	/** Returns false when a call has failed. */
+	private writeRecordIfDue(): Effect.Effect<boolean> {
+		const streams = this.begun.list(this.clock.now());
+		if (!this.isMixed || !this.hasUnwritten) {
+			return Effect.succeed(true);
+		}
+		this.hasUnwritten = false;
+		return Effect.map(Effect.result(this.writeRecord(encodeRecord(streams))), (result) => {
+			if (result._tag === 'Failure') {
+				this.hasUnwritten = true;
+				this.lease = undefined;
+				this.log.write('stream-record-failed', { ...result.failure });
+			}
+			return result._tag === 'Success';
+		});
+	}
+
+	/** Returns false when a call has failed. */
+	private writeHistoryIfDue(): Effect.Effect<boolean> {
 		const now = this.clock.now();
 		const isCheckDue = this.isMixed && now - this.historyCheckedAt >= HISTORY_CHECK_INTERVAL_MS;
 		if (!this.fleet.isHistoryWriter() || (!this.history.needsWrite && !isCheckDue)) {
-			return Effect.void;
+			return Effect.succeed(true);
 		}
 		this.historyCheckedAt = now;
 		return Effect.map(Effect.result(this.writeHistory()), (result) => {
 			if (result._tag === 'Failure') {
 				this.log.write('version-history-failed', { ...result.failure });
 			}
+			return result._tag === 'Success';
 		});
 	}
 
