Divide the stated capacity unchanged while engines are idle, whatever limits are named

Before the estimator has observed a load, it multiplied the stated capacity by the fraction that limits leave, although nothing was short. Now only what was observed is multiplied.

--- a/src/shares/common/capacityEstimator.ts
+++ b/src/shares/common/capacityEstimator.ts
@@ -72,7 +72,7 @@
 		// The means follow a change of the limits slowly, and contain as much of it as their own fraction.
 		const estimated =
 			means === undefined
-				? nominal * remainingFraction
+				? nominal
 				: ((means.admittedPerSecond / means.load) * TARGET_LOAD * remainingFraction) / means.remainingFraction;
 		return Math.min(nominal * MAXIMUM_CORRECTION_FACTOR, Math.max(nominal / MAXIMUM_CORRECTION_FACTOR, estimated));
 	}
--- a/src/shares/test/shares.test.ts
+++ b/src/shares/test/shares.test.ts
@@ -208,4 +208,11 @@
 		capacity.observe({ admittedPerSecond: admittedPerSecond / 2, load: 0.65, remainingFraction: 1 }, 60_050);
 		expect(capacity.estimatePerSecond(admittedPerSecond) / before).toBeCloseTo(1, 1);
 	});
+
+	// Guards against refusing requests for the share of their account while engines without a limit are idle.
+	test('is the stated one while the engines are idle', () => {
+		const capacity = CapacityEstimator.create();
+		capacity.observe({ admittedPerSecond: 10, load: 0.05, remainingFraction: 0.4 }, 0);
+		expect(capacity.estimatePerSecond(admittedPerSecond)).toBe(admittedPerSecond);
+	});
 });
--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -31,6 +31,8 @@
 	readonly softwareVersion: string;
 	/** Monotonic milliseconds. */
 	readonly startedAt: number;
+	/** Events of a stream that were sent. */
+	eventsSent: number;
 	end: 'running' | 'whole' | 'cancelled' | 'crashed' | 'answer-lost';
 }
 
@@ -232,6 +234,7 @@
 			firstAttempt: headerOf(request, 'resumes') ?? requestId,
 			softwareVersion: this.softwareVersion,
 			startedAt: performance.now(),
+			eventsSent: 0,
 			account: headerOf(request, 'x-tenant'),
 			end: 'running',
 		};
@@ -262,21 +265,21 @@
 			setTimeout(() => sendJson(response, 200, { path }, headers()), this.options.stepMs);
 			return;
 		}
-		this.stream(request, response, headers, firstEvent);
+		this.stream(request, response, headers, execution);
 	}
 
 	private stream(
 		request: http.IncomingMessage,
 		response: http.ServerResponse,
 		headers: () => http.OutgoingHttpHeaders,
-		firstEvent: number,
+		execution: RequestExecution,
 	): void {
 		const [promptTokens = 0, outputTokens = 1] = (headerOf(request, 'x-token-usage') ?? '').split(',').map(Number);
 		const promptParts = (headerOf(request, 'x-prefix-hash') ?? '').split(',').filter((part) => part !== '');
 		const events = Math.max(1, Math.ceil(outputTokens / this.options.tokensPerEvent));
 		const prefillMs = (promptTokens - this.cacheParts(promptParts)) / (this.options.tokensPerMs ?? 1);
 		this.prefillEndsAt = Math.max(this.prefillEndsAt, performance.now()) + prefillMs;
-		let event = firstEvent;
+		let event = execution.firstEvent;
 		const emit = (): void => {
 			if (response.destroyed) {
 				return;
@@ -286,6 +289,7 @@
 			}
 			response.write(`id: ${event}\ndata: event ${event} of ${events}\n\n`);
 			event++;
+			execution.eventsSent++;
 			if (event > events) {
 				response.end();
 			} else {
