--- a/src/streams/node/streamVersionRecords.ts
+++ b/src/streams/node/streamVersionRecords.ts
@@ -21,7 +21,7 @@
 const MINIMUM_WRITE_INTERVAL_MS = 250;
 
 /** Part of the store's writes that the records of all routers may use. */
-const WRITES_FRACTION = 0.2;
+const WRITES_FRACTION = 0.1;
 
 /** A lease lasts for longer than a stream, so that the record outlives its router for as long as it is needed. */
 const LEASE_SECONDS = 60;
