--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -170,6 +170,14 @@
 	return Math.min(limitMs, Math.max(NEARLY_IDLE_WAIT_MS, roomMs));
 }
 
-function clampRetryMs(milliseconds: number, { deadlineLeftMs }: Pick<AdmissionInputs, 'deadlineLeftMs'>): number {
+/**
+ * @param milliseconds time after which the caller may retry
+ * @param inputs time left until the caller's deadline
+ * @returns the time, limited to the part of the time left for which callers wait
+ */
+export function clampRetryMs(
+	milliseconds: number,
+	{ deadlineLeftMs }: Pick<AdmissionInputs, 'deadlineLeftMs'>,
+): number {
 	return Math.min(milliseconds, Math.max(0, deadlineLeftMs) * MAXIMUM_RETRY_FRACTION);
 }
--- a/src/engines/common/engineFleet.ts
+++ b/src/engines/common/engineFleet.ts
@@ -58,9 +58,6 @@
 /** Slot occupancy time assumed for a plain request before the first observation. */
 const INITIAL_PLAIN_SLOT_TIME_MS = 50;
 
-/** Interval at which peers are told again of a limit that a server goes on naming, since a datagram may be lost. */
-const LIMIT_REPORT_INTERVAL_MS = 400;
-
 /** The state of an unregistered server is retained this long because its entry may reappear. */
 const UNREGISTERED_RETENTION_MS = 10_000;
 
@@ -186,6 +183,14 @@
 		return this.optionsOf(known, work, this.localOrigin, now).map((option) => this.applyNotices(option, now));
 	}
 
+	/**
+	 * @param service name of a service
+	 * @returns its servers that may receive requests
+	 */
+	public listServers(service: string): readonly RegisteredServer[] {
+		return (this.byService.get(service) ?? []).map(({ server }) => server);
+	}
+
 	/**
 	 * @param server identifier of a server
 	 * @param now monotonic milliseconds
@@ -259,11 +264,10 @@
 		if (state === undefined || !isSameIncarnation(state, startedAt)) {
 			return false;
 		}
-		const hasChanged =
-			requestsPerSecond === undefined ? state.limit.end(sentAt, now) : state.applyLimit(requestsPerSecond, now);
-		const isReportDue = requestsPerSecond !== undefined && now - state.limitReportedAt >= LIMIT_REPORT_INTERVAL_MS;
-		if (hasChanged || isReportDue) {
-			state.limitReportedAt = now;
+		const hasChanged = state.applyLimit(requestsPerSecond, sentAt, now);
+		// A response without a limit may be older than the last one that named it.
+		if (hasChanged || (requestsPerSecond !== undefined && state.limit.isReportDue(now))) {
+			state.limit.recordReport(now);
 			this.requestLimitEmitter.fire({ server, startedAt: state.startedAt, requestsPerSecond });
 		}
 		return hasChanged;
@@ -278,13 +282,8 @@
 	 */
 	public applyRequestLimit(server: number, report: Omit<RequestLimitReport, 'server'>, now: number): void {
 		const state = this.stateByKey(server);
-		if (state === undefined || !isSameIncarnation(state, report.startedAt)) {
-			return;
-		}
-		if (report.requestsPerSecond === undefined) {
-			state.limit.end(now, now);
-		} else {
-			state.applyLimit(report.requestsPerSecond, now);
+		if (state !== undefined && isSameIncarnation(state, report.startedAt)) {
+			state.applyLimit(report.requestsPerSecond, now, now);
 		}
 	}
 
@@ -459,7 +458,7 @@
 			.flatMap((service) => this.byService.get(service) ?? [])
 			.flatMap(({ server }) => this.states.get(server.id)?.view(this.queues.ownsQueueOf(server.id), now) ?? [])
 			.filter(({ health }) => health.usable);
-		return views.length === 0 ? undefined : views.reduce((sum, { load }) => sum + load, 0) / views.length;
+		return meanOf(views.map(({ load }) => load));
 	}
 
 	/**
@@ -471,7 +470,7 @@
 		const fractions = services
 			.flatMap((service) => this.byService.get(service) ?? [])
 			.map(({ server: { id } }) => this.states.get(id)?.remainingFraction(this.queues.ownsQueueOf(id), now) ?? 1);
-		return fractions.length === 0 ? 1 : fractions.reduce((sum, fraction) => sum + fraction, 0) / fractions.length;
+		return meanOf(fractions) ?? 1;
 	}
 
 	/**
@@ -814,6 +813,10 @@
 	}
 }
 
+function meanOf(values: readonly number[]): number | undefined {
+	return values.length === 0 ? undefined : values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
 /** A notice about an earlier incarnation says nothing about the one that serves now. */
 function isSameIncarnation(state: EngineState, startedAt: number | undefined): boolean {
 	return startedAt === undefined || state.startedAt === undefined || state.startedAt === startedAt;
--- a/src/engines/common/engineState.ts
+++ b/src/engines/common/engineState.ts
@@ -72,8 +72,6 @@
 	public readonly notices = ServerNotices.create();
 	public readonly cold = ColdStart.create();
 	public readonly limit: RequestLimit;
-	/** Monotonic milliseconds at which peers were last told of the limit. */
-	public limitReportedAt = -Infinity;
 	private ownRequests = 0;
 	private readonly peers = new Map<string, number>();
 	/** Cached sum of {@link peers}, which is read several times per request. */
@@ -150,14 +148,17 @@
 	}
 
 	/**
-	 * Applies the limit that a response of the server names.
+	 * Applies the limit that a response of the server names, or that it names none.
 	 *
-	 * @param requestsPerSecond limit for all routers together
+	 * @param requestsPerSecond limit for all routers together; undefined when the response names none
+	 * @param sentAt monotonic milliseconds at which the request was sent
 	 * @param now monotonic milliseconds
 	 * @returns whether the limit has changed
 	 */
-	public applyLimit(requestsPerSecond: number, now: number): boolean {
-		return this.limit.apply(requestsPerSecond, now, this.queue.load(now));
+	public applyLimit(requestsPerSecond: number | undefined, sentAt: number, now: number): boolean {
+		return requestsPerSecond === undefined
+			? this.limit.end(sentAt, now)
+			: this.limit.apply(requestsPerSecond, now, this.queue.load(now));
 	}
 
 	/**
--- a/src/engines/common/requestLimit.ts
+++ b/src/engines/common/requestLimit.ts
@@ -22,6 +22,9 @@
 /** At a lower load, the requests of a server say little about how many it can handle. */
 const MINIMUM_OBSERVED_LOAD = 0.3;
 
+/** Interval at which peers are told again of a limit that a server goes on naming, since a datagram may be lost. */
+const REPORT_INTERVAL_MS = 400;
+
 /** Tells peers which limit a server has named. */
 export interface RequestLimitReport {
 	readonly server: string;
@@ -46,6 +49,7 @@
 	private unlimitedRate: number | undefined;
 	private changedAt = -Infinity;
 	private namedAt = -Infinity;
+	private reportedAt = -Infinity;
 	/** Time of the next request; may lie in the past. */
 	private nextAt = -Infinity;
 	private jitterMs = 0;
@@ -110,6 +114,19 @@
 		}
 	}
 
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns whether peers have to be told again of a limit that the server goes on naming
+	 */
+	public isReportDue(now: number): boolean {
+		return now - this.reportedAt >= REPORT_INTERVAL_MS;
+	}
+
+	/** @param now monotonic milliseconds at which peers are told of the limit or of its end */
+	public recordReport(now: number): void {
+		this.reportedAt = now;
+	}
+
 	/**
 	 * Counts a request that some router sends to the server.
 	 *
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -94,29 +94,19 @@
 	public addEnd({ server, outcome }: EndNotice): void {
 		this.servers.add(server);
 		if (outcome !== undefined) {
-			this.outcomes.push({
-				engine: shortKey(server),
-				outcome: OUTCOMES.get(outcome) ?? wire.Outcome.OUTCOME_UNSPECIFIED,
-				startedAt: 0,
-				requestsPerSecond: 0,
-			});
+			this.addOutcome(server, OUTCOMES.get(outcome) ?? wire.Outcome.OUTCOME_UNSPECIFIED);
 		}
 	}
 
 	/** @param notice a server that has reported that it is leaving */
 	public addLeaving({ server, startedAt = 0 }: LeavingNotice): void {
-		this.outcomes.push({
-			engine: shortKey(server),
-			outcome: wire.Outcome.OUTCOME_LEAVING,
-			startedAt,
-			requestsPerSecond: 0,
-		});
+		this.addOutcome(server, wire.Outcome.OUTCOME_LEAVING, startedAt);
 	}
 
 	/** @param report limit that a server has named or no longer names */
 	public addRequestLimit({ server, startedAt = 0, requestsPerSecond }: RequestLimitReport): void {
 		const outcome = requestsPerSecond === undefined ? wire.Outcome.OUTCOME_UNLIMITED : wire.Outcome.OUTCOME_LIMITED;
-		this.outcomes.push({ engine: shortKey(server), outcome, startedAt, requestsPerSecond: requestsPerSecond ?? 0 });
+		this.addOutcome(server, outcome, startedAt, requestsPerSecond);
 	}
 
 	/** @param notice a request that is suspected of crashing servers */
@@ -225,6 +215,10 @@
 		state.streams = [...this.servers].map((server) => ({ engine: shortKey(server), requests: ownInProgress(server) }));
 		this.servers.clear();
 	}
+
+	private addOutcome(server: string, outcome: wire.Outcome, startedAt = 0, requestsPerSecond = 0): void {
+		this.outcomes.push({ engine: shortKey(server), outcome, startedAt, requestsPerSecond });
+	}
 }
 
 /**
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -564,8 +564,7 @@
 			this.outboxes.delete(instance);
 		}
 		this.applyUpdates(updates, this.identity.instance, now);
-		const staying = this.peers.filter(({ leaving }) => !leaving);
-		this.heard = (1 + staying.filter(({ lost }) => !lost).length) / (1 + staying.length);
+		this.heard = this.routerCount / (1 + this.peers.filter(({ leaving }) => !leaving).length);
 		updates.forEach(({ peer }) => this.peerUpdateEmitter.fire(peer));
 		if (removed.length > 0) {
 			this.updateAssignments(now);
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -1,5 +1,10 @@
 import { Effect, type Exit } from 'effect';
-import { decideAdmission, overShareRetryAfterMs, type AdmissionDecision } from '../../admission/common/admission.js';
+import {
+	clampRetryMs,
+	decideAdmission,
+	overShareRetryAfterMs,
+	type AdmissionDecision,
+} from '../../admission/common/admission.js';
 import type {
 	BackendFailure,
 	ResponseHead,
@@ -62,9 +67,6 @@
 /** Maximum number of declined reservations for one request; if so many servers are full, the next one most likely is too. */
 const MAXIMUM_DECLINED = 5;
 
-/** Retry delay when the version of a stream is not known and will not be, as a fraction of the caller's deadline. */
-const UNKNOWN_VERSION_RETRY_FRACTION = 0.33;
-
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 const BAD_GATEWAY = 502;
@@ -219,16 +221,16 @@
 		const { streamVersions, log, metrics } = this.context;
 		const stream = this.streamOf(fields.resumption.firstAttempt);
 		return Effect.map(streamVersions.findOrigin(routing.service, stream), (origin) => {
-			const source = origin.kind === 'known' ? origin.source : 'unknown';
-			const version = origin.kind === 'known' ? origin.version : undefined;
+			const { source, version } = origin.kind === 'known' ? origin : { source: 'unknown' as const, version: undefined };
 			metrics.countResumption(routing.service, source);
 			log.write('stream-taken-up', { id: fields.id, resumes: stream.attempt, source, version });
 			if (origin.kind === 'known') {
 				this.begunAt = { version: origin.version };
 				return true;
 			}
-			const deadlineMs = fields.deadlineMs ?? routing.route.timeoutMs;
-			const retryAfterMs = origin.isTemporary ? NOT_RUN_RETRY_MS : deadlineMs * UNKNOWN_VERSION_RETRY_FRACTION;
+			const deadlineLeftMs = fields.deadlineMs ?? routing.route.timeoutMs;
+			// A version that will not be known makes any earlier retry futile.
+			const retryAfterMs = origin.isTemporary ? NOT_RUN_RETRY_MS : clampRetryMs(Infinity, { deadlineLeftMs });
 			this.sendFailure('unknown-stream-version', BAD_GATEWAY, retryAfterMs);
 			return false;
 		});
@@ -316,7 +318,7 @@
 				const result = yield* self.context.reservations.reserve(
 					decision.option,
 					self.work,
-					self.serversToAvoid(now),
+					self.serversToAvoid(),
 					reservationLimits(decision, declined),
 					{ account: accountKeyOf(routing), cost: self.isContinuation ? 0 : self.cost },
 				);
@@ -353,26 +355,22 @@
 	private options(now: number): readonly EngineOption[] {
 		const { fleet } = this.context;
 		const { service } = this.request.routing;
-		const untried = fleet.rankedOptions(service, this.work, this.triedServers, now).filter(this.mayServe);
+		const mayServe = ({ server }: EngineOption): boolean => this.mayServe(server);
+		const untried = fleet.rankedOptions(service, this.work, this.triedServers, now).filter(mayServe);
 		return untried.length > 0 || this.triedServers.size === 0
 			? untried
-			: fleet.rankedOptions(service, this.work, NO_SERVERS, now).filter(this.mayServe);
+			: fleet.rankedOptions(service, this.work, NO_SERVERS, now).filter(mayServe);
 	}
 
 	/** Whether a server may receive the request, by the version at which its stream has begun. */
-	private readonly mayServe = ({ server }: EngineOption): boolean =>
-		this.begunAt === undefined ||
-		(this.begunAt.version !== undefined && this.begunAt.version === server.softwareVersion);
+	private mayServe({ softwareVersion }: RegisteredServer): boolean {
+		return this.begunAt === undefined || (softwareVersion !== undefined && this.begunAt.version === softwareVersion);
+	}
 
 	/** Identifiers of the servers that the owner of a queue must not choose. */
-	private serversToAvoid(now: number): ReadonlySet<string> {
-		if (this.begunAt === undefined) {
-			return this.triedServers;
-		}
-		const others = this.context.fleet
-			.rankedOptions(this.request.routing.service, this.work, this.triedServers, now)
-			.filter((option) => !this.mayServe(option))
-			.map(({ server }) => server.id);
+	private serversToAvoid(): ReadonlySet<string> {
+		const servers = this.isContinuation ? this.context.fleet.listServers(this.request.routing.service) : [];
+		const others = servers.filter((server) => !this.mayServe(server)).map(({ id }) => id);
 		return new Set([...this.triedServers, ...others]);
 	}
 
--- a/src/streams/node/streamVersionRecords.ts
+++ b/src/streams/node/streamVersionRecords.ts
@@ -252,13 +252,12 @@
 			return Effect.succeed(true);
 		}
 		this.hasUnwritten = false;
-		return Effect.map(Effect.result(this.writeRecord(encodeRecord(streams))), (result) => {
-			if (result._tag === 'Failure') {
+		return Effect.map(this.succeeds('stream-record-failed', this.writeRecord(encodeRecord(streams))), (isWritten) => {
+			if (!isWritten) {
 				this.hasUnwritten = true;
 				this.lease = undefined;
-				this.log.write('stream-record-failed', { ...result.failure });
 			}
-			return result._tag === 'Success';
+			return isWritten;
 		});
 	}
 
@@ -270,9 +269,14 @@
 			return Effect.succeed(true);
 		}
 		this.historyCheckedAt = now;
-		return Effect.map(Effect.result(this.writeHistory()), (result) => {
+		return this.succeeds('version-history-failed', this.writeHistory());
+	}
+
+	/** Runs a call to the store, and logs its failure as an event. */
+	private succeeds(event: string, call: Effect.Effect<void, StoreError>): Effect.Effect<boolean> {
+		return Effect.map(Effect.result(call), (result) => {
 			if (result._tag === 'Failure') {
-				this.log.write('version-history-failed', { ...result.failure });
+				this.log.write(event, { ...result.failure });
 			}
 			return result._tag === 'Success';
 		});
