--- a/src/engines/test/coldStart.test.ts
+++ b/src/engines/test/coldStart.test.ts
@@ -2,7 +2,7 @@
 import type { PromptWork } from '../common/engineChoice.js';
 import { EngineFleet } from '../common/engineFleet.js';
 import { shortKey } from '../../base/common/shortKey.js';
-import { engineWith, SERVICE } from './engineFixture.js';
+import { engineWith, reservationWith, SERVICE } from './engineFixture.js';
 
 const ROUTERS = 40;
 const REQUESTS_PER_SECOND = 11;
@@ -34,18 +34,7 @@
 		const router = `router-${now % ROUTERS}`;
 		const answer = fleet.reserve(
 			router,
-			{
-				work: WORK,
-				failureDomain: 'a',
-				connected: [shortKey(cold)],
-				service: shortKey(SERVICE),
-				excluded: [],
-				sequence: now,
-				claim: { account: 0, cost: 0 },
-				limitMs: 500,
-				maximumLoad: 1,
-				maximumRereadTokens: Infinity,
-			},
+			reservationWith(WORK, { connected: [shortKey(cold)], sequence: now, limitMs: 500 }),
 			now,
 		);
 		if (answer?.server !== undefined) {
--- a/src/engines/test/engineFixture.ts
+++ b/src/engines/test/engineFixture.ts
@@ -1,5 +1,7 @@
 import type { RegisteredServer } from '../common/directory.js';
-import type { EngineOption } from '../common/engineChoice.js';
+import { shortKey } from '../../base/common/shortKey.js';
+import type { EngineOption, PromptWork } from '../common/engineChoice.js';
+import type { ReservationRequest } from '../common/placementMessages.js';
 
 /** Service of the engines that {@link engineWith} registers. */
 export const SERVICE = 'drafts';
@@ -46,3 +48,24 @@
 		...overrides,
 	};
 }
+
+/**
+ * @param work prompt of the request
+ * @param overrides fields that differ from the defaults
+ * @returns a request for a place in a queue of the service
+ */
+export function reservationWith(work: PromptWork, overrides: Partial<ReservationRequest> = {}): ReservationRequest {
+	return {
+		work,
+		failureDomain: 'a',
+		connected: [],
+		service: shortKey(SERVICE),
+		excluded: [],
+		sequence: 1,
+		claim: { account: 0, cost: 0 },
+		limitMs: 100,
+		maximumLoad: 1,
+		maximumRereadTokens: Infinity,
+		...overrides,
+	};
+}
--- a/src/engines/test/queueReservation.test.ts
+++ b/src/engines/test/queueReservation.test.ts
@@ -3,7 +3,7 @@
 import type { EngineOption, PromptWork } from '../common/engineChoice.js';
 import { EngineFleet } from '../common/engineFleet.js';
 import type { Reservation, ReservationRequest } from '../common/placementMessages.js';
-import { engineWith, SERVICE } from './engineFixture.js';
+import { engineWith, reservationWith, SERVICE } from './engineFixture.js';
 
 const ENGINES = 12;
 const ENGINES_PER_GROUP = 4;
@@ -93,7 +93,7 @@
 	): Reservation | undefined => {
 		const sequence = fleet.nextSequence();
 		const limitMs = Math.min(LIMIT_MS, option.waitMs + 40);
-		const request = requestWith(work, { sequence, limitMs });
+		const request = reservationWith(work, { sequence, limitMs });
 		const answer = fleets[ownerOf(option.server.id)]?.reserve(`router-${router}`, request, now);
 		if (answer === undefined) {
 			throw new Error('the keeper of the queue has no state of its engines');
@@ -144,22 +144,6 @@
 	return waits.sort((one, other) => one - other);
 }
 
-function requestWith(work: PromptWork, overrides: Partial<ReservationRequest> = {}): ReservationRequest {
-	return {
-		work,
-		failureDomain: 'a',
-		connected: [],
-		service: shortKey(SERVICE),
-		excluded: [],
-		sequence: 1,
-		claim: { account: 0, cost: 0 },
-		limitMs: 100,
-		maximumLoad: 1,
-		maximumRereadTokens: Infinity,
-		...overrides,
-	};
-}
-
 function quantile(values: readonly number[], part: number): number {
 	return values[Math.floor(values.length * part)] ?? NaN;
 }
@@ -180,7 +164,7 @@
 		const requester = fleetOf(9);
 		const work = longPrompt(30_000);
 		const servers = Array.from({ length: ENGINES_PER_GROUP + 1 }, (_, index) => {
-			const answer = owner.reserve('router-9', requestWith(work, { sequence: index + 1 }), 0);
+			const answer = owner.reserve('router-9', reservationWith(work, { sequence: index + 1 }), 0);
 			answer?.reports.forEach((report, key) => requester.applyReport(key, report, 0));
 			return answer?.server;
 		});
@@ -194,7 +178,7 @@
 
 	test('that are reserved and also reported as a placement count once', () => {
 		const owner = fleetOf(0);
-		const reserved = owner.reserve('router-9', requestWith(longPrompt(30_000)), 0)?.server ?? '';
+		const reserved = owner.reserve('router-9', reservationWith(longPrompt(30_000)), 0)?.server ?? '';
 		const before = owner.ownedQueueReports(0).get(shortKey(reserved))?.waitMs;
 		owner.applyPlacement('router-9', { server: shortKey(reserved), sequence: 1, workMs: 600, parts: [] }, 0);
 		expect(owner.ownedQueueReports(0).get(shortKey(reserved))?.waitMs).toBe(before);
@@ -204,7 +188,7 @@
 	test('are not reserved at a server that a peer could not reach', () => {
 		const owner = fleetOf(0);
 		engineIds.slice(1).forEach((id) => owner.applyOutcome(shortKey(id), 'unreachable', 0));
-		const request = requestWith(longPrompt(100), { excluded: [shortKey('engine-0')] });
+		const request = reservationWith(longPrompt(100), { excluded: [shortKey('engine-0')] });
 		expect(owner.reserve('router-9', request, 100)?.server).toBeUndefined();
 		expect(owner.reserve('router-9', request, 500)?.server).toBeDefined();
 	});
@@ -215,7 +199,10 @@
 		const prompt = (router: number): ReservationRequest => {
 			const own = { key: shortKey(`prompt of ${router}`), tokens: 1_000 };
 			const parts = [{ key: shortKey('tides'), tokens: 5_000 }, own];
-			return requestWith({ parts, promptTokens: 6_000, tokensPerEvent: 5, pauseAimMs: Infinity }, { limitMs: 1_000 });
+			return reservationWith(
+				{ parts, promptTokens: 6_000, tokensPerEvent: 5, pauseAimMs: Infinity },
+				{ limitMs: 1_000 },
+			);
 		};
 		const reserved = Array.from({ length: 6 }, (_, router) => {
 			const answer = owner.reserve(`router-${router + 5}`, prompt(router), router * 200);
@@ -242,7 +229,7 @@
 				const parts = [{ key: shortKey(`request ${request}`), tokens: 600 }];
 				const work = { parts, promptTokens: 600, tokensPerEvent: 5, pauseAimMs: Infinity };
 				const overrides = { sequence: request, connected: reportsConnections ? [...known] : [] };
-				const key = shortKey(owner.reserve(`router-${router}`, requestWith(work, overrides), now)?.server ?? '');
+				const key = shortKey(owner.reserve(`router-${router}`, reservationWith(work, overrides), now)?.server ?? '');
 				opened += known.has(key) ? 0 : 1;
 				known.add(key);
 				owner.applyFirstEvent(`router-${router}`, { server: key, sequence: request, abandoned: false }, now + 12);
@@ -263,7 +250,7 @@
 			[engineWith('engine-1', { failureDomain: 'a' }), engineWith('engine-2', { failureDomain: 'b' })],
 			0,
 		);
-		const request = requestWith(longPrompt(600), { failureDomain: 'b' });
+		const request = reservationWith(longPrompt(600), { failureDomain: 'b' });
 		expect(owner.reserve('router-9', request, 0)?.server).toBe('engine-2');
 	});
 
@@ -274,10 +261,14 @@
 			{ key: 1, tokens: 1_000 },
 		];
 		const work: PromptWork = { parts, promptTokens: 6_000, tokensPerEvent: 5, pauseAimMs: Infinity };
-		owner.reserve('router-9', requestWith(work), 0);
+		owner.reserve('router-9', reservationWith(work), 0);
 		const strictLimits = { limitMs: 50, maximumRereadTokens: 1_000 };
-		expect(owner.reserve('router-9', requestWith(work, { ...strictLimits, sequence: 2 }), 10)?.server).toBeUndefined();
-		expect(owner.reserve('router-9', requestWith(work, { ...strictLimits, sequence: 3 }), 300)?.server).toBeDefined();
+		expect(
+			owner.reserve('router-9', reservationWith(work, { ...strictLimits, sequence: 2 }), 10)?.server,
+		).toBeUndefined();
+		expect(
+			owner.reserve('router-9', reservationWith(work, { ...strictLimits, sequence: 3 }), 300)?.server,
+		).toBeDefined();
 	});
 });
 
--- a/src/engines/test/requestLimit.test.ts
+++ b/src/engines/test/requestLimit.test.ts
@@ -6,7 +6,7 @@
 import type { PromptWork } from '../common/engineChoice.js';
 import { EngineFleet } from '../common/engineFleet.js';
 import { RequestLimit } from '../common/requestLimit.js';
-import { engineWith, SERVICE } from './engineFixture.js';
+import { engineWith, reservationWith, SERVICE } from './engineFixture.js';
 
 const WORK: PromptWork = { parts: [], promptTokens: 200, tokensPerEvent: 5, pauseAimMs: 500 };
 const NO_SERVERS: ReadonlySet<string> = new Set();
@@ -129,22 +129,7 @@
 		owner.applyRequestLimit(shortKey('engine-1'), limitOf(2), 0);
 		const received: number[] = [];
 		for (let now = 0; now < 20_000; now += 2) {
-			const answer = owner.reserve(
-				`router-${now % 195}`,
-				{
-					work: WORK,
-					failureDomain: 'a',
-					connected: [],
-					service: shortKey(SERVICE),
-					excluded: [],
-					sequence: now,
-					claim: { account: 0, cost: 0 },
-					limitMs: 500,
-					maximumLoad: 1,
-					maximumRereadTokens: Infinity,
-				},
-				now,
-			);
+			const answer = owner.reserve(`router-${now % 195}`, reservationWith(WORK, { sequence: now, limitMs: 500 }), now);
 			if (answer?.server !== undefined) {
 				owner.applyFirstEvent(
 					`router-${now % 195}`,
--- a/src/engines/test/serverNotices.test.ts
+++ b/src/engines/test/serverNotices.test.ts
@@ -3,7 +3,7 @@
 import { shortKey } from '../../base/common/shortKey.js';
 import { EngineFleet } from '../common/engineFleet.js';
 import { ServerNotices } from '../common/serverNotices.js';
-import { engineWith, SERVICE } from './engineFixture.js';
+import { engineWith, reservationWith, SERVICE } from './engineFixture.js';
 
 const WORK = { parts: [], promptTokens: 1_000, tokensPerEvent: 5, pauseAimMs: 500 };
 const NO_SERVERS: ReadonlySet<string> = new Set();
@@ -80,18 +80,7 @@
 	test('is not offered by the router that owns its queue', () => {
 		const fleet = fleetWith('engine-1', 'engine-2');
 		fleet.applyLeaving(shortKey('engine-1'));
-		const request = {
-			service: shortKey(SERVICE),
-			excluded: [],
-			connected: [shortKey('engine-1')],
-			failureDomain: 'a',
-			sequence: 1,
-			claim: { account: 0, cost: 0 },
-			work: WORK,
-			limitMs: 1_000,
-			maximumLoad: 1,
-			maximumRereadTokens: Infinity,
-		};
+		const request = reservationWith(WORK, { connected: [shortKey('engine-1')], limitMs: 1_000 });
 		expect(fleet.reserve('router-2', request, 0)?.server).toBe('engine-2');
 		expect(fleet.ownedQueueReports(0).get(shortKey('engine-1'))?.suspendedMs).toBeGreaterThan(10_000);
 		expect(fleet.ownedQueueReports(0).get(shortKey('engine-2'))?.suspendedMs).toBe(0);
