Name refusals and events for a request limit by the product's own term

The reason and the event had the name of the platform's header, which only platform/ is to know; the glossary says request limit.

--- a/src/admission/common/admission.ts
+++ b/src/admission/common/admission.ts
@@ -22,7 +22,7 @@
 }
 
 /** Why a request is refused. */
-export type RefusalReason = 'no-server' | 'server-limit' | 'over-share' | 'busy';
+export type RefusalReason = 'no-server' | 'request-limit' | 'over-share' | 'busy';
 
 /** The engine that gets a request, or the time after which the caller may retry. */
 export type AdmissionDecision =
@@ -114,7 +114,7 @@
 	const [preferred] = usable;
 	if (preferred === undefined) {
 		const retryMs = firstUsableMs(inputs) + inputs.retryJitter * RETRY_SPREAD_MS;
-		const reason = inputs.options.some(({ isLimited }) => isLimited) ? 'server-limit' : 'no-server';
+		const reason = inputs.options.some(({ isLimited }) => isLimited) ? 'request-limit' : 'no-server';
 		return { kind: 'refuse', reason, retryAfterMs: clampRetryMs(retryMs, inputs), limitMs: 0 };
 	}
 	const isOverShare = inputs.isContinuation !== true && inputs.shareStatus.offeredShare > 1;
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -544,14 +544,14 @@
 		const { id } = this.request.fields;
 		if (unreadableLimit !== undefined) {
 			metrics.countServerNotice(service, 'unreadable');
-			log.write('server-limit', { id, server, unreadableLimit });
+			log.write('request-limit', { id, server, unreadableLimit });
 			return;
 		}
 		if (requestsPerSecond !== undefined) {
 			metrics.countServerNotice(service, 'limit');
 		}
 		if (fleet.recordRequestLimit({ server, startedAt, requestsPerSecond }, sentAt, clock.now())) {
-			log.write('server-limit', { id, server, requestsPerSecond, isLimited: requestsPerSecond !== undefined });
+			log.write('request-limit', { id, server, requestsPerSecond, isLimited: requestsPerSecond !== undefined });
 		}
 	}
 
