--- a/src/gateway/common/crashDetector.ts
+++ b/src/gateway/common/crashDetector.ts
@@ -2,7 +2,7 @@
 import type { BackendTarget } from '../../backends/common/backendClient.js';
 import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
 import type { PromptSuspects } from '../../backends/common/promptSuspects.js';
-import type { ServerProbe } from '../../backends/common/serverProbe.js';
+import type { ProbeResult, ServerProbe } from '../../backends/common/serverProbe.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
 
@@ -33,6 +33,8 @@
 	readonly clock: IClock;
 	/** Called with the identifier of a server that crashed, and the number of requests that it may have crashed on. */
 	readonly reportCrash: (server: string, requests: number) => void;
+	/** Called with the result of a probe, and the number of broken requests of its server that are not yet explained. */
+	readonly reportProbe: (server: string, result: ProbeResult, requests: number) => void;
 }
 
 /**
@@ -113,6 +115,8 @@
 		Effect.runFork(
 			Effect.map(this.context.probe(server), (result) => {
 				this.probing.delete(server.id);
+				const requests = this.broken.filter((item) => item.server === server.id).length;
+				this.context.reportProbe(server.id, result, requests);
 				if (result === 'refusing') {
 					this.recordUnreachable(server.id);
 				}
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -242,6 +242,7 @@
 				probe: ({ id }) => Effect.succeed(isListening(id) ? 'accepting' : 'refusing'),
 				clock: systemClock,
 				reportCrash: (server, requests) => log.write('server-crashed', { server, requests }),
+				reportProbe: (server, result, requests) => log.write('server-probed', { server, result, requests }),
 			}),
 			log,
 			metrics: GatewayMetrics.create(),
