--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -81,6 +81,26 @@
 		await waitUntil(() => two.suspects.remainingQuarantineMs(fingerprint) > 0);
 	});
 
+	// Guards against a notice that is sent once: a router that started later spent more engines on the request.
+	test('a request that crashed engines is refused at a router that starts later', async () => {
+		const [one, two] = await startPair();
+		const fingerprint = 'cd'.repeat(16);
+		one.suspects.recordCrash(fingerprint);
+		one.suspects.recordCrash(fingerprint);
+		await waitUntil(() => two.suspects.remainingQuarantineMs(fingerprint) > 0);
+		const late = await startRouter('router-3', '127.0.205');
+		late.exchange.introduce(one.datagramAddress);
+		await waitUntil(() => late.suspects.remainingQuarantineMs(fingerprint) > 0);
+	});
+
+	// Guards against a notice that is sent once: a router that was frozen, or cut off, when it came never learned of it.
+	test('a request that crashed engines is refused at a router that missed the notice of it', async () => {
+		const [one, two] = await startPair();
+		const fingerprint = 'ef'.repeat(16);
+		one.suspects.applyPeerState('router-9', { fingerprint, deaths: 2, quarantineMs: 60_000, claimMs: 0 });
+		await waitUntil(() => two.suspects.remainingQuarantineMs(fingerprint) > 0);
+	});
+
 	// Guards against routers that each see too few of the prompts to find the part that crashes engines.
 	test('a part of prompts that crashed engines at several routers is refused at all, also at one that starts later', async () => {
 		const [one, two] = await startPair();
--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -42,6 +42,15 @@
 	readonly resetRate?: number;
 	/** Fraction of the executions that fail with status 500. */
 	readonly failureRate?: number;
+	/** Ends the server a while after it has sent the first event of a response. */
+	readonly crash?: {
+		/** Whether an execution ends the server. */
+		readonly isHarmful: (execution: RequestExecution) => boolean;
+		/** Milliseconds from the first event to the end of the server. */
+		readonly afterMs: number;
+		/** Milliseconds until the server listens again. */
+		readonly downMs: number;
+	};
 }
 
 /** What a server reports of itself in its responses. */
@@ -290,6 +299,10 @@
 			response.write(`id: ${event}\ndata: event ${event} of ${events}\n\n`);
 			event++;
 			execution.eventsSent++;
+			const { crash } = this.faults;
+			if (execution.eventsSent === 1 && crash?.isHarmful(execution) === true) {
+				setTimeout(() => this.crash(crash.downMs), crash.afterMs);
+			}
 			if (event > events) {
 				response.end();
 			} else {
