Take only a complete response as proof that a request does not crash servers

Cause: a response that had gone on for 50 ms acquitted its request, so its crash was not counted. Class: the absence of a fault for a while is taken for proof.

Whole requests are now suspects of the same kind as parts of prompts (SuspectRegistry with a policy for each): every request in progress at a crash is a suspect, counted by distinct crashes that any router reports, cleared by a complete response, and quarantined for 60 s after three crashes, then tested by one at a time. Before, two crashes quarantined for ten minutes, and two routers that had seen one crash each knew of one. More requests are suspects of a crash now, so two crashes no longer suffice: a sound request that was in progress at two was refused.

--- a/src/backends/test/crashReplay.ts
+++ b/src/backends/test/crashReplay.ts
@@ -1,7 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { VirtualTime } from '../../base/test/virtualTime.js';
-import { PromptSuspects } from '../common/promptSuspects.js';
+import { PROMPT_PART_POLICY, SuspectRegistry } from '../common/suspectRegistry.js';
 
 /** A fleet whose engines crash on one part of prompts. */
 export interface CrashReplayFleet {
@@ -77,8 +77,8 @@
 	const freeAt = Array.from({ length: fleet.engines }, () => 0);
 	const downUntil = Array.from({ length: fleet.engines }, () => 0);
 
-	const suspects = Array.from({ length: fleet.routers }, () => PromptSuspects.create());
-	const sendToOthers = (sender: number, now: number, apply: (peer: PromptSuspects, now: number) => void): void => {
+	const suspects = Array.from({ length: fleet.routers }, () => SuspectRegistry.create(PROMPT_PART_POLICY));
+	const sendToOthers = (sender: number, now: number, apply: (peer: SuspectRegistry, now: number) => void): void => {
 		suspects.forEach((peer, index) => {
 			if (index !== sender && random() >= MESSAGE_LOSS) {
 				time.schedule(now + random() * MESSAGE_LATENCY_MS, (later) => apply(peer, later));
@@ -91,7 +91,7 @@
 		own.onDidClear((parts) => sendToOthers(router, current, (peer) => peer.clear(parts)));
 		own.onDidQuarantine((state) => sendToOthers(router, current, (peer, now) => peer.applyQuarantine(state, now)));
 	});
-	const suspectsOf = (router: number, now: number): PromptSuspects | undefined => {
+	const suspectsOf = (router: number, now: number): SuspectRegistry | undefined => {
 		current = now;
 		return suspects[router];
 	};
@@ -108,7 +108,7 @@
 			const candidates = own.filter(({ beganAt }) => beganAt === undefined || now - beganAt < SURVIVAL_MS);
 			const parts = [...new Set(candidates.flatMap(({ prompt }) => prompt.parts))];
 			time.schedule(noticedAt[router] ?? now, (later) => {
-				suspectsOf(router, later)?.recordCrash({ server: engine, parts }, later);
+				suspectsOf(router, later)?.recordCrash({ server: engine, suspects: parts }, later);
 			});
 		});
 		for (const { prompt } of broken) {
--- a/src/backends/test/promptSuspects.test.ts
+++ b/src/backends/test/suspectRegistry.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals';
-import { PromptSuspects } from '../common/promptSuspects.js';
+import { PROMPT_PART_POLICY, REQUEST_POLICY, SuspectRegistry } from '../common/suspectRegistry.js';
 
 const HARMFUL = 1;
 const SYSTEM = 2;
@@ -8,54 +8,57 @@
 /** Time between crashes that have different causes. */
 const APART_MS = 1_000;
 
+/** Duration of the quarantine of a suspect that may not be the cause. */
+const AMBIGUOUS_MS = 1_000;
+
 /** Duration of the first quarantine. */
 const QUARANTINE_MS = 120_000;
 
 /** Records crashes of different servers with the same candidates, and returns the time of the last one. */
-function crash(suspects: PromptSuspects, parts: readonly number[], count: number, from = 0): number {
+function crash(suspects: SuspectRegistry, parts: readonly number[], count: number, from = 0): number {
 	for (let index = 0; index < count; index++) {
-		suspects.recordCrash({ server: 100 + index, parts }, from + index * APART_MS);
+		suspects.recordCrash({ server: 100 + index, suspects: parts }, from + index * APART_MS);
 	}
 	return from + (count - 1) * APART_MS;
 }
 
-describe('PromptSuspects', () => {
+describe('SuspectRegistry', () => {
 	test('quarantines a part after three crashes without a surviving response', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		expect(suspects.quarantineMs([HARMFUL], crash(suspects, [HARMFUL], 2))).toBe(0);
-		suspects.recordCrash({ server: 200, parts: [HARMFUL] }, 5_000);
+		suspects.recordCrash({ server: 200, suspects: [HARMFUL] }, 5_000);
 		expect(suspects.quarantineMs([HARMFUL], 5_000)).toBe(QUARANTINE_MS);
 		expect(suspects.quarantineMs([SYSTEM], 5_000)).toBe(0);
 	});
 
 	test('counts the notices of several routers about one crash once', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		for (let notice = 0; notice < 5; notice++) {
-			suspects.applyCrash({ server: 100, parts: [HARMFUL] }, notice * 300);
+			suspects.applyCrash({ server: 100, suspects: [HARMFUL] }, notice * 300);
 		}
 		expect(suspects.quarantineMs([HARMFUL], 1_500)).toBe(0);
 	});
 
 	// Guards against quarantining whatever ran when a failure domain lost its power.
 	test('counts servers that end at once as one crash', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		for (let server = 0; server < 20; server++) {
-			suspects.recordCrash({ server, parts: [DOCUMENT] }, server * 10);
+			suspects.recordCrash({ server, suspects: [DOCUMENT] }, server * 10);
 		}
 		expect(suspects.quarantineMs([DOCUMENT], 300)).toBe(0);
 	});
 
 	test('clears a part that a response has survived, also when a router reports an earlier crash afterwards', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		const now = crash(suspects, [HARMFUL, SYSTEM], 3);
 		suspects.recordSurvival([SYSTEM], now + 10);
-		suspects.applyCrash({ server: 102, parts: [HARMFUL, SYSTEM] }, now + 20);
-		expect(suspects.list(now + 20).map(({ part }) => part)).toEqual([HARMFUL]);
+		suspects.applyCrash({ server: 102, suspects: [HARMFUL, SYSTEM] }, now + 20);
+		expect(suspects.list(now + 20).map(({ key }) => key)).toEqual([HARMFUL]);
 		expect(suspects.quarantineMs([SYSTEM], now + 20)).toBe(0);
 	});
 
 	test('reports a part as cleared only while it is suspected', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		const cleared: number[] = [];
 		suspects.onDidClear((parts) => cleared.push(...parts));
 		suspects.recordSurvival([SYSTEM], 0);
@@ -66,27 +69,27 @@
 	});
 
 	test('does not quarantine a part whose crashes another part explains', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		let now = crash(suspects, [HARMFUL, DOCUMENT], 3);
 		now += APART_MS;
-		suspects.recordCrash({ server: 200, parts: [HARMFUL] }, now);
+		suspects.recordCrash({ server: 200, suspects: [HARMFUL] }, now);
 		expect(suspects.quarantineMs([DOCUMENT], now)).toBe(0);
 		expect(suspects.quarantineMs([HARMFUL], now)).toBeGreaterThan(0);
 	});
 
 	test('lets one prompt at a time test a part after its quarantine, and doubles the quarantine on a crash', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		const end = crash(suspects, [HARMFUL], 3) + QUARANTINE_MS;
 		expect(suspects.quarantineMs([HARMFUL], end)).toBe(0);
 		suspects.recordSent([HARMFUL], end);
 		expect(suspects.quarantineMs([HARMFUL], end + 1)).toBeGreaterThan(0);
-		suspects.recordCrash({ server: 300, parts: [HARMFUL] }, end + 100);
+		suspects.recordCrash({ server: 300, suspects: [HARMFUL] }, end + 100);
 		expect(suspects.quarantineMs([HARMFUL], end + 100)).toBe(2 * QUARANTINE_MS);
 	});
 
 	// Guards against a part that stays cleared for ever: new weights can make a harmless part harmful.
 	test('quarantines a part again that was harmless before', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		const before = crash(suspects, [DOCUMENT], 2);
 		suspects.recordSurvival([DOCUMENT], before + 10);
 		const now = crash(suspects, [DOCUMENT], 3, before + 5 * APART_MS);
@@ -94,23 +97,59 @@
 	});
 
 	test('applies the quarantine of a peer unless a response has just survived here', () => {
-		const suspects = PromptSuspects.create();
-		suspects.applyQuarantine({ part: HARMFUL, crashes: 3, quarantineMs: QUARANTINE_MS }, 0);
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
+		suspects.applyQuarantine({ key: HARMFUL, crashes: 3, quarantineMs: QUARANTINE_MS }, 0);
 		expect(suspects.quarantineMs([HARMFUL], 0)).toBe(QUARANTINE_MS);
 		crash(suspects, [SYSTEM], 1);
 		suspects.recordSurvival([SYSTEM], 1_000);
 		const cleared: number[] = [];
 		suspects.onDidClear((parts) => cleared.push(...parts));
-		suspects.applyQuarantine({ part: SYSTEM, crashes: 3, quarantineMs: QUARANTINE_MS }, 1_100);
+		suspects.applyQuarantine({ key: SYSTEM, crashes: 3, quarantineMs: QUARANTINE_MS }, 1_100);
 		expect(suspects.quarantineMs([SYSTEM], 1_100)).toBe(0);
 		expect(cleared).toEqual([SYSTEM]);
 	});
 
 	test('forgets the part whose last crash is longest ago when there are too many', () => {
-		const suspects = PromptSuspects.create();
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
 		crash(suspects, [HARMFUL], 3);
-		suspects.applyCrash({ server: 500, parts: Array.from({ length: 2_000 }, (_, index) => 1_000 + index) }, 3_000);
+		suspects.applyCrash({ server: 500, suspects: Array.from({ length: 2_000 }, (_, index) => 1_000 + index) }, 3_000);
 		expect(suspects.list(3_000).length).toBeLessThanOrEqual(500);
 		expect(suspects.quarantineMs([HARMFUL], 3_000)).toBeGreaterThan(0);
 	});
 });
+
+describe('SuspectRegistry of whole requests', () => {
+	const REQUEST = 10;
+	const OTHER_REQUEST = 11;
+	const RETRY_MS = 100;
+
+	// Guards against counting a request and its immediate retry as one crash, as for a power failure.
+	test('counts servers that end one soon after another', () => {
+		const suspects = SuspectRegistry.create(REQUEST_POLICY);
+		for (let server = 0; server < 3; server++) {
+			suspects.recordCrash({ server, suspects: [REQUEST] }, server * RETRY_MS);
+		}
+		expect(suspects.quarantineMs([REQUEST], 3 * RETRY_MS)).toBeGreaterThan(0);
+	});
+
+	// Guards against a request that is let through since another one was on the same servers and on one more.
+	test('quarantines a request whatever else was in progress', () => {
+		const suspects = SuspectRegistry.create(REQUEST_POLICY);
+		for (let server = 0; server < 4; server++) {
+			const keys = server < 3 ? [REQUEST, OTHER_REQUEST] : [OTHER_REQUEST];
+			suspects.recordCrash({ server, suspects: keys }, server * APART_MS);
+		}
+		expect(suspects.quarantineMs([REQUEST], 4 * APART_MS)).toBeGreaterThan(AMBIGUOUS_MS);
+		expect(suspects.quarantineMs([OTHER_REQUEST], 4 * APART_MS)).toBeGreaterThan(AMBIGUOUS_MS);
+	});
+
+	test('adds up the crashes that different routers report', () => {
+		const suspects = SuspectRegistry.create(REQUEST_POLICY);
+		suspects.recordCrash({ server: 1, suspects: [REQUEST] }, 0);
+		suspects.applyCrash({ server: 2, suspects: [REQUEST] }, 5);
+		suspects.applyCrash({ server: 1, suspects: [REQUEST] }, 10);
+		expect(suspects.quarantineMs([REQUEST], 10)).toBe(0);
+		suspects.applyCrash({ server: 3, suspects: [REQUEST] }, 20);
+		expect(suspects.quarantineMs([REQUEST], 20)).toBeGreaterThan(0);
+	});
+});
--- a/src/fleet/common/exchangedState.ts
+++ b/src/fleet/common/exchangedState.ts
@@ -1,9 +1,9 @@
-import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
-import type { PromptSuspects } from '../../backends/common/promptSuspects.js';
+import type { SuspectRegistry } from '../../backends/common/suspectRegistry.js';
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
 import type { FleetAssignments } from './fleetAssignments.js';
+import type { SuspectKind } from './fleetOutbox.js';
 
 /** Identity and addresses of a router, sent in each of its datagrams. */
 export interface RouterIdentity {
@@ -19,8 +19,8 @@
 	readonly shares: FleetShares;
 	/** Returns the revision of the last store change that this router knows, for each store prefix that it follows. */
 	readonly followedRevisions: () => readonly number[];
-	readonly suspects: CrashSuspects;
-	readonly promptSuspects: PromptSuspects;
+	/** What may crash servers, by kind. */
+	readonly suspects: Readonly<Record<SuspectKind, SuspectRegistry>>;
 	/** Determines which router owns the queue of a server. */
 	readonly assignments: FleetAssignments;
 	/** Returns whether this router is out of the load balancer's rotation because it receives more than it can handle. */
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -1,4 +1,4 @@
-import type { PromptCrash, SuspectPart } from '../../backends/common/promptSuspects.js';
+import type { SuspectedCrash, SuspectStatus } from '../../backends/common/suspectRegistry.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import type {
 	EndNotice,
@@ -20,8 +20,14 @@
  */
 const MAXIMUM_LIST_LENGTH = 30;
 
-/** Maximum number of crashes in a datagram, each with up to {@link MAXIMUM_LIST_LENGTH} parts. */
-const PROMPT_CRASHES_PER_DATAGRAM = 4;
+/** Maximum number of crashes in a datagram, each with up to {@link MAXIMUM_LIST_LENGTH} suspects. */
+const CRASHES_PER_DATAGRAM = 4;
+
+/** What may crash servers: a part of prompts, or a whole request. */
+export const SUSPECT_KINDS = ['part', 'request'] as const;
+
+/** Kind of a suspect. */
+export type SuspectKind = (typeof SUSPECT_KINDS)[number];
 
 const HUNDREDTHS = 100;
 
@@ -40,10 +46,9 @@
 export class FleetOutbox {
 	private readonly placements: PlacementNotice[] = [];
 	private readonly firstEvents: FirstEventNotice[] = [];
-	private readonly crashes: wire.CrashNotice[] = [];
-	private readonly promptCrashes: wire.PromptCrash[] = [];
-	private readonly clearedParts: number[] = [];
-	private readonly quarantinedParts: wire.SuspectPart[] = [];
+	private readonly crashes: wire.ServerCrash[] = [];
+	private readonly cleared: Readonly<Record<SuspectKind, number[]>> = { part: [], request: [] };
+	private readonly quarantined: Readonly<Record<SuspectKind, wire.QuarantinedSuspect[]>> = { part: [], request: [] };
 	private readonly reservations: wire.ReservationRequest[] = [];
 	private readonly answers: wire.ReservationAnswer[] = [];
 	private readonly outcomes: wire.EngineOutcome[] = [];
@@ -63,12 +68,8 @@
 
 	/** Whether there are crash notices, which go to every router. */
 	public get hasCrashes(): boolean {
-		return (
-			this.crashes.length > 0 ||
-			this.promptCrashes.length > 0 ||
-			this.clearedParts.length > 0 ||
-			this.quarantinedParts.length > 0
-		);
+		const { crashes, cleared, quarantined } = this;
+		return crashes.length > 0 || SUSPECT_KINDS.some((kind) => cleared[kind].length > 0 || quarantined[kind].length > 0);
 	}
 
 	/**
@@ -109,26 +110,35 @@
 		this.addOutcome(server, outcome, startedAt, requestsPerSecond);
 	}
 
-	/** @param notice a request that is suspected of crashing servers */
-	public addCrash(notice: wire.CrashNotice): void {
-		this.crashes.push(notice);
-	}
-
-	/** @param crash a server that ended, and the prompt parts that may be the cause */
-	public addPromptCrash({ server, parts }: PromptCrash): void {
-		for (let start = 0; start < parts.length; start += MAXIMUM_LIST_LENGTH) {
-			this.promptCrashes.push({ engine: server, parts: parts.slice(start, start + MAXIMUM_LIST_LENGTH) });
+	/**
+	 * @param kind of the suspects
+	 * @param crash a server that ended, and the suspects that may be the cause
+	 */
+	public addCrash(kind: SuspectKind, { server, suspects }: SuspectedCrash): void {
+		for (let start = 0; start < suspects.length; start += MAXIMUM_LIST_LENGTH) {
+			const keys = suspects.slice(start, start + MAXIMUM_LIST_LENGTH);
+			this.crashes.push({
+				engine: server,
+				parts: kind === 'part' ? keys : [],
+				requests: kind === 'request' ? keys : [],
+			});
 		}
 	}
 
-	/** @param parts short keys of prompt parts that a server has survived */
-	public addClearedParts(parts: readonly number[]): void {
-		this.clearedParts.push(...parts);
+	/**
+	 * @param kind of the suspects
+	 * @param keys suspects that a server has survived
+	 */
+	public addCleared(kind: SuspectKind, keys: readonly number[]): void {
+		this.cleared[kind].push(...keys);
 	}
 
-	/** @param state a quarantined prompt part */
-	public addQuarantinedPart(state: SuspectPart): void {
-		this.quarantinedParts.push(state);
+	/**
+	 * @param kind of the suspect
+	 * @param status of a quarantined suspect
+	 */
+	public addQuarantine(kind: SuspectKind, status: SuspectStatus): void {
+		this.quarantined[kind].push(status);
 	}
 
 	/** @param request for a place in a queue */
@@ -205,10 +215,11 @@
 			abandoned,
 			ageMs: ageMs(at),
 		}));
-		state.crashes = this.crashes.splice(0, MAXIMUM_LIST_LENGTH);
-		state.promptCrashes = this.promptCrashes.splice(0, PROMPT_CRASHES_PER_DATAGRAM);
-		state.clearedParts = this.clearedParts.splice(0, MAXIMUM_LIST_LENGTH);
-		state.quarantinedParts = this.quarantinedParts.splice(0, MAXIMUM_LIST_LENGTH);
+		state.serverCrashes = this.crashes.splice(0, CRASHES_PER_DATAGRAM);
+		state.clearedParts = this.cleared.part.splice(0, MAXIMUM_LIST_LENGTH);
+		state.clearedRequests = this.cleared.request.splice(0, MAXIMUM_LIST_LENGTH);
+		state.quarantinedParts = this.quarantined.part.splice(0, MAXIMUM_LIST_LENGTH);
+		state.quarantinedRequests = this.quarantined.request.splice(0, MAXIMUM_LIST_LENGTH);
 		state.reservations = this.reservations.splice(0, MAXIMUM_LIST_LENGTH);
 		state.answers = this.answers.splice(0, MAXIMUM_LIST_LENGTH);
 		state.outcomes = this.outcomes.splice(0, MAXIMUM_LIST_LENGTH);
--- a/src/fleet/node/crashNotices.ts
+++ b/src/fleet/node/crashNotices.ts
@@ -2,21 +2,19 @@
 import type { IClock } from '../../base/common/clock.js';
 import { formatShortKeys } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
-import type { PromptSuspects } from '../../backends/common/promptSuspects.js';
-import type { FleetOutbox } from '../common/fleetOutbox.js';
+import type { SuspectRegistry } from '../../backends/common/suspectRegistry.js';
+import { type FleetOutbox, SUSPECT_KINDS, type SuspectKind } from '../common/fleetOutbox.js';
 import type { RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
 
 /**
- * Mean time between the notices of two routers that clear the same part. Most routers hear of it before their own notice
- * is due, and send none.
+ * Mean time between the notices of two routers that clear the same suspect. Most routers hear of it before their own
+ * notice is due, and send none.
  */
 const CLEAR_INTERVAL_MS = 4;
 
 /** Dependencies of the exchange of crash notices. */
 export interface CrashNoticeContext {
-	readonly suspects: CrashSuspects;
-	readonly promptSuspects: PromptSuspects;
+	readonly suspects: Readonly<Record<SuspectKind, SuspectRegistry>>;
 	/** Returns the number of routers in the fleet. */
 	readonly countRouters: () => number;
 	/** Adds notices to the next datagram to all routers. */
@@ -25,37 +23,39 @@
 	readonly log: IDecisionLog;
 }
 
+/** Suspects of one kind that this router has cleared, and that no other router has reported as cleared since. */
+interface PendingClears {
+	readonly keys: Set<number>;
+	timer: NodeJS.Timeout | undefined;
+}
+
 /** Exchanges the evidence of requests and prompt parts that crash servers, so that each router judges by all of it. */
 export class CrashNotices extends Disposable {
-	/** Parts that this router has cleared, and that no other router has reported as cleared since. */
-	private readonly cleared = new Set<number>();
-	private clearTimer: NodeJS.Timeout | undefined;
+	private readonly cleared: Readonly<Record<SuspectKind, PendingClears>> = {
+		part: { keys: new Set(), timer: undefined },
+		request: { keys: new Set(), timer: undefined },
+	};
 
 	private constructor(private readonly context: CrashNoticeContext) {
 		super();
-		const { suspects, promptSuspects, broadcast, log } = context;
-		this.register(
-			suspects.onDidChangeSuspect(({ fingerprint, deaths, quarantineMs }) => {
-				const notice = { fingerprint: Buffer.from(fingerprint, 'hex'), deaths, quarantineMs: Math.round(quarantineMs) };
-				log.write('crash-suspect', { fingerprint, deaths, quarantineMs: notice.quarantineMs });
-				broadcast((outbox) => outbox.addCrash(notice));
-			}),
-		);
-		this.register(
-			promptSuspects.onDidDetectCrash((crash) => {
-				log.write('parts-suspected', { server: crash.server, parts: formatShortKeys(crash.parts) });
-				broadcast((outbox) => outbox.addPromptCrash(crash));
-			}),
-		);
-		this.register(
-			promptSuspects.onDidQuarantine((state) => {
-				const { part, crashes, quarantineMs } = state;
-				log.write('part-quarantined', { part: formatShortKeys([part]), crashes, quarantineMs });
-				broadcast((outbox) => outbox.addQuarantinedPart(state));
-			}),
-		);
-		this.register(promptSuspects.onDidClear((parts) => this.scheduleClear(parts)));
-		this.register(toDisposable(() => clearTimeout(this.clearTimer)));
+		const { suspects, broadcast, log } = context;
+		for (const kind of SUSPECT_KINDS) {
+			this.register(
+				suspects[kind].onDidDetectCrash((crash) => {
+					log.write(`${kind}s-suspected`, { server: crash.server, [`${kind}s`]: formatShortKeys(crash.suspects) });
+					broadcast((outbox) => outbox.addCrash(kind, crash));
+				}),
+			);
+			this.register(
+				suspects[kind].onDidQuarantine((status) => {
+					const { key, crashes, quarantineMs } = status;
+					log.write(`${kind}-quarantined`, { [kind]: formatShortKeys([key]), crashes, quarantineMs });
+					broadcast((outbox) => outbox.addQuarantine(kind, status));
+				}),
+			);
+			this.register(suspects[kind].onDidClear((keys) => this.scheduleClear(kind, keys)));
+			this.register(toDisposable(() => clearTimeout(this.cleared[kind].timer)));
+		}
 	}
 
 	/**
@@ -73,51 +73,61 @@
 	 * @param now monotonic milliseconds
 	 */
 	public apply(datagram: RouterState, now: number): void {
-		const { suspects, promptSuspects, log } = this.context;
-		const peer = datagram.instance;
-		for (const { fingerprint, deaths, quarantineMs } of datagram.crashes) {
-			const hexFingerprint = Buffer.from(fingerprint).toString('hex');
-			log.write('crash-suspect-heard', { peer, fingerprint: hexFingerprint, deaths, quarantineMs });
-			suspects.applyPeerState(peer, { fingerprint: hexFingerprint, deaths, quarantineMs, claimMs: 0 });
-		}
-		for (const { engine, parts } of datagram.promptCrashes) {
-			promptSuspects.applyCrash({ server: engine, parts }, now);
-		}
-		if (datagram.clearedParts.length > 0) {
-			datagram.clearedParts.forEach((part) => this.cleared.delete(part));
-			promptSuspects.clear(datagram.clearedParts);
-		}
-		for (const state of datagram.quarantinedParts) {
-			log.write('part-quarantine-heard', { peer, ...state, part: formatShortKeys([state.part]) });
-			promptSuspects.applyQuarantine(state, now);
+		const { suspects } = this.context;
+		for (const { engine, parts, requests } of datagram.serverCrashes) {
+			suspects.part.applyCrash({ server: engine, suspects: parts }, now);
+			suspects.request.applyCrash({ server: engine, suspects: requests }, now);
 		}
+		this.applyClears('part', datagram.clearedParts);
+		this.applyClears('request', datagram.clearedRequests);
+		this.applyQuarantines('part', datagram.quarantinedParts, datagram.instance, now);
+		this.applyQuarantines('request', datagram.quarantinedRequests, datagram.instance, now);
 	}
 
 	/**
-	 * Adds the quarantined parts to a datagram for a router that has just started.
+	 * Adds what is quarantined to a datagram for a router that has just started.
 	 *
 	 * @param outbox content of the datagram
-	 * @returns whether there are any
+	 * @returns whether there is anything
 	 */
 	public addAllTo(outbox: FleetOutbox): boolean {
-		const quarantined = this.context.promptSuspects
+		const quarantined = this.context.suspects.part
 			.list(this.context.clock.now())
 			.filter(({ quarantineMs }) => quarantineMs > 0);
-		quarantined.forEach((state) => outbox.addQuarantinedPart(state));
+		quarantined.forEach((status) => outbox.addQuarantine('part', status));
 		return quarantined.length > 0;
 	}
 
-	private scheduleClear(parts: readonly number[]): void {
-		parts.forEach((part) => this.cleared.add(part));
+	private applyClears(kind: SuspectKind, keys: readonly number[]): void {
+		keys.forEach((key) => this.cleared[kind].keys.delete(key));
+		this.context.suspects[kind].clear(keys);
+	}
+
+	private applyQuarantines(
+		kind: SuspectKind,
+		quarantined: RouterState['quarantinedParts'],
+		peer: string,
+		now: number,
+	): void {
+		const { suspects, log } = this.context;
+		for (const status of quarantined) {
+			log.write(`${kind}-quarantine-heard`, { peer, ...status, key: formatShortKeys([status.key]) });
+			suspects[kind].applyQuarantine(status, now);
+		}
+	}
+
+	private scheduleClear(kind: SuspectKind, keys: readonly number[]): void {
+		const pending = this.cleared[kind];
+		keys.forEach((key) => pending.keys.add(key));
 		const { countRouters, broadcast, log } = this.context;
-		this.clearTimer ??= setTimeout(
+		pending.timer ??= setTimeout(
 			() => {
-				this.clearTimer = undefined;
-				const due = [...this.cleared];
-				this.cleared.clear();
+				pending.timer = undefined;
+				const due = [...pending.keys];
+				pending.keys.clear();
 				if (due.length > 0) {
-					log.write('parts-cleared', { parts: formatShortKeys(due) });
-					broadcast((outbox) => outbox.addClearedParts(due));
+					log.write(`${kind}s-cleared`, { [`${kind}s`]: formatShortKeys(due) });
+					broadcast((outbox) => outbox.addCleared(kind, due));
 				}
 			},
 			Math.random() * CLEAR_INTERVAL_MS * countRouters(),
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -118,7 +118,6 @@
 		this.crashNotices = this.register(
 			CrashNotices.create({
 				suspects: state.suspects,
-				promptSuspects: state.promptSuspects,
 				countRouters: () => this.routerCount,
 				broadcast: (add) => {
 					add(this.broadcast);
--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -16,6 +16,19 @@
 
 const startPair = (): Promise<readonly [FixtureRouter, FixtureRouter]> => startPairOn('127.0.205');
 
+const HARMFUL_REQUEST = shortKey('a request that crashes engines');
+const CRASHES = 3;
+
+function crashByRequest({ suspects }: FixtureRouter): void {
+	for (let server = 0; server < CRASHES; server++) {
+		suspects.request.recordCrash({ server, suspects: [HARMFUL_REQUEST] }, systemClock.now());
+	}
+}
+
+function isRequestRefused({ suspects }: FixtureRouter): boolean {
+	return suspects.request.quarantineMs([HARMFUL_REQUEST], systemClock.now()) > 0;
+}
+
 describe('FleetExchange', () => {
 	test('an introduction makes both routers known to each other', async () => {
 		const [one, two] = await startPair();
@@ -75,40 +88,36 @@
 
 	test('a request that crashed engines elsewhere is refused here', async () => {
 		const [one, two] = await startPair();
-		const fingerprint = 'ab'.repeat(16);
-		one.suspects.recordCrash(fingerprint);
-		one.suspects.recordCrash(fingerprint);
-		await waitUntil(() => two.suspects.remainingQuarantineMs(fingerprint) > 0);
+		crashByRequest(one);
+		await waitUntil(() => isRequestRefused(two));
 	});
 
 	// Guards against a notice that is sent once: a router that started later spent more engines on the request.
 	test('a request that crashed engines is refused at a router that starts later', async () => {
 		const [one, two] = await startPair();
-		const fingerprint = 'cd'.repeat(16);
-		one.suspects.recordCrash(fingerprint);
-		one.suspects.recordCrash(fingerprint);
-		await waitUntil(() => two.suspects.remainingQuarantineMs(fingerprint) > 0);
+		crashByRequest(one);
+		await waitUntil(() => isRequestRefused(two));
 		const late = await startRouter('router-3', '127.0.205');
 		late.exchange.introduce(one.datagramAddress);
-		await waitUntil(() => late.suspects.remainingQuarantineMs(fingerprint) > 0);
+		await waitUntil(() => isRequestRefused(late));
 	});
 
 	// Guards against a notice that is sent once: a router that was frozen, or cut off, when it came never learned of it.
 	test('a request that crashed engines is refused at a router that missed the notice of it', async () => {
 		const [one, two] = await startPair();
-		const fingerprint = 'ef'.repeat(16);
-		one.suspects.applyPeerState('router-9', { fingerprint, deaths: 2, quarantineMs: 60_000, claimMs: 0 });
-		await waitUntil(() => two.suspects.remainingQuarantineMs(fingerprint) > 0);
+		const status = { key: HARMFUL_REQUEST, crashes: 3, quarantineMs: 60_000 };
+		one.suspects.request.applyQuarantine(status, systemClock.now());
+		await waitUntil(() => isRequestRefused(two));
 	});
 
 	// Guards against routers that each see too few of the prompts to find the part that crashes engines.
 	test('a part of prompts that crashed engines at several routers is refused at all, also at one that starts later', async () => {
 		const [one, two] = await startPair();
 		const part = shortKey('harmful part');
-		const isRefused = ({ promptSuspects }: FixtureRouter): boolean =>
-			promptSuspects.quarantineMs([part], systemClock.now()) > 0;
+		const isRefused = ({ suspects }: FixtureRouter): boolean =>
+			suspects.part.quarantineMs([part], systemClock.now()) > 0;
 		for (const [index, router] of [one, two, one].entries()) {
-			router.promptSuspects.recordCrash({ server: index, parts: [part] }, systemClock.now());
+			router.suspects.part.recordCrash({ server: index, suspects: [part] }, systemClock.now());
 			await new Promise((resolve) => setTimeout(resolve, 300));
 		}
 		await waitUntil(() => isRefused(one) && isRefused(two));
@@ -116,7 +125,7 @@
 		late.exchange.introduce(one.datagramAddress);
 		late.exchange.introduce(two.datagramAddress);
 		await waitUntil(() => isRefused(late));
-		two.promptSuspects.recordSurvival([part], systemClock.now());
+		two.suspects.part.recordSurvival([part], systemClock.now());
 		await waitUntil(() => !isRefused(one) && !isRefused(late));
 	});
 
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -1,5 +1,4 @@
-import { CrashSuspects } from '../../backends/common/crashSuspects.js';
-import { PromptSuspects } from '../../backends/common/promptSuspects.js';
+import { PROMPT_PART_POLICY, REQUEST_POLICY, SuspectRegistry } from '../../backends/common/suspectRegistry.js';
 import { systemClock } from '../../base/common/clock.js';
 import { MAXIMUM_SMALL_FLEET_ROUTERS } from '../../base/common/fleetSize.js';
 import { DisposableStore } from '../../base/common/lifecycle.js';
@@ -11,6 +10,7 @@
 import { Effect } from 'effect';
 import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
 import { PrefixFollower } from '../../store/node/prefixFollower.js';
+import type { ExchangedState } from '../common/exchangedState.js';
 import { FleetAssignments } from '../common/fleetAssignments.js';
 import { FleetExchange } from '../node/fleetExchange.js';
 import { QueueReservations } from '../node/queueReservations.js';
@@ -37,8 +37,7 @@
 	readonly assignments: FleetAssignments;
 	readonly reservations: QueueReservations;
 	readonly shares: FleetShares;
-	readonly suspects: CrashSuspects;
-	readonly promptSuspects: PromptSuspects;
+	readonly suspects: ExchangedState['suspects'];
 	readonly follower: PrefixFollower;
 	readonly datagramAddress: SocketAddress;
 	readonly events: string[];
@@ -82,8 +81,10 @@
 	const engines = EngineFleet.create(instance, failureDomain, assignments);
 	engines.setServers([server], systemClock.now());
 	const shares = FleetShares.create({ nominalCapacityPerSecond: () => 250, load: () => undefined }, () => 2, 4_000);
-	const suspects = CrashSuspects.create(instance, systemClock);
-	const promptSuspects = PromptSuspects.create();
+	const suspects = {
+		part: SuspectRegistry.create(PROMPT_PART_POLICY),
+		request: SuspectRegistry.create(REQUEST_POLICY),
+	};
 	const unreachableStore: IRevisionedStore = {
 		get: () => Effect.never,
 		compareAndSwap: () => Effect.never,
@@ -104,7 +105,6 @@
 				engines,
 				shares,
 				suspects,
-				promptSuspects,
 				assignments,
 				isRelieved: () => false,
 				contactSince: () => contact.since,
@@ -127,7 +127,6 @@
 		reservations,
 		shares,
 		suspects,
-		promptSuspects,
 		follower,
 		datagramAddress,
 		events,
--- a/src/gateway/common/crashDetector.ts
+++ b/src/gateway/common/crashDetector.ts
@@ -1,8 +1,7 @@
 import { Effect } from 'effect';
 import type { BackendTarget } from '../../backends/common/backendClient.js';
-import type { CrashSuspects } from '../../backends/common/crashSuspects.js';
-import type { PromptSuspects } from '../../backends/common/promptSuspects.js';
 import type { ProbeResult, ServerProbe } from '../../backends/common/serverProbe.js';
+import type { SuspectRegistry } from '../../backends/common/suspectRegistry.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
 
@@ -11,9 +10,9 @@
 
 /** Identity of a request for the evidence of crashes. */
 export interface CrashEvidence {
-	/** Fingerprint of the whole request. */
-	readonly fingerprint: string;
-	/** Short keys of the prompt parts that other requests may share. */
+	/** Short key of the whole request. */
+	readonly request: number;
+	/** Short keys of the prompt parts that other requests may share, and that the server has not survived. */
 	readonly parts: readonly number[];
 }
 
@@ -25,10 +24,10 @@
 
 /** Dependencies of a crash detector. */
 export interface CrashDetectorContext {
-	/** Counts the crashes of servers for each fingerprint. */
-	readonly suspects: CrashSuspects;
-	/** Counts the crashes of servers for each prompt part. */
-	readonly promptSuspects: PromptSuspects;
+	/** Whole requests that may crash servers. */
+	readonly suspectRequests: SuspectRegistry;
+	/** Prompt parts that may crash servers. */
+	readonly suspectParts: SuspectRegistry;
 	readonly probe: ServerProbe;
 	readonly clock: IClock;
 	/** Called with the identifier of a server that crashed, and the number of requests that it may have crashed on. */
@@ -59,43 +58,61 @@
 	}
 
 	/**
-	 * @param parts short keys of the prompt parts that other requests may share
+	 * @param parts returns the short keys of the prompt parts that other requests may share
 	 * @returns milliseconds for which a prompt with these parts must be refused; 0 when it may run
 	 */
 	public partQuarantineMs(parts: () => readonly number[]): number {
-		const { promptSuspects, clock } = this.context;
-		return promptSuspects.hasSuspects ? promptSuspects.quarantineMs(parts(), clock.now()) : 0;
+		const { suspectParts, clock } = this.context;
+		return suspectParts.hasQuarantines ? suspectParts.quarantineMs(parts(), clock.now()) : 0;
 	}
 
 	/**
-	 * @param fingerprint returns the fingerprint of a received request
+	 * @param request returns the short key of a received request
 	 * @returns milliseconds for which the request must be refused; 0 when it may run
 	 */
-	public quarantineMs(fingerprint: () => string): number {
-		const { suspects } = this.context;
-		return suspects.hasSuspects ? suspects.remainingQuarantineMs(fingerprint()) : 0;
+	public requestQuarantineMs(request: () => number): number {
+		const { suspectRequests, clock } = this.context;
+		return suspectRequests.hasQuarantines ? suspectRequests.quarantineMs([request()], clock.now()) : 0;
 	}
 
 	/**
 	 * Records that a request is sent to a server.
 	 *
+	 * @param request returns the short key of the request
 	 * @param parts short keys of the prompt parts that other requests may share
 	 */
-	public recordSent(parts: readonly number[]): void {
-		this.context.promptSuspects.recordSent(parts, this.context.clock.now());
+	public recordSent(request: () => number, parts: readonly number[]): void {
+		const { suspectRequests, suspectParts, clock } = this.context;
+		suspectParts.recordSent(parts, clock.now());
+		if (suspectRequests.hasQuarantines) {
+			suspectRequests.recordSent([request()], clock.now());
+		}
 	}
 
 	/**
-	 * Records that a response has gone on beyond its first bytes, or has ended as complete.
+	 * Records that a response has gone on beyond its first bytes. A server that crashes on a part of a prompt does so
+	 * before; one that crashes on a whole request may still do.
 	 *
 	 * @param parts short keys of the prompt parts that other requests may share
 	 */
 	public recordSurvival(parts: readonly number[]): void {
-		this.context.promptSuspects.recordSurvival(parts, this.context.clock.now());
+		this.context.suspectParts.recordSurvival(parts, this.context.clock.now());
+	}
+
+	/**
+	 * Records that a response has ended as complete.
+	 *
+	 * @param request returns the short key of the request
+	 */
+	public recordCompletion(request: () => number): void {
+		const { suspectRequests, clock } = this.context;
+		if (suspectRequests.hasSuspects) {
+			suspectRequests.recordSurvival([request()], clock.now());
+		}
 	}
 
 	/**
-	 * Records that a connection broke before the response had survived its first bytes, and probes the server.
+	 * Records that a connection broke before its response was complete, and probes the server.
 	 *
 	 * @param server on which the request ran
 	 * @param evidence identity of the request
@@ -150,10 +167,12 @@
 		);
 	}
 
-	private recordCrash(server: string, evidence: readonly CrashEvidence[], now: number): void {
-		const { suspects, promptSuspects } = this.context;
-		evidence.forEach(({ fingerprint }) => suspects.recordCrash(fingerprint));
+	private recordCrash(id: string, evidence: readonly CrashEvidence[], now: number): void {
+		const { suspectRequests, suspectParts } = this.context;
+		const server = shortKey(id);
+		const requests = [...new Set(evidence.map(({ request }) => request))];
 		const parts = [...new Set(evidence.flatMap((item) => item.parts))];
-		promptSuspects.recordCrash({ server: shortKey(server), parts }, now);
+		suspectRequests.recordCrash({ server, suspects: requests }, now);
+		suspectParts.recordCrash({ server, suspects: parts }, now);
 	}
 }
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -17,7 +17,7 @@
 	ServerNotice,
 } from '../../backends/common/backendClient.js';
 import type { IClock } from '../../base/common/clock.js';
-import { formatShortKeys } from '../../base/common/shortKey.js';
+import { formatShortKeys, shortKey } from '../../base/common/shortKey.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { computeFingerprint } from '../../dispatch/node/fingerprint.js';
@@ -92,7 +92,7 @@
 	/** Short keys of the prompt parts that other requests may share: all but the last one. */
 	private readonly sharedParts: readonly number[];
 	/** Computed when it is first needed, since the body is hashed for it. */
-	private computedFingerprint: string | undefined;
+	private computedKey: number | undefined;
 	/** Combined verdict of the attempts that have ended. */
 	private endedVerdict: Verdict = 'not-run';
 	/** Whether the current attempt has sent bytes, so that its server may run the request. */
@@ -247,28 +247,35 @@
 
 	/** Whether what has become known since the server was chosen still allows the request to be sent to it. */
 	private maySendTo(server: string): boolean {
-		const { fleet, clock, crashes } = this.context;
-		const isQuarantined = crashes.partQuarantineMs(() => this.sharedParts) > 0;
+		const { fleet, clock } = this.context;
 		const isStartable = this.mayStart() || this.verdict !== 'not-run';
-		return fleet.allowsRequest(server, clock.now()) && !isQuarantined && isStartable;
+		return fleet.allowsRequest(server, clock.now()) && this.quarantineMs() === 0 && isStartable;
 	}
 
 	/** Refuses the request if it, or a part of its prompt, crashes servers. */
 	private isQuarantined(): boolean {
-		const { crashes, log } = this.context;
-		const fingerprintMs = crashes.quarantineMs(() => this.fingerprint());
-		const quarantineMs = Math.max(
-			fingerprintMs,
-			crashes.partQuarantineMs(() => this.sharedParts),
-		);
+		const quarantineMs = this.quarantineMs();
 		if (quarantineMs === 0) {
 			return false;
 		}
-		log.write('admission', { id: this.request.fields.id, outcome: 'quarantined', quarantineMs: round(quarantineMs) });
+		this.context.log.write('admission', {
+			id: this.request.fields.id,
+			outcome: 'quarantined',
+			quarantineMs: round(quarantineMs),
+		});
 		this.sendFailure('quarantined', BAD_GATEWAY, quarantineMs);
 		return true;
 	}
 
+	/** Milliseconds for which the request, or a part of its prompt, must not run; 0 when it may. */
+	private quarantineMs(): number {
+		const { crashes } = this.context;
+		return Math.max(
+			crashes.requestQuarantineMs(this.requestKey),
+			crashes.partQuarantineMs(() => this.sharedParts),
+		);
+	}
+
 	/** Refuses the request if it has not run and the router is about to stop, since it could be cut off. */
 	private isTooLate(): boolean {
 		if (this.mayStart() || this.verdict !== 'not-run') {
@@ -449,7 +456,7 @@
 			sent: () => {
 				this.inProgress = true;
 				state.sentAt = clock.now();
-				this.context.crashes.recordSent(this.sharedParts);
+				this.context.crashes.recordSent(this.requestKey, this.sharedParts);
 			},
 			notice: (notice) => this.recordNotice(server, notice),
 			requestLimit: (notice) => this.recordRequestLimit(server, notice, state.sentAt),
@@ -601,6 +608,7 @@
 	): ServerOutcome | undefined {
 		if (exit._tag === 'Success') {
 			this.progress.recordSurvival();
+			this.context.crashes.recordCompletion(this.requestKey);
 			return isErrorResponse ? 'failed' : 'answered';
 		}
 		const { crashes } = this.context;
@@ -620,9 +628,10 @@
 			case 'silent':
 				return 'silent';
 			case 'broken':
-				if (!this.progress.hasSurvived) {
-					crashes.recordBrokenConnection(server, { fingerprint: this.fingerprint(), parts: this.sharedParts });
-				}
+				crashes.recordBrokenConnection(server, {
+					request: this.requestKey(),
+					parts: this.progress.hasSurvived ? [] : this.sharedParts,
+				});
 				return 'failed';
 		}
 	}
@@ -749,15 +758,18 @@
 		});
 	}
 
-	private fingerprint(): string {
+	/** Short key of the whole request, the same for each repetition by its caller. */
+	private readonly requestKey = (): number => {
 		const { routing, method, target, body } = this.request;
-		this.computedFingerprint ??= computeFingerprint({
-			account: { id: routing.account?.name ?? '' },
-			service: { id: routing.service },
-			request: { method, path: target, body },
-		});
-		return this.computedFingerprint;
-	}
+		this.computedKey ??= shortKey(
+			computeFingerprint({
+				account: { id: routing.account?.name ?? '' },
+				service: { id: routing.service },
+				request: { method, path: target, body },
+			}),
+		);
+		return this.computedKey;
+	};
 }
 
 /**
