Repeat quarantines with heartbeats, so that routers that missed the notice learn of them

Cause: the notice was a datagram that is sent once, and a peer told a new router the quarantined parts only. Class: lasting state that is exchanged as an event.

Heartbeats repeat what is quarantined, every 0.5 s and at most 30 of each kind, also to a router that has just started; in a large fleet they travel by relays. A quarantine carries its age, so a router that has cleared the suspect since then answers with that instead, and small differences (delays) do not extend it.

--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -15,6 +15,8 @@
 	readonly crashes: number;
 	/** Remaining quarantine in milliseconds; 0 while requests with the suspect may run. */
 	readonly quarantineMs: number;
+	/** Milliseconds since the quarantine began. */
+	readonly ageMs: number;
 }
 
 /** What is suspected, and how crashes are attributed to it. */
@@ -64,6 +66,9 @@
 /** Time for which a survival outweighs the evidence of a peer, which may not know of it. */
 const RECENT_SURVIVAL_MS = 5_000;
 
+/** Peers repeat their quarantines; a smaller difference is a delay of the notice and does not extend a quarantine. */
+const QUARANTINE_TOLERANCE_MS = 1_000;
+
 /** A request that tests whether a suspect still crashes servers gets this time before another one may test it. */
 const TEST_MS = 5_000;
 
@@ -85,6 +90,8 @@
 	quarantinedUntil: number;
 	/** When a server last survived a request with the suspect at this router. */
 	survivedAt: number;
+	/** When the suspect was last cleared, here or by a peer. */
+	clearedAt: number;
 	/** Until when a request that tests the suspect after its quarantine is expected to end. */
 	testedUntil: number;
 }
@@ -195,7 +202,7 @@
 			}
 		}
 		if (cleared.length > 0) {
-			this.clear(cleared);
+			this.clear(cleared, now);
 			this.clearEmitter.fire(cleared);
 		}
 	}
@@ -205,12 +212,14 @@
 	 * not counted again when another router reports them later.
 	 *
 	 * @param keys suspects
+	 * @param now monotonic milliseconds
 	 */
-	public clear(keys: readonly number[]): void {
+	public clear(keys: readonly number[], now: number): void {
 		for (const key of keys) {
 			const suspect = this.suspects.get(key);
 			if (suspect !== undefined) {
 				suspect.crashes.clear();
+				suspect.clearedAt = now;
 				suspect.clearedUpTo = this.lastCrash.number;
 				suspect.quarantines = 0;
 				suspect.quarantinedUntil = -Infinity;
@@ -220,25 +229,29 @@
 	}
 
 	/**
-	 * Applies the quarantine of a suspect at a peer, whose evidence may be more complete. If a server has survived the
-	 * suspect at this router in the meantime, the peer is told so instead.
+	 * Applies the quarantine of a suspect at a peer, whose evidence may be more complete. If the suspect has been cleared
+	 * in the meantime, the peer is told so instead.
 	 *
 	 * @param status of the suspect at the peer
 	 * @param now monotonic milliseconds
+	 * @returns whether it is quarantined here, or for longer, because of the peer
 	 */
-	public applyQuarantine({ key, quarantineMs }: SuspectStatus, now: number): void {
+	public applyQuarantine({ key, quarantineMs, ageMs }: SuspectStatus, now: number): boolean {
 		const suspect = this.suspects.get(key) ?? this.add(key);
-		if (now - suspect.survivedAt < RECENT_SURVIVAL_MS) {
+		const beganAt = now - ageMs;
+		if (suspect.clearedAt > beganAt || now - suspect.survivedAt < RECENT_SURVIVAL_MS) {
 			this.clearEmitter.fire([key]);
-			return;
+			return false;
 		}
 		const until = now + Math.min(quarantineMs, MAXIMUM_QUARANTINE_MS);
-		if (until > suspect.quarantinedUntil) {
-			suspect.quarantinedAt = suspect.quarantines === 0 ? now : suspect.quarantinedAt;
-			suspect.quarantinedUntil = until;
-			suspect.quarantines = Math.max(1, suspect.quarantines);
-			suspect.lastCrashAt = Math.max(suspect.lastCrashAt, now);
+		if (until <= suspect.quarantinedUntil + QUARANTINE_TOLERANCE_MS) {
+			return false;
 		}
+		suspect.quarantinedAt = suspect.quarantines === 0 ? beganAt : suspect.quarantinedAt;
+		suspect.quarantinedUntil = until;
+		suspect.quarantines = Math.max(1, suspect.quarantines);
+		suspect.lastCrashAt = Math.max(suspect.lastCrashAt, now);
+		return true;
 	}
 
 	/**
@@ -286,9 +299,20 @@
 	public list(now: number): readonly SuspectStatus[] {
 		return [...this.suspects]
 			.filter(([, { crashes, quarantinedUntil }]) => crashes.size > 0 || quarantinedUntil > now)
-			.map(([key, { crashes, quarantinedUntil }]) => {
-				return { key, crashes: crashes.size, quarantineMs: Math.max(0, Math.round(quarantinedUntil - now)) };
-			});
+			.map(([key, { crashes, quarantinedAt, quarantinedUntil }]) => ({
+				key,
+				crashes: crashes.size,
+				quarantineMs: Math.max(0, Math.round(quarantinedUntil - now)),
+				ageMs: quarantinedUntil > now ? Math.max(0, Math.round(now - quarantinedAt)) : 0,
+			}));
+	}
+
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns the suspects that are quarantined
+	 */
+	public listQuarantined(now: number): readonly SuspectStatus[] {
+		return this.list(now).filter(({ quarantineMs }) => quarantineMs > 0);
 	}
 
 	/** Numbers a crash; servers that end at once, and all notices of the end of one server, have the same number. */
@@ -311,7 +335,7 @@
 		suspect.quarantinedUntil = Math.max(suspect.quarantinedUntil, now + periodMs);
 		if (!wasQuarantined) {
 			suspect.quarantines++;
-			this.quarantineEmitter.fire({ key, crashes: suspect.crashes.size, quarantineMs: periodMs });
+			this.quarantineEmitter.fire({ key, crashes: suspect.crashes.size, quarantineMs: periodMs, ageMs: 0 });
 		}
 	}
 
@@ -352,6 +376,7 @@
 			quarantinedAt: -Infinity,
 			quarantinedUntil: -Infinity,
 			survivedAt: -Infinity,
+			clearedAt: -Infinity,
 			testedUntil: -Infinity,
 		};
 		this.suspects.set(key, suspect);
@@ -374,8 +399,8 @@
 	}
 
 	private removeExpired(now: number): void {
-		for (const [key, { lastCrashAt, quarantinedUntil }] of this.suspects) {
-			if (now - Math.max(lastCrashAt, quarantinedUntil) > SUSPICION_MS) {
+		for (const [key, { lastCrashAt, quarantinedUntil, clearedAt }] of this.suspects) {
+			if (now - Math.max(lastCrashAt, quarantinedUntil, clearedAt) > SUSPICION_MS) {
 				this.suspects.delete(key);
 			}
 		}
--- a/src/backends/test/crashReplay.ts
+++ b/src/backends/test/crashReplay.ts
@@ -88,7 +88,7 @@
 	let current = 0;
 	suspects.forEach((own, router) => {
 		own.onDidDetectCrash((crash) => sendToOthers(router, current, (peer, now) => peer.applyCrash(crash, now)));
-		own.onDidClear((parts) => sendToOthers(router, current, (peer) => peer.clear(parts)));
+		own.onDidClear((parts) => sendToOthers(router, current, (peer, now) => peer.clear(parts, now)));
 		own.onDidQuarantine((state) => sendToOthers(router, current, (peer, now) => peer.applyQuarantine(state, now)));
 	});
 	const suspectsOf = (router: number, now: number): SuspectRegistry | undefined => {
--- a/src/backends/test/suspectRegistry.test.ts
+++ b/src/backends/test/suspectRegistry.test.ts
@@ -98,13 +98,13 @@
 
 	test('applies the quarantine of a peer unless a response has just survived here', () => {
 		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
-		suspects.applyQuarantine({ key: HARMFUL, crashes: 3, quarantineMs: QUARANTINE_MS }, 0);
+		suspects.applyQuarantine({ key: HARMFUL, crashes: 3, quarantineMs: QUARANTINE_MS, ageMs: 0 }, 0);
 		expect(suspects.quarantineMs([HARMFUL], 0)).toBe(QUARANTINE_MS);
 		crash(suspects, [SYSTEM], 1);
 		suspects.recordSurvival([SYSTEM], 1_000);
 		const cleared: number[] = [];
 		suspects.onDidClear((parts) => cleared.push(...parts));
-		suspects.applyQuarantine({ key: SYSTEM, crashes: 3, quarantineMs: QUARANTINE_MS }, 1_100);
+		suspects.applyQuarantine({ key: SYSTEM, crashes: 3, quarantineMs: QUARANTINE_MS, ageMs: 0 }, 1_100);
 		expect(suspects.quarantineMs([SYSTEM], 1_100)).toBe(0);
 		expect(cleared).toEqual([SYSTEM]);
 	});
@@ -118,6 +118,38 @@
 	});
 });
 
+describe('SuspectRegistry and the repeated quarantines of peers', () => {
+	const PERIOD_MS = 500;
+	const LATENCY_MS = 50;
+
+	// Guards against two routers that extend a quarantine for ever, each by the delay of the other's notice.
+	test('does not extend a quarantine by the delays of notices', () => {
+		const one = SuspectRegistry.create(PROMPT_PART_POLICY);
+		const two = SuspectRegistry.create(PROMPT_PART_POLICY);
+		let now = crash(one, [HARMFUL], 3);
+		const end = now + QUARANTINE_MS;
+		for (; now < end; now += PERIOD_MS) {
+			one.listQuarantined(now).forEach((status) => two.applyQuarantine(status, now + LATENCY_MS));
+			two.listQuarantined(now + LATENCY_MS).forEach((status) => one.applyQuarantine(status, now + 2 * LATENCY_MS));
+		}
+		expect(one.quarantineMs([HARMFUL], end + 2 * PERIOD_MS)).toBe(0);
+		expect(two.quarantineMs([HARMFUL], end + 2 * PERIOD_MS)).toBe(0);
+	});
+
+	// Guards against a router that was cut off, and repeats a quarantine that has been lifted meanwhile.
+	test('tells a peer whose quarantine began before the suspect was cleared', () => {
+		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
+		const now = crash(suspects, [HARMFUL], 3);
+		suspects.clear([HARMFUL], now + 1_000);
+		const cleared: number[] = [];
+		suspects.onDidClear((keys) => cleared.push(...keys));
+		const old = { key: HARMFUL, crashes: 3, quarantineMs: 60_000, ageMs: 20_000 };
+		expect(suspects.applyQuarantine(old, now + 20_000)).toBe(false);
+		expect(cleared).toEqual([HARMFUL]);
+		expect(suspects.applyQuarantine({ ...old, ageMs: 100 }, now + 20_000)).toBe(true);
+	});
+});
+
 describe('SuspectRegistry of whole requests', () => {
 	const REQUEST = 10;
 	const OTHER_REQUEST = 11;
--- a/src/fleet/node/crashNotices.ts
+++ b/src/fleet/node/crashNotices.ts
@@ -2,7 +2,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import { formatShortKeys } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { SuspectRegistry } from '../../backends/common/suspectRegistry.js';
+import type { SuspectRegistry, SuspectStatus } from '../../backends/common/suspectRegistry.js';
 import { type FleetOutbox, SUSPECT_KINDS, type SuspectKind } from '../common/fleetOutbox.js';
 import type { RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
 
@@ -12,6 +12,9 @@
  */
 const CLEAR_INTERVAL_MS = 4;
 
+/** Maximum number of quarantined suspects of one kind in a heartbeat. */
+const QUARANTINED_PER_HEARTBEAT = 30;
+
 /** Dependencies of the exchange of crash notices. */
 export interface CrashNoticeContext {
 	readonly suspects: Readonly<Record<SuspectKind, SuspectRegistry>>;
@@ -36,6 +39,9 @@
 		request: { keys: new Set(), timer: undefined },
 	};
 
+	/** Number of quarantined suspects of each kind that heartbeats have repeated; begins again after the last one. */
+	private readonly repeated: Record<SuspectKind, number> = { part: 0, request: 0 };
+
 	private constructor(private readonly context: CrashNoticeContext) {
 		super();
 		const { suspects, broadcast, log } = context;
@@ -78,29 +84,34 @@
 			suspects.part.applyCrash({ server: engine, suspects: parts }, now);
 			suspects.request.applyCrash({ server: engine, suspects: requests }, now);
 		}
-		this.applyClears('part', datagram.clearedParts);
-		this.applyClears('request', datagram.clearedRequests);
+		this.applyClears('part', datagram.clearedParts, now);
+		this.applyClears('request', datagram.clearedRequests, now);
 		this.applyQuarantines('part', datagram.quarantinedParts, datagram.instance, now);
 		this.applyQuarantines('request', datagram.quarantinedRequests, datagram.instance, now);
 	}
 
 	/**
-	 * Adds what is quarantined to a datagram for a router that has just started.
+	 * Returns what is quarantined, for a heartbeat. A router that has missed the notice of a quarantine, since it was
+	 * frozen or cut off or has just started, learns of it from any other one. If there is more than fits into a heartbeat,
+	 * each one repeats the next part.
 	 *
-	 * @param outbox content of the datagram
-	 * @returns whether there is anything
+	 * @returns quarantined suspects by kind
 	 */
-	public addAllTo(outbox: FleetOutbox): boolean {
-		const quarantined = this.context.suspects.part
-			.list(this.context.clock.now())
-			.filter(({ quarantineMs }) => quarantineMs > 0);
-		quarantined.forEach((status) => outbox.addQuarantine('part', status));
-		return quarantined.length > 0;
+	public nextQuarantined(): Readonly<Record<SuspectKind, readonly SuspectStatus[]>> {
+		const now = this.context.clock.now();
+		const next = (kind: SuspectKind): readonly SuspectStatus[] => {
+			const all = this.context.suspects[kind].listQuarantined(now);
+			const start = this.repeated[kind] < all.length ? this.repeated[kind] : 0;
+			const quarantined = all.slice(start, start + QUARANTINED_PER_HEARTBEAT);
+			this.repeated[kind] = start + quarantined.length;
+			return quarantined;
+		};
+		return { part: next('part'), request: next('request') };
 	}
 
-	private applyClears(kind: SuspectKind, keys: readonly number[]): void {
+	private applyClears(kind: SuspectKind, keys: readonly number[], now: number): void {
 		keys.forEach((key) => this.cleared[kind].keys.delete(key));
-		this.context.suspects[kind].clear(keys);
+		this.context.suspects[kind].clear(keys, now);
 	}
 
 	private applyQuarantines(
@@ -111,8 +122,9 @@
 	): void {
 		const { suspects, log } = this.context;
 		for (const status of quarantined) {
-			log.write(`${kind}-quarantine-heard`, { peer, ...status, key: formatShortKeys([status.key]) });
-			suspects[kind].applyQuarantine(status, now);
+			if (suspects[kind].applyQuarantine(status, now)) {
+				log.write(`${kind}-quarantine-heard`, { peer, ...status, key: formatShortKeys([status.key]) });
+			}
 		}
 	}
 
--- a/src/fleet/node/datagramWriter.ts
+++ b/src/fleet/node/datagramWriter.ts
@@ -1,10 +1,11 @@
 import { randomInt } from 'node:crypto';
+import type { SuspectStatus } from '../../backends/common/suspectRegistry.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import { formatAddress } from '../../settings/common/settings.js';
 import type { ExchangedState, RouterIdentity } from '../common/exchangedState.js';
 import { encodeStoreContact } from '../common/fleetMessages.js';
-import type { FleetOutbox } from '../common/fleetOutbox.js';
+import type { FleetOutbox, SuspectKind } from '../common/fleetOutbox.js';
 import {
 	type EngineReport,
 	type Member,
@@ -22,6 +23,8 @@
 	readonly members?: readonly Member[];
 	readonly reports?: readonly EngineReport[];
 	readonly usageSum?: UsageSum;
+	/** What is quarantined because it crashes servers, by kind. */
+	readonly quarantined?: Readonly<Record<SuspectKind, readonly SuspectStatus[]>>;
 }
 
 /** Encodes the datagrams of this process, each with a higher sequence number than the one before. */
@@ -76,6 +79,8 @@
 			usageSum: content.usageSum,
 		});
 		outbox?.moveTo(state, (server) => engines.ownInProgressAt(server), now);
+		state.quarantinedParts.push(...(content.quarantined?.part ?? []));
+		state.quarantinedRequests.push(...(content.quarantined?.request ?? []));
 		if (content.withUsage === true) {
 			const usage = shares.ownUsage(now);
 			state.hasUsage = true;
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -58,6 +58,7 @@
 	private lastBroadcastAt = 0;
 	private lastUsageAt = 0;
 	private lastProbeAt = 0;
+	private lastQuarantinedAt = 0;
 	private wasRelay = false;
 	private heard = 1;
 	private wasLarge = false;
@@ -289,9 +290,10 @@
 		const now = this.clock.now();
 		this.lastBroadcastAt = now;
 		const announcements = membership.announcements();
+		const quarantined = this.nextQuarantined(now);
 		if (!assignments.isLargeFleet) {
 			const withUsage = this.isUsageDue(now);
-			const bytes = this.writer.write({ withUsage }, broadcast);
+			const bytes = this.writer.write({ withUsage, quarantined }, broadcast);
 			announcements.forEach(({ to }) => this.sendTo(to, bytes));
 		} else {
 			// Placements made before the fleet was known to be large are in the broadcast outbox too.
@@ -302,10 +304,11 @@
 				);
 			}
 			if (membership.isRelay) {
-				this.flushAsRelay(announcements, now);
+				this.flushAsRelay(announcements, quarantined, now);
 			} else {
 				const reports = encodeReports(engines.ownedQueueReports(now));
-				announcements.forEach(({ to, members }) => this.sendSplit(to, members, { withUsage: true, reports }, now));
+				const content = { withUsage: true, reports, quarantined };
+				announcements.forEach(({ to, members }) => this.sendSplit(to, members, content, now));
 			}
 		}
 		this.probeLostPeers(now);
@@ -314,21 +317,25 @@
 		}
 	}
 
-	private flushAsRelay([toDomain, toRelays]: readonly Announcement[], now: number): void {
+	private flushAsRelay(
+		[toDomain, toRelays]: readonly Announcement[],
+		quarantined: DatagramContent['quarantined'],
+		now: number,
+	): void {
 		const { engines, shares } = this.state;
 		const owned = encodeReports(engines.ownedQueueReports(now));
 		const relayed = this.reports.take();
 		const usageSum = { failureDomain: '', usage: [...shares.summedUsage('fleet', now)] };
 		if (toDomain !== undefined) {
 			const reports = [...owned, ...encodeRelayedReports(relayed, now)];
-			this.sendSplit(toDomain.to, toDomain.members, { withUsage: true, usageSum, reports }, now);
+			this.sendSplit(toDomain.to, toDomain.members, { withUsage: true, usageSum, reports, quarantined }, now);
 		}
 		if (toRelays !== undefined) {
 			const fromSameDomain = relayed.filter(({ isSameDomain }) => isSameDomain);
 			const reports = [...owned, ...encodeRelayedReports(fromSameDomain, now)];
 			const { failureDomain } = this.identity;
 			const domainSum = { failureDomain, usage: [...shares.summedUsage('domain', now)] };
-			this.sendSplit(toRelays.to, toRelays.members, { usageSum: domainSum, reports }, now);
+			this.sendSplit(toRelays.to, toRelays.members, { usageSum: domainSum, reports, quarantined }, now);
 		}
 	}
 
@@ -353,6 +360,14 @@
 		return true;
 	}
 
+	private nextQuarantined(now: number): DatagramContent['quarantined'] {
+		if (now - this.lastQuarantinedAt < HEARTBEAT_INTERVAL_MS - TICK_INTERVAL_MS / 2) {
+			return undefined;
+		}
+		this.lastQuarantinedAt = now;
+		return this.crashNotices.nextQuarantined();
+	}
+
 	private probeLostPeers(now: number): void {
 		if (now - this.lastProbeAt < LOST_PEER_PROBE_INTERVAL_MS) {
 			return;
@@ -421,24 +436,15 @@
 	}
 
 	private reply(instance: string, hadDirectContact: boolean, now: number): void {
-		if (!hadDirectContact) {
-			this.sendQuarantinedParts(instance);
-		}
+		const quarantined = hadDirectContact ? undefined : this.crashNotices.nextQuarantined();
 		if (!this.state.assignments.isLargeFleet || hadDirectContact) {
-			this.sendSplit([instance], [], { withUsage: !this.state.assignments.isLargeFleet }, now);
+			this.sendSplit([instance], [], { withUsage: !this.state.assignments.isLargeFleet, quarantined }, now);
 			if (!hadDirectContact) {
 				this.sendEngineState(instance, now);
 			}
 			return;
 		}
-		this.sendSplit([instance], this.membership.membersForNewPeer(), {}, now);
-	}
-
-	private sendQuarantinedParts(instance: string): void {
-		const outbox = FleetOutbox.create(() => undefined);
-		if (this.crashNotices.addAllTo(outbox)) {
-			this.sendTo([instance], this.writer.write({}, outbox));
-		}
+		this.sendSplit([instance], this.membership.membersForNewPeer(), { quarantined }, now);
 	}
 
 	/**
--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -105,7 +105,7 @@
 	// Guards against a notice that is sent once: a router that was frozen, or cut off, when it came never learned of it.
 	test('a request that crashed engines is refused at a router that missed the notice of it', async () => {
 		const [one, two] = await startPair();
-		const status = { key: HARMFUL_REQUEST, crashes: 3, quarantineMs: 60_000 };
+		const status = { key: HARMFUL_REQUEST, crashes: 3, quarantineMs: 60_000, ageMs: 0 };
 		one.suspects.request.applyQuarantine(status, systemClock.now());
 		await waitUntil(() => isRequestRefused(two));
 	});
