--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -1,5 +1,14 @@
 import { type Event, Emitter } from '../../base/common/event.js';
 
+/** What may crash servers: a part of prompts, or a whole request. */
+export const SUSPECT_KINDS = ['part', 'request'] as const;
+
+/** Kind of a suspect. */
+export type SuspectKind = (typeof SUSPECT_KINDS)[number];
+
+/** The suspects of a router, by kind. */
+export type Suspects = Readonly<Record<SuspectKind, SuspectRegistry>>;
+
 /** Crash of a backend server, with the suspects that may have caused it. */
 export interface SuspectedCrash {
 	/** Short key of the server. */
@@ -49,6 +58,11 @@
 	isShared: false,
 };
 
+/** @returns registries without suspects, for all kinds */
+export function createSuspects(): Suspects {
+	return { part: SuspectRegistry.create(PROMPT_PART_POLICY), request: SuspectRegistry.create(REQUEST_POLICY) };
+}
+
 /** Number of crashes without a survival after which a suspect is quarantined. */
 const QUARANTINE_CRASHES = 3;
 
--- a/src/fleet/common/exchangedState.ts
+++ b/src/fleet/common/exchangedState.ts
@@ -1,9 +1,8 @@
-import type { SuspectRegistry } from '../../backends/common/suspectRegistry.js';
+import type { Suspects } from '../../backends/common/suspectRegistry.js';
 import type { EngineFleet } from '../../engines/common/engineFleet.js';
 import type { SocketAddress } from '../../settings/common/settings.js';
 import type { FleetShares } from '../../shares/common/fleetShares.js';
 import type { FleetAssignments } from './fleetAssignments.js';
-import type { SuspectKind } from './fleetOutbox.js';
 
 /** Identity and addresses of a router, sent in each of its datagrams. */
 export interface RouterIdentity {
@@ -20,7 +19,7 @@
 	/** Returns the revision of the last store change that this router knows, for each store prefix that it follows. */
 	readonly followedRevisions: () => readonly number[];
 	/** What may crash servers, by kind. */
-	readonly suspects: Readonly<Record<SuspectKind, SuspectRegistry>>;
+	readonly suspects: Suspects;
 	/** Determines which router owns the queue of a server. */
 	readonly assignments: FleetAssignments;
 	/** Returns whether this router is out of the load balancer's rotation because it receives more than it can handle. */
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -1,4 +1,9 @@
-import type { SuspectedCrash, SuspectStatus } from '../../backends/common/suspectRegistry.js';
+import {
+	SUSPECT_KINDS,
+	type SuspectedCrash,
+	type SuspectKind,
+	type SuspectStatus,
+} from '../../backends/common/suspectRegistry.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import type {
 	EndNotice,
@@ -23,12 +28,6 @@
 /** Maximum number of crashes in a datagram, each with up to {@link MAXIMUM_LIST_LENGTH} suspects. */
 const CRASHES_PER_DATAGRAM = 4;
 
-/** What may crash servers: a part of prompts, or a whole request. */
-export const SUSPECT_KINDS = ['part', 'request'] as const;
-
-/** Kind of a suspect. */
-export type SuspectKind = (typeof SUSPECT_KINDS)[number];
-
 const HUNDREDTHS = 100;
 
 /** Largest value of the field on the wire; it stands for an unlimited number of tokens. */
--- a/src/fleet/node/crashNotices.ts
+++ b/src/fleet/node/crashNotices.ts
@@ -2,8 +2,13 @@
 import type { IClock } from '../../base/common/clock.js';
 import { formatShortKeys } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import type { SuspectRegistry, SuspectStatus } from '../../backends/common/suspectRegistry.js';
-import { type FleetOutbox, SUSPECT_KINDS, type SuspectKind } from '../common/fleetOutbox.js';
+import {
+	SUSPECT_KINDS,
+	type SuspectKind,
+	type Suspects,
+	type SuspectStatus,
+} from '../../backends/common/suspectRegistry.js';
+import type { FleetOutbox } from '../common/fleetOutbox.js';
 import type { RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
 
 /**
@@ -17,7 +22,7 @@
 
 /** Dependencies of the exchange of crash notices. */
 export interface CrashNoticeContext {
-	readonly suspects: Readonly<Record<SuspectKind, SuspectRegistry>>;
+	readonly suspects: Suspects;
 	/** Returns the number of routers in the fleet. */
 	readonly countRouters: () => number;
 	/** Adds notices to the next datagram to all routers. */
--- a/src/fleet/node/datagramWriter.ts
+++ b/src/fleet/node/datagramWriter.ts
@@ -1,11 +1,11 @@
 import { randomInt } from 'node:crypto';
-import type { SuspectStatus } from '../../backends/common/suspectRegistry.js';
+import type { SuspectKind, SuspectStatus } from '../../backends/common/suspectRegistry.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import { formatAddress } from '../../settings/common/settings.js';
 import type { ExchangedState, RouterIdentity } from '../common/exchangedState.js';
 import { encodeStoreContact } from '../common/fleetMessages.js';
-import type { FleetOutbox, SuspectKind } from '../common/fleetOutbox.js';
+import type { FleetOutbox } from '../common/fleetOutbox.js';
 import {
 	type EngineReport,
 	type Member,
--- a/src/fleet/test/fleetFixture.ts
+++ b/src/fleet/test/fleetFixture.ts
@@ -1,4 +1,4 @@
-import { PROMPT_PART_POLICY, REQUEST_POLICY, SuspectRegistry } from '../../backends/common/suspectRegistry.js';
+import { createSuspects, type Suspects } from '../../backends/common/suspectRegistry.js';
 import { systemClock } from '../../base/common/clock.js';
 import { MAXIMUM_SMALL_FLEET_ROUTERS } from '../../base/common/fleetSize.js';
 import { DisposableStore } from '../../base/common/lifecycle.js';
@@ -10,7 +10,6 @@
 import { Effect } from 'effect';
 import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
 import { PrefixFollower } from '../../store/node/prefixFollower.js';
-import type { ExchangedState } from '../common/exchangedState.js';
 import { FleetAssignments } from '../common/fleetAssignments.js';
 import { FleetExchange } from '../node/fleetExchange.js';
 import { QueueReservations } from '../node/queueReservations.js';
@@ -37,7 +36,7 @@
 	readonly assignments: FleetAssignments;
 	readonly reservations: QueueReservations;
 	readonly shares: FleetShares;
-	readonly suspects: ExchangedState['suspects'];
+	readonly suspects: Suspects;
 	readonly follower: PrefixFollower;
 	readonly datagramAddress: SocketAddress;
 	readonly events: string[];
@@ -81,10 +80,7 @@
 	const engines = EngineFleet.create(instance, failureDomain, assignments);
 	engines.setServers([server], systemClock.now());
 	const shares = FleetShares.create({ nominalCapacityPerSecond: () => 250, load: () => undefined }, () => 2, 4_000);
-	const suspects = {
-		part: SuspectRegistry.create(PROMPT_PART_POLICY),
-		request: SuspectRegistry.create(REQUEST_POLICY),
-	};
+	const suspects = createSuspects();
 	const unreachableStore: IRevisionedStore = {
 		get: () => Effect.never,
 		compareAndSwap: () => Effect.never,
--- a/src/gateway/common/crashDetector.ts
+++ b/src/gateway/common/crashDetector.ts
@@ -1,7 +1,7 @@
 import { Effect } from 'effect';
 import type { BackendTarget } from '../../backends/common/backendClient.js';
 import type { ProbeResult, ServerProbe } from '../../backends/common/serverProbe.js';
-import type { SuspectRegistry } from '../../backends/common/suspectRegistry.js';
+import type { Suspects } from '../../backends/common/suspectRegistry.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
 
@@ -24,10 +24,8 @@
 
 /** Dependencies of a crash detector. */
 export interface CrashDetectorContext {
-	/** Whole requests that may crash servers. */
-	readonly suspectRequests: SuspectRegistry;
-	/** Prompt parts that may crash servers. */
-	readonly suspectParts: SuspectRegistry;
+	/** Whole requests, and parts of prompts, that may crash servers. */
+	readonly suspects: Suspects;
 	readonly probe: ServerProbe;
 	readonly clock: IClock;
 	/** Called with the identifier of a server that crashed, and the number of requests that it may have crashed on. */
@@ -62,8 +60,8 @@
 	 * @returns milliseconds for which a prompt with these parts must be refused; 0 when it may run
 	 */
 	public partQuarantineMs(parts: () => readonly number[]): number {
-		const { suspectParts, clock } = this.context;
-		return suspectParts.hasQuarantines ? suspectParts.quarantineMs(parts(), clock.now()) : 0;
+		const { suspects, clock } = this.context;
+		return suspects.part.hasQuarantines ? suspects.part.quarantineMs(parts(), clock.now()) : 0;
 	}
 
 	/**
@@ -71,8 +69,8 @@
 	 * @returns milliseconds for which the request must be refused; 0 when it may run
 	 */
 	public requestQuarantineMs(request: () => number): number {
-		const { suspectRequests, clock } = this.context;
-		return suspectRequests.hasQuarantines ? suspectRequests.quarantineMs([request()], clock.now()) : 0;
+		const { suspects, clock } = this.context;
+		return suspects.request.hasQuarantines ? suspects.request.quarantineMs([request()], clock.now()) : 0;
 	}
 
 	/**
@@ -82,10 +80,10 @@
 	 * @param parts short keys of the prompt parts that other requests may share
 	 */
 	public recordSent(request: () => number, parts: readonly number[]): void {
-		const { suspectRequests, suspectParts, clock } = this.context;
-		suspectParts.recordSent(parts, clock.now());
-		if (suspectRequests.hasQuarantines) {
-			suspectRequests.recordSent([request()], clock.now());
+		const { suspects, clock } = this.context;
+		suspects.part.recordSent(parts, clock.now());
+		if (suspects.request.hasQuarantines) {
+			suspects.request.recordSent([request()], clock.now());
 		}
 	}
 
@@ -96,7 +94,7 @@
 	 * @param parts short keys of the prompt parts that other requests may share
 	 */
 	public recordSurvival(parts: readonly number[]): void {
-		this.context.suspectParts.recordSurvival(parts, this.context.clock.now());
+		this.context.suspects.part.recordSurvival(parts, this.context.clock.now());
 	}
 
 	/**
@@ -105,9 +103,9 @@
 	 * @param request returns the short key of the request
 	 */
 	public recordCompletion(request: () => number): void {
-		const { suspectRequests, clock } = this.context;
-		if (suspectRequests.hasSuspects) {
-			suspectRequests.recordSurvival([request()], clock.now());
+		const { suspects, clock } = this.context;
+		if (suspects.request.hasSuspects) {
+			suspects.request.recordSurvival([request()], clock.now());
 		}
 	}
 
@@ -168,11 +166,11 @@
 	}
 
 	private recordCrash(id: string, evidence: readonly CrashEvidence[], now: number): void {
-		const { suspectRequests, suspectParts } = this.context;
+		const { suspects } = this.context;
 		const server = shortKey(id);
 		const requests = [...new Set(evidence.map(({ request }) => request))];
 		const parts = [...new Set(evidence.flatMap((item) => item.parts))];
-		suspectRequests.recordCrash({ server, suspects: requests }, now);
-		suspectParts.recordCrash({ server, suspects: parts }, now);
+		suspects.request.recordCrash({ server, suspects: requests }, now);
+		suspects.part.recordCrash({ server, suspects: parts }, now);
 	}
 }
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -8,7 +8,7 @@
 	IBackendClient,
 	ServerNotice,
 } from '../../backends/common/backendClient.js';
-import { PROMPT_PART_POLICY, REQUEST_POLICY, SuspectRegistry } from '../../backends/common/suspectRegistry.js';
+import { createSuspects } from '../../backends/common/suspectRegistry.js';
 import { HttpBackendClient } from '../../backends/node/httpBackendClient.js';
 import { systemClock } from '../../base/common/clock.js';
 import type { IDecisionLog, LogFields } from '../../base/node/structuredLog.js';
@@ -236,8 +236,7 @@
 			streamVersions: rememberVersions(),
 			retryBudget: FleetRetryBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }, () => 1),
 			crashes: CrashDetector.create({
-				suspectRequests: SuspectRegistry.create(REQUEST_POLICY),
-				suspectParts: SuspectRegistry.create(PROMPT_PART_POLICY),
+				suspects: createSuspects(),
 				probe: ({ id }) => Effect.succeed(isListening(id) ? 'accepting' : 'refusing'),
 				clock: systemClock,
 				reportCrash: (server, requests) => log.write('server-crashed', { server, requests }),
--- a/src/streams/test/streamVersionRecords.test.ts
+++ b/src/streams/test/streamVersionRecords.test.ts
@@ -1,7 +1,6 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect, Fiber } from 'effect';
-import type { KeyValue, StoreError } from '../../store/common/keyValueStore.js';
-import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
+import { MemoryStore } from '../../store/test/memoryStore.js';
 import type { StreamOrigin } from '../common/streamVersions.js';
 import { type StreamRecordFleet, StreamVersionRecords } from '../node/streamVersionRecords.js';
 
@@ -11,66 +10,6 @@
 /** Longer than the interval at which records are written. */
 const WRITTEN_MS = 700;
 
-/** Store in memory whose calls can be made to fail. */
-class MemoryStore implements IRevisionedStore {
-	public readonly items = new Map<string, KeyValue>();
-	public isDown = false;
-	public reads = 0;
-	public writes = 0;
-	private revision = 0;
-	private lease = 0;
-
-	public get(key: string): Effect.Effect<KeyValue | undefined, StoreError> {
-		return this.call(() => this.items.get(key));
-	}
-
-	public readAll(prefix: string): ReturnType<IRevisionedStore['readAll']> {
-		return this.call(() => {
-			this.reads++;
-			const entries = [...this.items.values()].filter(({ key }) => key.startsWith(prefix));
-			return { entries, revision: this.revision };
-		});
-	}
-
-	public compareAndSwap(
-		key: string,
-		expected: number,
-		value: Uint8Array,
-	): ReturnType<IRevisionedStore['compareAndSwap']> {
-		return this.call(() => {
-			this.writes++;
-			const current = this.items.get(key);
-			if ((current?.revision ?? 0) !== expected) {
-				return { swapped: false, current };
-			}
-			this.items.set(key, { key, value, revision: ++this.revision });
-			return { swapped: true, revision: this.revision };
-		});
-	}
-
-	public grantLease(): Effect.Effect<string, StoreError> {
-		return this.call(() => String(++this.lease));
-	}
-
-	public keepAlive(): Effect.Effect<boolean, StoreError> {
-		return Effect.succeed(true);
-	}
-
-	public remove(): never {
-		throw new Error('not used');
-	}
-
-	public waitForChanges(): never {
-		throw new Error('not used');
-	}
-
-	private call<T>(run: () => T): Effect.Effect<T, StoreError> {
-		return Effect.suspend(() =>
-			this.isDown ? Effect.fail({ outcome: 'no-effect', message: 'the store is away' }) : Effect.succeed(run()),
-		);
-	}
-}
-
 const stops: (() => void)[] = [];
 
 afterEach(() => stops.splice(0).forEach((stop) => stop()));
@@ -115,7 +54,7 @@
 describe('StreamVersionRecords', () => {
 	// Guards against streams that are joined or lost when all routers are killed at once during a release.
 	test('a new router knows the streams of routers that were killed', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const before = ['router-1', 'router-2'].map((instance) => startRecords(store, instance));
 		before.forEach((records) => register(records, 'v1', 'v2'));
 		before.forEach((records, index) => begin(records, `old-${index}`, 'v1'));
@@ -132,7 +71,7 @@
 	});
 
 	test('streams that began before a second version came are recorded too', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const before = startRecords(store, 'router-1');
 		register(before, 'v1');
 		begin(before, 'old', 'v1');
@@ -146,7 +85,7 @@
 	});
 
 	test('while there is one version, streams cost no calls and any router knows it', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const before = startRecords(store, 'router-1');
 		register(before, 'v1');
 		await sleep(WRITTEN_MS);
@@ -166,7 +105,7 @@
 
 	// Guards against guessing the version that is registered when the old one left while nobody ran.
 	test('a router that starts after the old version has left does not guess', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const before = startRecords(store, 'router-1');
 		register(before, 'v1');
 		begin(before, 'old', 'v1');
@@ -178,7 +117,7 @@
 	});
 
 	test('a router that cannot read the records does not guess, and says that it may know later', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const before = startRecords(store, 'router-1');
 		register(before, 'v1', 'v2');
 		begin(before, 'old', 'v1');
@@ -193,7 +132,7 @@
 	});
 
 	test('a router that may have missed the registration of a version does not guess', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const records = startRecords(store, 'router-1', { knowsRegistrations: () => false });
 		register(records, 'v1');
 		await sleep(WRITTEN_MS);
@@ -202,7 +141,7 @@
 
 	// Guards against records that are missing for good after the store was restored from an older copy.
 	test('the records are written again when the store has lost them', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const before = startRecords(store, 'router-1');
 		register(before, 'v1', 'v2');
 		begin(before, 'old', 'v1');
@@ -216,7 +155,7 @@
 	});
 
 	test('many requests that take streams up at once share one read', async () => {
-		const store = new MemoryStore();
+		const store = MemoryStore.create();
 		const records = startRecords(store, 'router-1');
 		register(records, 'v1', 'v2');
 		await Promise.all(Array.from({ length: 500 }, (_, index) => find(records, `unknown-${index}`)));
--- a/tools/platformFleet/caller.ts
+++ b/tools/platformFleet/caller.ts
@@ -40,6 +40,8 @@
 	/** Agent whose connections are reused; without it the request opens its own connection. */
 	readonly agent?: http.Agent;
 	readonly path?: string;
+	/** Body of the request; a different one for each request by default. */
+	readonly body?: string;
 	/** Stream of an earlier attempt that the request takes up. */
 	readonly resumption?: { readonly firstAttempt: string; readonly lastEvent: number };
 }
@@ -125,7 +127,7 @@
 			response.on('error', () => undefined);
 			response.on('close', () => finish(response));
 		});
-		request.end(method === 'POST' ? `body of ${id}` : undefined);
+		request.end(method === 'POST' ? (options.body ?? `body of ${id}`) : undefined);
 	});
 }
 
