Use what other routers and registrations tell of servers that have ended

Cause: only the router's own probe counted, and only if it was refused: 5 of 15 probes got no reply, and a server that is back before the probe looks as if it had never ended. Class: evidence of the whole fleet is judged by each router alone.

A crash notice names the incarnation of the server; routers whose connections to it broke within 2 s count it too. So does the registration of another incarnation at the address. A probe without a reply is repeated, up to four times. A request that one more crash would quarantine waits for the probe before it goes to the next server (a fourth one otherwise).

--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -281,13 +281,11 @@
 	}
 
 	/**
-	 * Returns the crashes since a server survived a suspect.
-	 *
-	 * @param key of the suspect
-	 * @returns number of crashes; 0 for what is not suspected
+	 * @param key of a suspect
+	 * @returns whether one more crash would quarantine it
 	 */
-	public crashesOf(key: number): number {
-		return this.suspects.get(key)?.crashes.size ?? 0;
+	public isAlmostQuarantined(key: number): boolean {
+		return this.suspects.get(key)?.crashes.size === QUARANTINE_CRASHES - 1;
 	}
 
 	/**
--- a/src/fleet/node/crashNotices.ts
+++ b/src/fleet/node/crashNotices.ts
@@ -1,3 +1,4 @@
+import { Emitter, type Event } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import type { IClock } from '../../base/common/clock.js';
 import { formatShortKeys } from '../../base/common/shortKey.js';
@@ -47,6 +48,11 @@
 	/** Number of quarantined suspects of each kind that heartbeats have repeated; begins again after the last one. */
 	private readonly repeated: Record<SuspectKind, number> = { part: 0, request: 0 };
 
+	private readonly crashEmitter = this.register(Emitter.create<number>());
+
+	/** Fires with the key of a server that another router has found to have ended. */
+	public readonly onDidHearCrash: Event<number> = this.crashEmitter.event;
+
 	private constructor(private readonly context: CrashNoticeContext) {
 		super();
 		const { suspects, broadcast, log } = context;
@@ -88,6 +94,7 @@
 		for (const { engine, parts, requests } of datagram.serverCrashes) {
 			suspects.part.applyCrash({ server: engine, suspects: parts }, now);
 			suspects.request.applyCrash({ server: engine, suspects: requests }, now);
+			this.crashEmitter.fire(engine);
 		}
 		this.applyClears('part', datagram.clearedParts, now);
 		this.applyClears('request', datagram.clearedRequests, now);
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -1,6 +1,6 @@
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import type { IClock } from '../../base/common/clock.js';
-import { Emitter } from '../../base/common/event.js';
+import { Emitter, type Event } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { ReservationRequest } from '../../engines/common/placementMessages.js';
@@ -69,6 +69,9 @@
 	/** Fires for each response of a queue owner to a reservation request. */
 	public readonly onDidReceiveReservationResponse = this.reservationResponseEmitter.event;
 
+	/** Fires with the key of a server that another router has found to have ended. */
+	public readonly onDidHearCrash: Event<number>;
+
 	private constructor(
 		private readonly identity: RouterIdentity,
 		private readonly state: ExchangedState,
@@ -128,6 +131,7 @@
 				log,
 			}),
 		);
+		this.onDidHearCrash = this.crashNotices.onDidHearCrash;
 		this.socket.on('message', (bytes, source) => this.receive(bytes, source));
 		this.socket.on('error', (error) => log.write('datagram-socket-failed', { reason: error.message }));
 	}
--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -92,6 +92,14 @@
 		await waitUntil(() => isRequestRefused(two));
 	});
 
+	test('a server that has ended is known to all routers', async () => {
+		const [one, two] = await startPair();
+		const heard: number[] = [];
+		two.owner.add(two.exchange.onDidHearCrash((server) => heard.push(server)));
+		one.suspects.request.recordCrash({ server: 77, suspects: [HARMFUL_REQUEST] }, systemClock.now());
+		await waitUntil(() => heard.includes(77));
+	});
+
 	// Guards against a notice that is sent once: a router that started later spent more engines on the request.
 	test('a request that crashed engines is refused at a router that starts later', async () => {
 		const [one, two] = await startPair();
--- a/src/gateway/common/crashDetector.ts
+++ b/src/gateway/common/crashDetector.ts
@@ -5,9 +5,21 @@
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
 
-/** A connection that breaks within this time before or after its server is found to refuse connections broke by its crash. */
+/** A connection that breaks within this time before or after its server is found to have ended broke by its crash. */
 const CRASH_WINDOW_MS = 2_000;
 
+/** Maximum number of probes of a server that does not reply; each takes up to half a second. */
+const MAXIMUM_PROBES = 4;
+
+/** Maximum wait of a request for a probe. */
+const EVIDENCE_TIMEOUT_MS = 500;
+
+/** An incarnation of a server. */
+export interface RunningServer extends BackendTarget {
+	/** Start of the incarnation in Unix milliseconds; undefined if its registration does not tell. */
+	readonly startedAt: number | undefined;
+}
+
 /** Identity of a request for the evidence of crashes. */
 export interface CrashEvidence {
 	/** Short key of the whole request. */
@@ -17,7 +29,9 @@
 }
 
 interface BrokenRequest {
-	readonly server: string;
+	readonly server: RunningServer;
+	/** Key of the server's incarnation. */
+	readonly key: number;
 	readonly evidence: CrashEvidence;
 	readonly at: number;
 }
@@ -36,14 +50,17 @@
 
 /**
  * Detects requests that crash the servers that run them. A broken connection alone is no evidence, since responses are
- * lost for other reasons too. It counts if the server then refuses connections, which a probe shows at once.
+ * lost for other reasons too. It counts if the server has ended: it refuses connections, which a probe shows at once,
+ * another router has found so, or another incarnation registers at its address.
  *
  * Load pattern: one request, or one part of many prompts, crashes each server that starts it.
  */
 export class CrashDetector {
 	private broken: BrokenRequest[] = [];
-	private readonly crashedAt = new Map<string, number>();
-	private readonly probing = new Set<string>();
+	/** When servers were found to have ended, by key. */
+	private readonly endedAt = new Map<number, number>();
+	/** Probes in progress, by key of the server. */
+	private readonly probes = new Map<number, Promise<void>>();
 
 	private constructor(private readonly context: CrashDetectorContext) {}
 
@@ -115,62 +132,119 @@
 	 * @param server on which the request ran
 	 * @param evidence identity of the request
 	 */
-	public recordBrokenConnection(server: BackendTarget, evidence: CrashEvidence): void {
+	public recordBrokenConnection(server: RunningServer, evidence: CrashEvidence): void {
 		const now = this.context.clock.now();
-		if (now - (this.crashedAt.get(server.id) ?? -Infinity) <= CRASH_WINDOW_MS) {
-			this.recordCrash(server.id, [evidence], now);
+		const key = serverKeyOf(server);
+		if (now - (this.endedAt.get(key) ?? -Infinity) <= CRASH_WINDOW_MS) {
+			this.recordCrash(key, [evidence], now);
 			return;
 		}
 		this.broken = this.broken.filter(({ at }) => now - at <= CRASH_WINDOW_MS);
-		this.broken.push({ server: server.id, evidence, at: now });
-		if (this.probing.has(server.id)) {
-			return;
+		this.broken.push({ server, key, evidence, at: now });
+		if (!this.probes.has(key)) {
+			const probe = Effect.runPromise(this.probe(server, key)).then(() => void this.probes.delete(key));
+			this.probes.set(key, probe);
 		}
-		this.probing.add(server.id);
-		Effect.runFork(
-			Effect.map(this.context.probe(server), (result) => {
-				this.probing.delete(server.id);
-				const requests = this.broken.filter((item) => item.server === server.id).length;
-				this.context.reportProbe(server.id, result, requests);
-				if (result === 'refusing') {
-					this.recordUnreachable(server.id);
-				}
-			}),
-		);
+	}
+
+	/**
+	 * Waits until a probe has shown whether a server has ended, if one more crash would quarantine a request that ran there.
+	 * Otherwise the request would be sent to the next server before it is known that the last one has ended.
+	 *
+	 * @param server on which the request ran
+	 * @param request short key of the request
+	 * @returns an effect that ends with the probe, or after a time limit
+	 */
+	public awaitEvidence(server: RunningServer, request: () => number): Effect.Effect<void> {
+		const probe = this.probes.get(serverKeyOf(server));
+		return probe !== undefined && this.context.suspects.request.isAlmostQuarantined(request())
+			? Effect.asVoid(
+					Effect.timeoutOption(
+						Effect.promise(() => probe),
+						EVIDENCE_TIMEOUT_MS,
+					),
+				)
+			: Effect.void;
 	}
 
 	/**
 	 * Records that a server refuses connections.
 	 *
-	 * @param server identifier of the server
+	 * @param server that cannot be reached
+	 */
+	public recordUnreachable(server: RunningServer): void {
+		this.recordEnd(serverKeyOf(server));
+	}
+
+	/**
+	 * Records that a server has registered. Another one that ran at its address has ended, also if it was replaced before
+	 * it could be probed.
+	 *
+	 * @param server as registered
 	 */
-	public recordUnreachable(server: string): void {
+	public recordRegistration(server: RunningServer): void {
+		const key = serverKeyOf(server);
+		const replaced = this.broken.filter((item) => item.server.url === server.url && item.key !== key);
+		new Set(replaced.map((item) => item.key)).forEach((replacedKey) => this.recordEnd(replacedKey));
+	}
+
+	/**
+	 * Records that a server has ended, as this router or another one has found. Its own probe may have found nothing, since
+	 * its link loses packets.
+	 *
+	 * @param key of the incarnation, see {@link serverKeyOf}
+	 */
+	public recordEnd(key: number): void {
 		const now = this.context.clock.now();
-		const crashed = this.broken.filter((item) => item.server === server && now - item.at <= CRASH_WINDOW_MS);
-		this.broken = this.broken.filter((item) => item.server !== server);
-		if (crashed.length === 0) {
-			return;
-		}
-		for (const [id, at] of this.crashedAt) {
+		for (const [ended, at] of this.endedAt) {
 			if (now - at > CRASH_WINDOW_MS) {
-				this.crashedAt.delete(id);
+				this.endedAt.delete(ended);
 			}
 		}
-		this.crashedAt.set(server, now);
-		this.context.reportCrash(server, crashed.length);
-		this.recordCrash(
-			server,
-			crashed.map(({ evidence }) => evidence),
-			now,
-		);
+		const crashed = this.broken.filter((item) => item.key === key && now - item.at <= CRASH_WINDOW_MS);
+		const [first] = crashed;
+		this.broken = this.broken.filter((item) => item.key !== key);
+		this.endedAt.set(key, now);
+		if (first !== undefined) {
+			this.context.reportCrash(first.server.id, crashed.length);
+			this.recordCrash(
+				key,
+				crashed.map(({ evidence }) => evidence),
+				now,
+			);
+		}
+	}
+
+	private probe(server: RunningServer, key: number): Effect.Effect<void> {
+		const self = this;
+		return Effect.gen(function* () {
+			for (let count = 0; count < MAXIMUM_PROBES; count++) {
+				const result = yield* self.context.probe(server);
+				const requests = self.broken.filter((item) => item.key === key).length;
+				self.context.reportProbe(server.id, result, requests);
+				if (result === 'refusing') {
+					self.recordEnd(key);
+				}
+				if (result !== 'unknown') {
+					return;
+				}
+			}
+		});
 	}
 
-	private recordCrash(id: string, evidence: readonly CrashEvidence[], now: number): void {
+	private recordCrash(server: number, evidence: readonly CrashEvidence[], now: number): void {
 		const { suspects } = this.context;
-		const server = shortKey(id);
 		const requests = [...new Set(evidence.map(({ request }) => request))];
 		const parts = [...new Set(evidence.flatMap((item) => item.parts))];
 		suspects.request.recordCrash({ server, suspects: requests }, now);
 		suspects.part.recordCrash({ server, suspects: parts }, now);
 	}
 }
+
+/**
+ * @param server incarnation of a server
+ * @returns short key that all routers use for it
+ */
+export function serverKeyOf({ id, startedAt }: RunningServer): number {
+	return shortKey(`${id} ${startedAt ?? ''}`);
+}
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -9,7 +9,6 @@
 	BackendFailure,
 	ResponseHead,
 	BackendRequest,
-	BackendTarget,
 	ConnectionEnd,
 	IAttemptSink,
 	IBackendClient,
@@ -30,7 +29,7 @@
 import type { IStreamVersions, StreamIdentity } from '../../streams/common/streamVersions.js';
 import type { FleetShares, ShareStatus } from '../../shares/common/fleetShares.js';
 import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
-import type { CrashDetector } from '../common/crashDetector.js';
+import type { CrashDetector, RunningServer } from '../common/crashDetector.js';
 import { AttemptProgress } from '../common/attemptProgress.js';
 import { type IHeaderCodec, sharedPartKeys } from '../common/ingress.js';
 import { requestCost } from '../common/requestCost.js';
@@ -203,6 +202,7 @@
 				const failure = result.failure;
 				self.endedVerdict = combineVerdicts(self.endedVerdict, failure.verdict);
 				self.logFailure(decision.option, failure);
+				yield* self.context.crashes.awaitEvidence(runningServerOf(decision.option.server), self.requestKey);
 				if (!self.mayRetry(failure)) {
 					self.sendFailure(`server-${failure.kind}`, BAD_GATEWAY);
 					return;
@@ -435,7 +435,7 @@
 		const { fields, routing } = request;
 		const now = clock.now();
 		const { server } = option;
-		const target = { id: server.id, url: `http://${server.address}` };
+		const target = runningServerOf(server);
 		this.attempts++;
 		this.progress = this.startProgress();
 		this.triedServers.add(server.id);
@@ -602,7 +602,7 @@
 
 	/** Derives the outcome that is recorded for a server when an attempt ends, and records evidence of crashes. */
 	private outcomeOf(
-		server: BackendTarget,
+		server: RunningServer,
 		exit: Exit.Exit<void, BackendFailure>,
 		isErrorResponse: boolean,
 	): ServerOutcome | undefined {
@@ -623,7 +623,7 @@
 			case 'fenced':
 				return 'refused';
 			case 'unreachable':
-				crashes.recordUnreachable(server.id);
+				crashes.recordUnreachable(server);
 				return 'unreachable';
 			case 'silent':
 				return 'silent';
@@ -799,6 +799,10 @@
 	return { decision: { ...decision, option }, reservation };
 }
 
+function runningServerOf({ id, address, startedAt }: RegisteredServer): RunningServer {
+	return { id, url: `http://${address}`, startedAt };
+}
+
 function notSentFailure(server: string): BackendFailure {
 	const message = `nothing was sent to backend server ${server}, since the request may no longer be sent there`;
 	return { kind: 'withdrawn', verdict: 'not-run', message };
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -49,6 +49,7 @@
 	readonly port: number;
 	readonly gateway: GatewayServer;
 	readonly fleet: EngineFleet;
+	readonly crashes: CrashDetector;
 	readonly attempts: readonly RecordedAttempt[];
 	readonly lines: readonly { readonly event: string; readonly fields: LogFields }[];
 	readonly setConfiguration: (configuration: RoutingConfiguration | undefined) => void;
@@ -221,6 +222,13 @@
 	const handoverClient = HttpBackendClient.create();
 	const fleet = EngineFleet.create('router-1', 'a');
 	fleet.setServers(servers, systemClock.now());
+	const crashes = CrashDetector.create({
+		suspects: createSuspects(),
+		probe: ({ id }) => Effect.succeed(isListening(id) ? 'accepting' : 'refusing'),
+		clock: systemClock,
+		reportCrash: (server, requests) => log.write('server-crashed', { server, requests }),
+		reportProbe: (server, result, requests) => log.write('server-probed', { server, result, requests }),
+	});
 	let table: RouteTable | undefined = RouteTable.create(configuration);
 	const gateway = GatewayServer.create(
 		{
@@ -235,13 +243,7 @@
 			codec: testCodec,
 			streamVersions: rememberVersions(),
 			retryBudget: FleetRetryBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }, () => 1),
-			crashes: CrashDetector.create({
-				suspects: createSuspects(),
-				probe: ({ id }) => Effect.succeed(isListening(id) ? 'accepting' : 'refusing'),
-				clock: systemClock,
-				reportCrash: (server, requests) => log.write('server-crashed', { server, requests }),
-				reportProbe: (server, result, requests) => log.write('server-probed', { server, result, requests }),
-			}),
+			crashes,
 			log,
 			metrics: GatewayMetrics.create(),
 		},
@@ -254,6 +256,7 @@
 		port,
 		gateway,
 		fleet,
+		crashes,
 		attempts,
 		lines,
 		setConfiguration: (next) => (table = next && RouteTable.create(next)),
