--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -41,6 +41,12 @@
 	readonly isShared: boolean;
 }
 
+/**
+ * Time after its first bytes for which a response has to go on before its server counts as having survived the parts of
+ * its prompt. A server that crashes on a part ends when it has begun to respond.
+ */
+export const PART_SURVIVAL_MS = 500;
+
 /** Parts of prompts, which many prompts share. */
 export const PROMPT_PART_POLICY: SuspectPolicy = {
 	simultaneousMs: 250,
--- a/src/backends/test/crashReplay.ts
+++ b/src/backends/test/crashReplay.ts
@@ -1,7 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { VirtualTime } from '../../base/test/virtualTime.js';
-import { PROMPT_PART_POLICY, SuspectRegistry } from '../common/suspectRegistry.js';
+import { PART_SURVIVAL_MS, PROMPT_PART_POLICY, SuspectRegistry } from '../common/suspectRegistry.js';
 
 /** A fleet whose engines crash on one part of prompts. */
 export interface CrashReplayFleet {
@@ -10,6 +10,8 @@
 	readonly promptsPerSecond: number;
 	/** Fraction of the prompts that have the harmful part. */
 	readonly harmfulFraction: number;
+	/** Milliseconds from the first event of a response to the crash of its engine. */
+	readonly crashAfterMs: number;
 }
 
 /** Outcome of a replay. */
@@ -48,7 +50,6 @@
 const MINIMUM_PREFILL_MS = 20;
 const PREFILL_SPREAD_MS = 150;
 const STREAM_MS = 2_000;
-const SURVIVAL_MS = 50;
 const DOWN_MS = 3_000;
 const MAXIMUM_ATTEMPTS = 3;
 const NOTICE_LATENCY_MS = 40;
@@ -105,7 +106,7 @@
 		const noticedAt = suspects.map(() => now + random() * NOTICE_LATENCY_MS);
 		suspects.forEach((_, router) => {
 			const own = broken.filter(({ prompt }) => prompt.router === router);
-			const candidates = own.filter(({ beganAt }) => beganAt === undefined || now - beganAt < SURVIVAL_MS);
+			const candidates = own.filter(({ beganAt }) => beganAt === undefined || now - beganAt < PART_SURVIVAL_MS);
 			const parts = [...new Set(candidates.flatMap(({ prompt }) => prompt.parts))];
 			time.schedule(noticedAt[router] ?? now, (later) => {
 				suspectsOf(router, later)?.recordCrash({ server: engine, suspects: parts }, later);
@@ -124,15 +125,24 @@
 		}
 		item.beganAt = now;
 		if (item.prompt.harmful) {
-			crash(engine, now);
-			return;
+			time.schedule(now + fleet.crashAfterMs, (later) => {
+				if (running[engine]?.has(item) === true) {
+					crash(engine, later);
+				}
+			});
 		}
-		time.schedule(now + SURVIVAL_MS, (later) => {
+		time.schedule(now + PART_SURVIVAL_MS, (later) => {
 			if (running[engine]?.has(item) === true) {
 				suspectsOf(item.prompt.router, later)?.recordSurvival(item.prompt.parts, later);
 			}
 		});
-		time.schedule(now + STREAM_MS * (0.1 + random()), () => running[engine]?.delete(item));
+		if (!item.prompt.harmful) {
+			time.schedule(now + STREAM_MS * (0.1 + random()), (later) => {
+				if (running[engine]?.delete(item) === true) {
+					suspectsOf(item.prompt.router, later)?.recordSurvival(item.prompt.parts, later);
+				}
+			});
+		}
 	};
 	const place = (prompt: Prompt, now: number): void => {
 		const own = suspectsOf(prompt.router, now);
--- a/src/gateway/common/attemptProgress.ts
+++ b/src/gateway/common/attemptProgress.ts
@@ -1,8 +1,4 @@
-/**
- * Time after its first bytes for which a response has to go on before its server counts as having survived the request.
- * A server that crashes on a prompt ends with the first bytes of its response.
- */
-const SURVIVAL_MS = 50;
+import { PART_SURVIVAL_MS } from '../../backends/common/suspectRegistry.js';
 
 /** What has arrived of the response to one attempt. */
 export class AttemptProgress {
@@ -13,7 +9,7 @@
 	private constructor(private readonly onSurvival: () => void) {}
 
 	/**
-	 * @param onSurvival called once, when the server has survived the request
+	 * @param onSurvival called once, when the server has survived the parts of the prompt
 	 * @returns the progress of an attempt without a response
 	 */
 	public static create(onSurvival: () => void): AttemptProgress {
@@ -25,7 +21,7 @@
 		return this.byteCount;
 	}
 
-	/** Whether the server has survived the request. */
+	/** Whether the server has survived the parts of the prompt. */
 	public get hasSurvived(): boolean {
 		return this.survived;
 	}
@@ -47,12 +43,12 @@
 	public recordBytes(count: number, now: number): void {
 		this.beganAt ??= now;
 		this.byteCount += count;
-		if (now - this.beganAt >= SURVIVAL_MS) {
+		if (now - this.beganAt >= PART_SURVIVAL_MS) {
 			this.recordSurvival();
 		}
 	}
 
-	/** Records that the server has survived the request, such as by a complete response. */
+	/** Records that the server has survived the parts of the prompt, such as by a complete response. */
 	public recordSurvival(): void {
 		if (!this.survived) {
 			this.survived = true;
