--- a/src/streams/test/streamVersionRecords.test.ts
+++ b/src/streams/test/streamVersionRecords.test.ts
@@ -139,6 +139,32 @@
 		expect(await find(records, 'any')).toMatchObject({ kind: 'unknown' });
 	});
 
+	// Guards against a router that has just read the records, and takes the only version that it has heard of for certain.
+	test('a router that has not heard of a new version finds the version of its streams', async () => {
+		const store = MemoryStore.create();
+		const behind = startRecords(store, 'router-1');
+		register(behind, 'v1');
+		const other = startRecords(store, 'router-2');
+		register(other, 'v1');
+		await sleep(WRITTEN_MS);
+		await find(behind, 'any');
+		register(other, 'v1', 'v2');
+		begin(other, 'new', 'v2');
+		await sleep(WRITTEN_MS);
+		expect(await find(behind, 'new')).toMatchObject({ version: 'v2', source: 'record' });
+	});
+
+	// Guards against a router that is cut off, and falls back on the only version that it has heard of.
+	test('a router that is cut off from the store does not guess', async () => {
+		const store = MemoryStore.create();
+		const cutOff = startRecords(store, 'router-1');
+		register(cutOff, 'v1');
+		await sleep(WRITTEN_MS);
+		await find(cutOff, 'any');
+		store.isDown = true;
+		expect(await find(cutOff, 'new')).toEqual({ kind: 'unknown', isTemporary: true });
+	});
+
 	// Guards against records that are missing for good after the store was restored from an older copy.
 	test('the records are written again when the store has lost them', async () => {
 		const store = MemoryStore.create();
