Take a version for the only one after a fresh read, or in step with all other routers

Cause: with the records read less than 5 s ago it asked nobody, and when the store could not be read it fell back on the only version that it knew; contact with any router counted as knowledge of all registrations. Class: the absence of news is taken for the absence of a change.

A take-up of another router's stream now rests on a read of the registrations and of the history that began at most 50 ms before it, shared by all that come meanwhile. If the store cannot be read, the router has to be in step: it has heard of all others within 0.6 s (in a large fleet of a relay), none of them knows of a later change, and its process has not stood still since. Otherwise the take-up is refused at once, as not run. Other designs: letting servers of a new version begin no stream before all have heard of it delays the release by its slowest router; asking the peers that began the stream fails when they were killed.

The one for a router that is cut off waits 100 ms longer than when it was committed, since a read of 50 ms ago may be relied on. The test with knowsRegistrations, which is gone, became two: a registration that was missed, and the cut-off router.

--- a/src/fleet/common/fleetTiming.ts
+++ b/src/fleet/common/fleetTiming.ts
@@ -55,6 +55,12 @@
 /** Interval at which a router sends a datagram even when it has nothing else to send. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 
+/** Routers that were heard within this time are in touch; a heartbeat may be late. */
+export const IN_STEP_MS = 600;
+
+/** A larger difference between the time of day and the monotonic clock shows that the process stood still. */
+export const STANDSTILL_THRESHOLD_MS = 100;
+
 /** A peer that has sent nothing for this long, three heartbeats, is lost. */
 export const PEER_TIMEOUT_MS = 1_600;
 
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -21,12 +21,14 @@
 import {
 	FLUSH_DELAY_PER_PEER_MS,
 	HEARTBEAT_INTERVAL_MS,
+	IN_STEP_MS,
 	OWNER_NOTICE_DELAY_MS,
 	MINIMUM_FLUSH_DELAY_MS,
 	MINIMUM_USAGE_INTERVAL_MS,
 	LOST_PEER_PROBE_INTERVAL_MS,
 	MEMBERS_PER_DATAGRAM,
 	MEMBER_UPDATE_DELAY_MS,
+	STANDSTILL_THRESHOLD_MS,
 	USAGE_INTERVAL_PER_PEER_MS,
 } from '../common/fleetTiming.js';
 import { OVER_SHARE_LIMITS } from '../../shares/common/fleetShares.js';
@@ -59,6 +61,9 @@
 	private lastUsageAt = 0;
 	private lastProbeAt = 0;
 	private lastQuarantinedAt = 0;
+	/** Difference between the time of day and the monotonic clock at the last tick. */
+	private clockOffsetMs: number;
+	private stoodStillUntil = -Infinity;
 	private wasRelay = false;
 	private heard = 1;
 	private wasLarge = false;
@@ -79,6 +84,7 @@
 		private readonly log: IDecisionLog,
 	) {
 		super();
+		this.clockOffsetMs = Date.now() - clock.now();
 		this.writer = DatagramWriter.create(identity, state, clock);
 		this.membership = FleetMembership.create(identity.instance, identity.failureDomain);
 		const isRelay = (): boolean => this.isRelay;
@@ -223,6 +229,23 @@
 		return !this.state.assignments.isLargeFleet || this.isRelay;
 	}
 
+	/**
+	 * Whether this router has just heard of all others, in a large fleet of a relay, and none of them knows of a later
+	 * change in the store. A router that is cut off, or has just stood still, may have missed changes.
+	 */
+	public get isInStep(): boolean {
+		const now = this.clock.now();
+		const own = this.state.followedRevisions();
+		const direct = this.peers.filter((peer) => isServing(peer) && peer.followedRevisions.length > 0);
+		const earliest = Math.max(now - IN_STEP_MS, this.stoodStillUntil);
+		const heard = direct.filter(({ heardAt }) => heardAt >= earliest);
+		const isHeard = heard.length > 0 && (this.state.assignments.isLargeFleet || heard.length === this.routerCount - 1);
+		const isBehind = heard.some(({ followedRevisions }) =>
+			followedRevisions.some((revision, index) => revision > (own[index] ?? 0)),
+		);
+		return isHeard && !isBehind && !this.hasStoodStill(now);
+	}
+
 	/** Whether this router is a relay, which forwards reports and membership updates and announces store changes. */
 	public get isRelay(): boolean {
 		return this.membership.isRelay;
@@ -565,8 +588,17 @@
 		this.log.write('relay-role', { isRelay, isLargeFleet, relays: membership.relaySelection.ownRelays.join(' ') });
 	}
 
+	/** The monotonic clock may not count the time for which the process stood still; the time of day does. */
+	private hasStoodStill(now: number): boolean {
+		return Math.abs(Date.now() - now - this.clockOffsetMs) > STANDSTILL_THRESHOLD_MS;
+	}
+
 	private tick(): void {
 		const now = this.clock.now();
+		if (this.hasStoodStill(now)) {
+			this.stoodStillUntil = now;
+			this.clockOffsetMs = Date.now() - now;
+		}
 		const { updates, removed } = this.membership.tick(now);
 		for (const instance of removed) {
 			this.outboxes.get(instance)?.cancel();
--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -169,3 +169,34 @@
 		expect(two.follower.snapshot()?.entries).toHaveLength(1);
 	});
 });
+
+describe('a router that is in step with the others', () => {
+	// Guards against a router that takes what it has last heard for what is, after it was cut off.
+	test('is no longer when it does not hear them', async () => {
+		const [one, two] = await startPair();
+		await waitUntil(() => one.exchange.isInStep);
+		two.owner.dispose();
+		await waitUntil(() => !one.exchange.isInStep, 1_000);
+	});
+
+	test('is no longer when another one knows of a later change, until it has the change', async () => {
+		const [one, two] = await startPair();
+		await waitUntil(() => two.exchange.isInStep);
+		const isInStepAtUpdates: boolean[] = [];
+		two.owner.add(two.exchange.onDidUpdatePeer(() => isInStepAtUpdates.push(two.exchange.isInStep)));
+		one.follower.apply({
+			entries: [{ key: 'servers/engine-1', revision: 7, value: Buffer.from('{}') }],
+			revision: 9,
+		});
+		one.exchange.announce();
+		await waitUntil(() => isInStepAtUpdates.includes(false));
+		await waitUntil(() => two.exchange.isInStep);
+		expect(two.follower.snapshot()?.revision).toBe(9);
+	});
+
+	test('is never when it is alone', async () => {
+		const alone = await startRouter('router-1', '127.0.205');
+		await new Promise((resolve) => setTimeout(resolve, 300));
+		expect(alone.exchange.isInStep).toBe(false);
+	});
+});
--- a/src/streams/node/streamVersionRecords.ts
+++ b/src/streams/node/streamVersionRecords.ts
@@ -32,10 +32,13 @@
 /** Interval at which the stored versions are compared with the known ones, which a restored store may lack. */
 const HISTORY_CHECK_INTERVAL_MS = 10_000;
 
-/** Content that was read before this time may lack versions of servers that came and left while this router was cut off. */
-const CONTENT_VALID_MS = 5_000;
+/**
+ * Time before a request during which a read must have begun to show that there is one version. A server that registers
+ * after the read cannot have begun a stream that is already taken up again.
+ */
+const SINGLE_VERSION_VALID_MS = 50;
 
-/** Minimum interval between reads for streams that are not in the content; grows with the number of routers. */
+/** Minimum interval between reads while there are several versions; grows with the number of routers. */
 const MINIMUM_READ_INTERVAL_MS = 100;
 const READ_INTERVAL_PER_ROUTER_MS = 6;
 
@@ -60,8 +63,10 @@
 	readonly writesPerSecond: number;
 	/** Whether this router is one of the few that write the history. */
 	readonly isHistoryWriter: () => boolean;
-	/** Whether this router would learn of new servers: somebody reads their registrations, or nobody can. */
-	readonly knowsRegistrations: () => boolean;
+	/** Reads the current registrations of all servers from the store. */
+	readonly readRegistrations: () => Effect.Effect<readonly VersionedServer[], StoreError>;
+	/** Whether this router knows of the same registrations as all others, when the store cannot be read. */
+	readonly isInStep: () => boolean;
 	/** Longest time for which the configuration lets a request last, in milliseconds. */
 	readonly longestRequestMs: () => number;
 }
@@ -75,7 +80,8 @@
 
 /**
  * Keeps the software versions of streams in the store while several versions serve side by side, and for as long as a
- * stream can last afterwards. While there has been one version for that time, nothing is written or read for a stream.
+ * stream can last afterwards. While there has been one version for that time, nothing is written, and streams that are
+ * taken up share a read: this router may not have heard yet of a version that has joined.
  *
  * Load pattern: all routers are killed at once during a release, and all their callers take their streams up in the
  * first second of the new processes.
@@ -86,6 +92,7 @@
 	private readonly recordKey: string;
 	/** Versions of the streams that routers have recorded, by stream key. */
 	private recorded: ReadonlyMap<number, string> = new Map();
+	/** When the last read that succeeded began. */
 	private readAt: number | undefined;
 	private reading: Promise<boolean> | undefined;
 	private longestLifetimeMs = 0;
@@ -157,7 +164,7 @@
 			if (recorded !== undefined) {
 				return { kind: 'known', version: recorded, source: 'record' };
 			}
-			const single = self.singleVersionOf(service);
+			const single = isCurrent || self.fleet.isInStep() ? self.singleVersionOf(service) : undefined;
 			return single === undefined
 				? { kind: 'unknown', isTemporary: !isCurrent }
 				: { kind: 'known', version: single, source: 'single-version' };
@@ -191,11 +198,10 @@
 		return this.history.isAnyMixed(this.unixMs());
 	}
 
-	/** The only version that can have begun a stream; undefined when there are several, or others may be unknown. */
+	/** The only known version that can have begun a stream; undefined when there are several, or nothing has been read. */
 	private singleVersionOf(service: string): string | undefined {
 		const versions = this.history.possibleVersions(service, this.unixMs());
-		const isComplete = this.readAt !== undefined && this.fleet.knowsRegistrations();
-		return isComplete && versions.length === 1 ? versions[0] : undefined;
+		return this.readAt !== undefined && versions.length === 1 ? versions[0] : undefined;
 	}
 
 	private isReadDue(service: string): boolean {
@@ -203,7 +209,7 @@
 		const intervalMs =
 			this.singleVersionOf(service) === undefined
 				? MINIMUM_READ_INTERVAL_MS + READ_INTERVAL_PER_ROUTER_MS * this.fleet.countRouters()
-				: CONTENT_VALID_MS;
+				: SINGLE_VERSION_VALID_MS;
 		return ageMs >= intervalMs;
 	}
 
@@ -212,25 +218,32 @@
 		return Math.max(MINIMUM_WRITE_INTERVAL_MS, this.fleet.countRouters() / writesPerMs);
 	}
 
+	/** Returns whether a read has succeeded that began late enough to be current. */
 	private readInTime(): Effect.Effect<boolean> {
+		const earliest = this.clock.now() - SINGLE_VERSION_VALID_MS;
+		const read = async (): Promise<boolean> => {
+			const isRead = await this.read();
+			// The read may have been in progress for long.
+			return isRead && (this.readAt ?? -Infinity) < earliest ? this.read() : isRead;
+		};
 		return Effect.map(
-			Effect.timeoutOption(
-				Effect.promise(() => this.read()),
-				READ_TIMEOUT_MS,
-			),
+			Effect.timeoutOption(Effect.promise(read), READ_TIMEOUT_MS),
 			(result) => result._tag === 'Some' && result.value,
 		);
 	}
 
-	/** Reads the records of all routers; callers that come during a read share its result. */
+	/** Reads the registrations and the records of all routers; callers that come during a read share its result. */
 	private read(): Promise<boolean> {
-		this.reading ??= Effect.runPromise(Effect.result(this.store.readAll(PREFIX))).then((result) => {
+		const beganAt = this.clock.now();
+		const calls = Effect.all([this.fleet.readRegistrations(), this.store.readAll(PREFIX)], { concurrency: 2 });
+		this.reading ??= Effect.runPromise(Effect.result(calls)).then((result) => {
 			this.reading = undefined;
 			if (result._tag === 'Failure') {
 				this.log.write('stream-records-unread', { ...result.failure });
 				return false;
 			}
-			const { entries } = result.success;
+			const [servers, { entries }] = result.success;
+			this.setRegistered(servers);
 			const history = entries.find(({ key }) => key === HISTORY_KEY);
 			this.history.merge(history === undefined ? {} : decodeHistory(history.value), this.unixMs());
 			this.recorded = new Map(
@@ -239,7 +252,7 @@
 					.flatMap(({ value }) => Object.entries(decodeRecord(value)))
 					.flatMap(([version, keys]) => keys.map((key) => [key, version] as const)),
 			);
-			this.readAt = this.clock.now();
+			this.readAt = beganAt;
 			return true;
 		});
 		return this.reading;
--- a/src/streams/test/streamVersionRecords.test.ts
+++ b/src/streams/test/streamVersionRecords.test.ts
@@ -1,6 +1,8 @@
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect, Fiber } from 'effect';
+import type { KeyValue } from '../../store/common/keyValueStore.js';
 import { MemoryStore } from '../../store/test/memoryStore.js';
+import type { VersionedServer } from '../common/versionHistory.js';
 import type { StreamOrigin } from '../common/streamVersions.js';
 import { type StreamRecordFleet, StreamVersionRecords } from '../node/streamVersionRecords.js';
 
@@ -10,6 +12,14 @@
 /** Longer than the interval at which records are written. */
 const WRITTEN_MS = 700;
 
+/** Longer than the time for which a read shows that there is one version. */
+const LATER_MS = 100;
+
+/** Stands for the registrations of all servers. */
+const REGISTRATIONS_KEY = 'servers';
+
+type FixtureRecords = StreamVersionRecords & { readonly kill: () => void; readonly registry: MemoryStore };
+
 const stops: (() => void)[] = [];
 
 afterEach(() => stops.splice(0).forEach((stop) => stop()));
@@ -19,13 +29,14 @@
 	store: MemoryStore,
 	instance: string,
 	overrides: Partial<StreamRecordFleet> = {},
-): StreamVersionRecords & { readonly kill: () => void } {
+): FixtureRecords {
 	const fleet: StreamRecordFleet = {
 		instance,
 		countRouters: () => 2,
 		writesPerSecond: 400,
 		isHistoryWriter: () => true,
-		knowsRegistrations: () => true,
+		readRegistrations: () => Effect.map(store.get(REGISTRATIONS_KEY), (item) => serversOf(...decodeVersions(item))),
+		isInStep: () => false,
 		longestRequestMs: () => LIFETIME_MS,
 		...overrides,
 	};
@@ -34,11 +45,22 @@
 	const fiber = Effect.runFork(records.run());
 	const kill = (): void => void Effect.runFork(Fiber.interrupt(fiber));
 	stops.push(kill);
-	return Object.assign(records, { kill });
+	return Object.assign(records, { kill, registry: store });
+}
+
+/** Registers servers; only the given router hears of them. */
+function register(records: FixtureRecords, ...versions: readonly string[]): void {
+	const value = Buffer.from(versions.join(' '));
+	records.registry.items.set(REGISTRATIONS_KEY, { key: REGISTRATIONS_KEY, revision: 1, value });
+	records.setRegistered(serversOf(...versions));
+}
+
+function serversOf(...versions: readonly string[]): readonly VersionedServer[] {
+	return versions.map((softwareVersion) => ({ service: SERVICE, softwareVersion }));
 }
 
-function register(records: StreamVersionRecords, ...versions: readonly string[]): void {
-	records.setRegistered(versions.map((softwareVersion) => ({ service: SERVICE, softwareVersion })));
+function decodeVersions(item: KeyValue | undefined): readonly string[] {
+	return item === undefined ? [] : Buffer.from(item.value).toString().split(' ');
 }
 
 function begin(records: StreamVersionRecords, attempt: string, version: string, account = 'harbour'): void {
@@ -131,12 +153,23 @@
 		expect(await find(after, 'old')).toMatchObject({ version: 'v1', source: 'record' });
 	});
 
-	test('a router that may have missed the registration of a version does not guess', async () => {
+	// Guards against a router that has not heard of a version whose streams no other router has recorded yet.
+	test('a router that has missed the registration of a version does not guess', async () => {
 		const store = MemoryStore.create();
-		const records = startRecords(store, 'router-1', { knowsRegistrations: () => false });
+		const behind = startRecords(store, 'router-1');
+		register(behind, 'v1');
+		register(startRecords(store, 'router-2', { isHistoryWriter: () => false }), 'v1', 'v2');
+		expect(await find(behind, 'any')).toMatchObject({ kind: 'unknown' });
+	});
+
+	test('a router that is in step with the others knows the only version while the store is away', async () => {
+		const store = MemoryStore.create();
+		const records = startRecords(store, 'router-1', { isInStep: () => true });
 		register(records, 'v1');
+		await find(records, 'any');
+		store.isDown = true;
 		await sleep(WRITTEN_MS);
-		expect(await find(records, 'any')).toMatchObject({ kind: 'unknown' });
+		expect(await find(records, 'any')).toEqual({ kind: 'known', version: 'v1', source: 'single-version' });
 	});
 
 	// Guards against a router that has just read the records, and takes the only version that it has heard of for certain.
@@ -162,6 +195,7 @@
 		await sleep(WRITTEN_MS);
 		await find(cutOff, 'any');
 		store.isDown = true;
+		await sleep(LATER_MS);
 		expect(await find(cutOff, 'new')).toEqual({ kind: 'unknown', isTemporary: true });
 	});
 
