Let the soak repeat a request that ends its servers, and judge how often it is sent

A request that has ended three servers may be sent three times more by routers that were not disturbed in the last 3 s. The judge was not run against the code before the fix.

--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -42,15 +42,16 @@
 	readonly resetRate?: number;
 	/** Fraction of the executions that fail with status 500. */
 	readonly failureRate?: number;
-	/** Ends the server a while after it has sent the first event of a response. */
-	readonly crash?: {
-		/** Whether an execution ends the server. */
-		readonly isHarmful: (execution: RequestExecution) => boolean;
-		/** Milliseconds from the first event to the end of the server. */
-		readonly afterMs: number;
-		/** Milliseconds until the server listens again. */
-		readonly downMs: number;
-	};
+}
+
+/** Requests that end the server a while after it has sent the first event of their response. */
+export interface SimulatedCrash {
+	/** Path of the requests. */
+	readonly path: string;
+	/** Milliseconds from the first event to the end of the server. */
+	readonly afterMs: number;
+	/** Milliseconds until the server listens again. */
+	readonly downMs: number;
 }
 
 /** What a server reports of itself in its responses. */
@@ -105,6 +106,7 @@
 	private running = 0;
 	private prefillEndsAt = 0;
 	private faults: SimulatedFaults = {};
+	private harmful: SimulatedCrash | undefined;
 	private notices: SimulatedNotices = {};
 	private incarnation = 1;
 	/** Version of the software, as in the registration. */
@@ -134,6 +136,11 @@
 		this.faults = faults;
 	}
 
+	/** @param harmful requests that end the server from now on */
+	public setHarmful(harmful: SimulatedCrash): void {
+		this.harmful = harmful;
+	}
+
 	/** Begins a new incarnation, which has sent no notices. */
 	public replace(): void {
 		this.incarnation++;
@@ -299,9 +306,9 @@
 			response.write(`id: ${event}\ndata: event ${event} of ${events}\n\n`);
 			event++;
 			execution.eventsSent++;
-			const { crash } = this.faults;
-			if (execution.eventsSent === 1 && crash?.isHarmful(execution) === true) {
-				setTimeout(() => this.crash(crash.downMs), crash.afterMs);
+			const { harmful } = this;
+			if (execution.eventsSent === 1 && execution.path === harmful?.path) {
+				setTimeout(() => this.crash(harmful.downMs), harmful.afterMs);
 			}
 			if (event > events) {
 				response.end();
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -8,6 +8,7 @@
 	findNoticeViolations,
 	type SentRequest,
 } from '../../standins/usersPlatform/noticeJudge.js';
+import { findCrashViolations } from '../../standins/usersPlatform/crashJudge.js';
 import { findJoinedVersions } from '../../standins/usersPlatform/versionJudge.js';
 import { ACCOUNTS, type RequestKind, ROUTES, UsersPlatform } from '../../standins/usersPlatform/usersPlatform.js';
 import { ProcessGroup, sleep, pollUntil } from '../fleet/processes.js';
@@ -42,6 +43,12 @@
 /** Time after a server first names a limit from which on it has to be kept. */
 const CONTACT_MS = 3_000;
 
+/** A request that ends its servers, and the time for which its caller repeats it. */
+const HARMFUL = { path: '/draft/harmful', afterMs: 60, downMs: 400 };
+const HARMFUL_REQUEST = { kind: 'draft', account: ACCOUNTS[0] ?? '', path: HARMFUL.path, body: 'harmful' } as const;
+const REPEATED_MS = 6_000;
+const REPEAT_INTERVAL_MS = 250;
+
 /** Pause after which a caller takes a broken stream up again. */
 const TAKE_UP_DELAY_MS = 300;
 
@@ -98,7 +105,7 @@
 	}
 }
 
-type SoakRequest = Pick<CallOptions, 'kind' | 'account' | 'document' | 'promptTokens' | 'resumption'>;
+type SoakRequest = Pick<CallOptions, 'kind' | 'account' | 'document' | 'promptTokens' | 'resumption' | 'path' | 'body'>;
 
 interface SoakCall {
 	readonly request: SoakRequest;
@@ -151,7 +158,7 @@
 		}
 		await Promise.all(this.takeUps);
 		const results = await Promise.all(this.results);
-		violations.push(...this.findViolations(results), ...(await this.findNoticeViolations()));
+		violations.push(...this.findViolations(results), ...(await this.findServerViolations()));
 		violations.push(...findJoinedVersions(this.platform.executions()));
 		this.agents.forEach((agent) => agent.destroy());
 		const answered = results.filter(({ status, whole }) => status === 200 && whole).length;
@@ -276,6 +283,13 @@
 				this.softwareVersions++;
 				await this.platform.updateServer(engine.options.id, `v${this.softwareVersions}`, DRAIN_MS);
 			},
+			'a caller repeats a request that ends its servers': async () => {
+				this.platform.engines.forEach((one) => one.setHarmful(HARMFUL));
+				for (const end = performance.now() + REPEATED_MS; performance.now() < end;) {
+					await this.call(HARMFUL_REQUEST).result;
+					await sleep(REPEAT_INTERVAL_MS);
+				}
+			},
 			'configuration changes': () => {
 				this.platform.configure();
 				return Promise.resolve();
@@ -351,22 +365,25 @@
 		});
 	}
 
-	private async findNoticeViolations(): Promise<readonly string[]> {
+	private async findServerViolations(): Promise<readonly string[]> {
 		// Servers cannot determine which router sent a request that was handed over.
 		const handedOver = await Promise.all(
 			this.fleet.startedRouters.map((router) => this.fleet.sumMetric(router, 'masticloom_gateway_handovers_total')),
 		);
 		if (handedOver.some((count) => count > 0)) {
-			this.faults.push('notices of servers not checked, since requests were handed over');
+			this.faults.push('notices and crashes of servers not checked, since requests were handed over');
 			return [];
 		}
 		const sentRequest = (requestId: string): SentRequest | undefined => this.sent.get(requestId);
 		const wasInterrupted = (router: string, from: number, to: number): boolean =>
 			this.interruptions.some((one) => one.router === router && one.from <= to && one.until >= from);
-		return this.platform.engines.flatMap(({ arrivals, limitPeriods }) => [
+		const executions = this.platform.executions().filter(({ path }) => path === HARMFUL.path);
+		const crashes = findCrashViolations({ executions, sentRequest, wasInterrupted, contactMs: CONTACT_MS });
+		const notices = this.platform.engines.flatMap(({ arrivals, limitPeriods }) => [
 			...findNoticeViolations({ arrivals, sentRequest, wasInterrupted, drainMs: DRAIN_MS }),
 			...findLimitViolations({ arrivals, limitPeriods, sentRequest, wasInterrupted, contactMs: CONTACT_MS }),
 		]);
+		return [...crashes, ...notices];
 	}
 
 	private agentOf({ name }: PlatformRouterProcess): http.Agent {
