Quarantine a suspect again after one crash, also where only the quarantine is known

A router that has started since, or has missed the crashes, knew a quarantine without the crashes that led to it, and after its end let three more servers end. Any crash of what was quarantined and not cleared quarantines it again, as it did where the crashes were known. The test failed before.

--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -198,7 +198,7 @@
 			}
 			suspect.crashes.add(number);
 			suspect.lastCrashAt = now;
-			if (suspect.crashes.size >= QUARANTINE_CRASHES) {
+			if (suspect.crashes.size >= QUARANTINE_CRASHES || suspect.quarantines > 0) {
 				this.quarantine(key, suspect, now);
 			}
 		}
@@ -291,7 +291,8 @@
 	 * @returns whether one more crash would quarantine it
 	 */
 	public isAlmostQuarantined(key: number): boolean {
-		return this.suspects.get(key)?.crashes.size === QUARANTINE_CRASHES - 1;
+		const suspect = this.suspects.get(key);
+		return suspect !== undefined && (suspect.crashes.size >= QUARANTINE_CRASHES - 1 || suspect.quarantines > 0);
 	}
 
 	/**
--- a/src/backends/test/suspectRegistry.test.ts
+++ b/src/backends/test/suspectRegistry.test.ts
@@ -136,6 +136,16 @@
 		expect(two.quarantineMs([HARMFUL], end + 2 * PERIOD_MS)).toBe(0);
 	});
 
+	// Guards against a router that knows a quarantine without its crashes, and lets three more servers end after it.
+	test("quarantines a suspect again after one crash, also if the first quarantine was a peer's", () => {
+		const suspects = SuspectRegistry.create(REQUEST_POLICY);
+		suspects.applyQuarantine({ key: HARMFUL, crashes: 3, quarantineMs: 5_000, ageMs: 55_000 }, 0);
+		expect(suspects.quarantineMs([HARMFUL], 5_000)).toBe(0);
+		expect(suspects.isAlmostQuarantined(HARMFUL)).toBe(true);
+		suspects.recordCrash({ server: 1, suspects: [HARMFUL] }, 6_000);
+		expect(suspects.quarantineMs([HARMFUL], 6_000)).toBeGreaterThan(5_000);
+	});
+
 	// Guards against a router that was cut off, and repeats a quarantine that has been lifted meanwhile.
 	test('tells a peer whose quarantine began before the suspect was cleared', () => {
 		const suspects = SuspectRegistry.create(PROMPT_PART_POLICY);
