Take a probe that fails unexpectedly for one without a reply

A probe ran in a promise whose rejection would have ended the process; the only cause known is an address that cannot be parsed. Also moves createSuspects behind the class that it creates.

--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -64,11 +64,6 @@
 	isShared: false,
 };
 
-/** @returns registries without suspects, for all kinds */
-export function createSuspects(): Suspects {
-	return { part: SuspectRegistry.create(PROMPT_PART_POLICY), request: SuspectRegistry.create(REQUEST_POLICY) };
-}
-
 /** Number of crashes without a survival after which a suspect is quarantined. */
 const QUARANTINE_CRASHES = 3;
 
@@ -431,6 +426,11 @@
 	}
 }
 
+/** @returns registries without suspects, for all kinds */
+export function createSuspects(): Suspects {
+	return { part: SuspectRegistry.create(PROMPT_PART_POLICY), request: SuspectRegistry.create(REQUEST_POLICY) };
+}
+
 function containsAll(set: ReadonlySet<number>, items: ReadonlySet<number>): boolean {
 	return [...items].every((item) => set.has(item));
 }
--- a/src/gateway/common/crashDetector.ts
+++ b/src/gateway/common/crashDetector.ts
@@ -219,7 +219,7 @@
 		const self = this;
 		return Effect.gen(function* () {
 			for (let count = 0; count < MAXIMUM_PROBES; count++) {
-				const result = yield* self.context.probe(server);
+				const result = yield* Effect.catchDefect(self.context.probe(server), () => Effect.succeed('unknown' as const));
 				const requests = self.broken.filter((item) => item.key === key).length;
 				self.context.reportProbe(server.id, result, requests);
 				if (result === 'refusing') {
--- a/src/gateway/test/crashDetector.test.ts
+++ b/src/gateway/test/crashDetector.test.ts
@@ -85,6 +85,21 @@
 		expect(isQuarantined(fixture)).toBe(true);
 	});
 
+	// Guards against an address that cannot be probed: the error ended the process.
+	test('takes a probe that fails unexpectedly for one without a reply', async () => {
+		const results: ProbeResult[] = [];
+		const detector = CrashDetector.create({
+			suspects: createSuspects(),
+			probe: () => Effect.die(new Error('invalid address')),
+			clock: { now: () => performance.now() },
+			reportCrash: () => undefined,
+			reportProbe: (_, result) => results.push(result),
+		});
+		detector.recordBrokenConnection(serverWith(1), EVIDENCE);
+		await pause(PROBE_MS);
+		expect(new Set(results)).toEqual(new Set(['unknown']));
+	});
+
 	test('does not count connections that break while their server runs on', async () => {
 		const fixture = detectorWith('accepting');
 		for (let index = 0; index < CRASHES_UNTIL_KNOWN + 1; index++) {
