--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -161,7 +161,12 @@
 
 	/** Whether any suspect is quarantined, or has been since it was cleared. */
 	public get hasQuarantines(): boolean {
-		return [...this.suspects.values()].some(({ quarantines }) => quarantines > 0);
+		for (const { quarantines } of this.suspects.values()) {
+			if (quarantines > 0) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	/**
@@ -308,7 +313,7 @@
 
 	/**
 	 * @param now monotonic milliseconds
-	 * @returns the suspects, for a new peer and for the state dump
+	 * @returns the suspects, for the state dump
 	 */
 	public list(now: number): readonly SuspectStatus[] {
 		return [...this.suspects]
--- a/src/gateway/common/crashDetector.ts
+++ b/src/gateway/common/crashDetector.ts
@@ -4,6 +4,7 @@
 import type { Suspects } from '../../backends/common/suspectRegistry.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
+import type { RegisteredServer } from '../../engines/common/directory.js';
 
 /** A connection that breaks within this time before or after its server is found to have ended broke by its crash. */
 const CRASH_WINDOW_MS = 2_000;
@@ -78,7 +79,7 @@
 	 */
 	public partQuarantineMs(parts: () => readonly number[]): number {
 		const { suspects, clock } = this.context;
-		return suspects.part.hasQuarantines ? suspects.part.quarantineMs(parts(), clock.now()) : 0;
+		return suspects.part.hasSuspects ? suspects.part.quarantineMs(parts(), clock.now()) : 0;
 	}
 
 	/**
@@ -241,6 +242,14 @@
 	}
 }
 
+/**
+ * @param server registration of a server
+ * @returns the incarnation that serves at its address
+ */
+export function runningServerOf({ id, address, startedAt }: RegisteredServer): RunningServer {
+	return { id, url: `http://${address}`, startedAt };
+}
+
 /**
  * @param server incarnation of a server
  * @returns short key that all routers use for it
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -29,7 +29,7 @@
 import type { IStreamVersions, StreamIdentity } from '../../streams/common/streamVersions.js';
 import type { FleetShares, ShareStatus } from '../../shares/common/fleetShares.js';
 import { type AcceptedRequest, accountKeyOf } from '../common/acceptedRequest.js';
-import type { CrashDetector, RunningServer } from '../common/crashDetector.js';
+import { type CrashDetector, type RunningServer, runningServerOf } from '../common/crashDetector.js';
 import { AttemptProgress } from '../common/attemptProgress.js';
 import { type IHeaderCodec, sharedPartKeys } from '../common/ingress.js';
 import { requestCost } from '../common/requestCost.js';
@@ -799,10 +799,6 @@
 	return { decision: { ...decision, option }, reservation };
 }
 
-function runningServerOf({ id, address, startedAt }: RegisteredServer): RunningServer {
-	return { id, url: `http://${address}`, startedAt };
-}
-
 function notSentFailure(server: string): BackendFailure {
 	const message = `nothing was sent to backend server ${server}, since the request may no longer be sent there`;
 	return { kind: 'withdrawn', verdict: 'not-run', message };
--- a/src/gateway/test/crashDetector.test.ts
+++ b/src/gateway/test/crashDetector.test.ts
@@ -3,6 +3,7 @@
 import type { ProbeResult } from '../../backends/common/serverProbe.js';
 import { createSuspects, type Suspects } from '../../backends/common/suspectRegistry.js';
 import { CrashDetector, type RunningServer, serverKeyOf } from '../common/crashDetector.js';
+import { pause } from './gatewayFixture.js';
 
 const REQUEST = 7;
 const PROBE_MS = 20;
@@ -38,10 +39,6 @@
 	return { id: `engine-${index}`, url: `http://10.0.0.${index}:80`, startedAt };
 }
 
-function pause(milliseconds: number): Promise<void> {
-	return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 function isQuarantined({ detector }: FixtureDetector): boolean {
 	return detector.requestQuarantineMs(() => REQUEST) > 0;
 }
--- a/tools/platformFleet/platformFleet.ts
+++ b/tools/platformFleet/platformFleet.ts
@@ -57,6 +57,13 @@
 		return new PlatformFleet(group, script, storeAddressOf, network);
 	}
 
+	/** Kills the last started process of each router, and waits until all have ended. */
+	public async killAll(): Promise<void> {
+		const processes = this.startedRouters.map(({ program }) => program);
+		processes.forEach(({ process }) => process.kill('SIGKILL'));
+		await Promise.all(processes.map(({ exit }) => exit));
+	}
+
 	/** The last started process of each router. */
 	public get startedRouters(): readonly PlatformRouterProcess[] {
 		return [...this.routers.values()];
