Read the registrations for streams that are taken up only, not at the start of a router

The first read is the history and the records again; a stream that is taken up still rests on a read of both, and does not share the first one.

--- a/src/streams/node/streamVersionRecords.ts
+++ b/src/streams/node/streamVersionRecords.ts
@@ -2,7 +2,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { StoreError } from '../../store/common/keyValueStore.js';
-import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
+import type { IRevisionedStore, Snapshot } from '../../store/common/revisionedStore.js';
 import { BegunStreams, streamKeyOf } from '../common/begunStreams.js';
 import type { IStreamVersions, StreamIdentity, StreamOrigin } from '../common/streamVersions.js';
 import { type StoredHistory, VersionHistory, type VersionedServer } from '../common/versionHistory.js';
@@ -94,6 +94,8 @@
 	private recorded: ReadonlyMap<number, string> = new Map();
 	/** When the last read that succeeded began. */
 	private readAt: number | undefined;
+	/** Whether the history has been read since the start. */
+	private hasHistory = false;
 	private reading: Promise<boolean> | undefined;
 	private longestLifetimeMs = 0;
 	private hasUnwritten = false;
@@ -186,7 +188,7 @@
 		return Effect.gen(function* () {
 			for (;;) {
 				yield* Effect.sleep(self.writeIntervalMs);
-				const isRead = self.readAt !== undefined || (yield* Effect.promise(() => self.read()));
+				const isRead = self.hasHistory || (yield* self.succeeds('stream-records-unread', self.readRecords()));
 				if (!isRead || !(yield* self.writeHistoryIfDue()) || !(yield* self.writeRecordIfDue())) {
 					yield* Effect.sleep(RETRY_DELAY_MS);
 				}
@@ -201,7 +203,7 @@
 	/** The only known version that can have begun a stream; undefined when there are several, or nothing has been read. */
 	private singleVersionOf(service: string): string | undefined {
 		const versions = this.history.possibleVersions(service, this.unixMs());
-		return this.readAt !== undefined && versions.length === 1 ? versions[0] : undefined;
+		return this.hasHistory && versions.length === 1 ? versions[0] : undefined;
 	}
 
 	private isReadDue(service: string): boolean {
@@ -234,30 +236,38 @@
 
 	/** Reads the registrations and the records of all routers; callers that come during a read share its result. */
 	private read(): Promise<boolean> {
+		if (this.reading !== undefined) {
+			return this.reading;
+		}
 		const beganAt = this.clock.now();
 		const calls = Effect.all([this.fleet.readRegistrations(), this.store.readAll(PREFIX)], { concurrency: 2 });
-		this.reading ??= Effect.runPromise(Effect.result(calls)).then((result) => {
-			this.reading = undefined;
-			if (result._tag === 'Failure') {
-				this.log.write('stream-records-unread', { ...result.failure });
-				return false;
-			}
-			const [servers, { entries }] = result.success;
+		const applied = Effect.map(calls, ([servers, records]) => {
 			this.setRegistered(servers);
-			const history = entries.find(({ key }) => key === HISTORY_KEY);
-			this.history.merge(history === undefined ? {} : decodeHistory(history.value), this.unixMs());
-			this.recorded = new Map(
-				entries
-					.filter(({ key }) => key.startsWith(RECORDS_PREFIX))
-					.flatMap(({ value }) => Object.entries(decodeRecord(value)))
-					.flatMap(([version, keys]) => keys.map((key) => [key, version] as const)),
-			);
+			this.applyRecords(records);
 			this.readAt = beganAt;
-			return true;
+		});
+		this.reading = Effect.runPromise(this.succeeds('stream-records-unread', applied)).finally(() => {
+			this.reading = undefined;
 		});
 		return this.reading;
 	}
 
+	private readRecords(): Effect.Effect<void, StoreError> {
+		return Effect.map(this.store.readAll(PREFIX), (records) => this.applyRecords(records));
+	}
+
+	private applyRecords({ entries }: Snapshot): void {
+		const history = entries.find(({ key }) => key === HISTORY_KEY);
+		this.history.merge(history === undefined ? {} : decodeHistory(history.value), this.unixMs());
+		this.recorded = new Map(
+			entries
+				.filter(({ key }) => key.startsWith(RECORDS_PREFIX))
+				.flatMap(({ value }) => Object.entries(decodeRecord(value)))
+				.flatMap(([version, keys]) => keys.map((key) => [key, version] as const)),
+		);
+		this.hasHistory = true;
+	}
+
 	/** Returns false when a call has failed. */
 	private writeRecordIfDue(): Effect.Effect<boolean> {
 		const streams = this.begun.list(this.clock.now());
