--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,4 @@
-// One caller sends requests that are larger than an engine's memory. The engines reject them, as PROTOCOL.md says.
+// A faulty engine sends bytes that are not a response: a wrong byte in the name of a header, or a status line with 000.
 import { Agent } from 'node:http';
 import { dirname } from 'node:path';
 import { performance } from 'node:perf_hooks';
@@ -9,15 +9,14 @@
 
 const ROUTERS = 3;
 const ENGINES = 4;
-const CLIENTS_PER_ROUTER = 8;
-const PLAY_MS = 15_000;
-const WORK_MS = 250;
-/** Memory of an engine, as on the site's sheet. */
-const MEMORY_TOKENS = 707_682;
-const USUAL_PROMPT = '1460,80';
-const LARGE_PROMPT = '200000000,80';
-const LARGE_REQUESTS = 6;
-const LARGE_GAP_MS = 2_000;
+const CLIENTS_PER_ROUTER = 6;
+const PLAY_MS = 12_000;
+const WORK_MS = 150;
+/** Site file: garble share = 0.6, x = 0.05, for_s = 6.21. Two of four engines spoil one in 20 of their answers for 6 s. */
+const FAULTY = new Set(['desk-1', 'desk-2']);
+const SPOILED_ONE_IN = 20;
+const SPOILED_FROM_MS = 3_000;
+const SPOILED_FOR_MS = 6_000;
 /** LOST: a machine may do it three times. */
 const ALLOWED = 3;
 
@@ -26,98 +25,69 @@
 		ROUTERS,
 		[
 			{
-				name: 'draft',
-				prefix: '/draft/',
-				service: 'scribes',
-				type: 'streaming',
-				timeout_ms: 15_000,
-				slo_ms: 800,
-				tpot_slo_ms: 500,
+				name: 'order',
+				prefix: '/order/',
+				service: 'orderdesk',
+				type: 'unsafe',
+				timeout_ms: 5_000,
+				slo_ms: 500,
 				max_attempts: 1,
 			},
 		],
-		[
-			{
-				name: 'scribes',
-				health_path: '/healthz',
-				max_conns: 360,
-				backend: { slots: 64, kv_capacity: MEMORY_TOKENS, stride: 5 },
-			},
-		],
+		[{ name: 'orderdesk', health_path: '/healthz', max_conns: 96 }],
 	);
-	const ran = new Set();
-	const rejected = new Set();
+	let startedAt = Infinity;
+	let answers = 0;
+	let spoiled = 0;
+	const spoil = (request, response, head, text) => {
+		const sinceMs = performance.now() - startedAt - SPOILED_FROM_MS;
+		const isFaulty = HAS_TROUBLE && sinceMs >= 0 && sinceMs < SPOILED_FOR_MS;
+		if (!isFaulty || ++answers % SPOILED_ONE_IN !== 0) {
+			return false;
+		}
+		spoiled++;
+		fleet.record('spoiled', { id: head['X-Request-Id'] });
+		const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`);
+		const sound = `HTTP/1.1 200 OK\r\n${lines.join('')}Content-Length: ${text.length}\r\n\r\n${text}`;
+		response.socket.end(
+			spoiled % 2 === 1 ? sound.replace('X-Signature', 'X Signature') : sound.replace('HTTP/1.1 200', 'HTTP/1.1 000'),
+		);
+		return true;
+	};
+	const ranAt = new Map();
 	const record = (event, fields) => {
 		fleet.record(event, fields);
-		ran.add(fields.id);
-	};
-	const isTooLarge = ({ headers }) => Number(headers['x-token-usage'].split(',')[0]) > MEMORY_TOKENS;
-	const reject = (request, response) => {
-		const id = request.headers['x-request-id'];
-		rejected.add(id);
-		fleet.record('rejected', { id });
-		response.writeHead(503, { 'X-Request-Id': id, 'X-Not-Executed': 'true', 'Content-Length': 0 }).end();
+		ranAt.set(fields.id, fields.engine);
 	};
 	for (let index = 1; index <= ENGINES; index++) {
-		const engine = new Engine(`i-${index}`, WORK_MS, record, undefined, undefined, { isTooLarge, reject });
+		const engine = new Engine(`desk-${index}`, WORK_MS, record, FAULTY.has(`desk-${index}`) ? spoil : undefined);
 		await engine.listen(ENGINE_HOST);
-		fleet.register(engine, 'scribes', { slots: 64 });
+		fleet.register(engine, 'orderdesk');
 	}
 	await fleet.waitUntilReady();
-	const until = performance.now() + PLAY_MS;
+	startedAt = performance.now();
+	const until = startedAt + PLAY_MS;
 	const lost = new Map();
 	let requests = 0;
-	const headersOf = (usage, key) => ({
-		'X-Model': 'm',
-		'X-Token-Usage': usage,
-		'X-Prefix-Hash': `${key}:${usage.split(',')[0]}`,
-	});
 	const runClient = async (index) => {
 		const agent = new Agent({ keepAlive: true, maxSockets: 1 });
 		while (performance.now() < until) {
-			const router = fleet.routers[index % ROUTERS];
+			const router = fleet.routers[index];
 			if (!(await fleet.isReady(router))) {
 				await sleep(200); // The balancer leaves the machine out.
 				continue;
 			}
-			const headers = headersOf(USUAL_PROMPT, `a${index}`);
-			const result = await call(fleet, router, { path: '/draft/a', agent, headers, deadlineMs: 15_000 });
+			const result = await call(fleet, router, { path: '/order/a', agent });
 			requests++;
+			const engine = ranAt.get(result.id);
 			// LOST: the channel was closed without an answer, and the request was passed on to a sound engine.
-			if (result.status === 0 && ran.has(result.id)) {
+			if (result.status === 0 && engine !== undefined && !FAULTY.has(engine)) {
 				lost.set(result.router, (lost.get(result.router) ?? 0) + 1);
 			}
-			await sleep(30);
 		}
 		agent.destroy();
 	};
-	const largeAnswers = [];
-	const sendLarge = async () => {
-		await sleep(2_000);
-		for (let sent = 0; sent < LARGE_REQUESTS; sent++) {
-			const router = fleet.routers[sent % ROUTERS];
-			const headers = headersOf(HAS_TROUBLE ? LARGE_PROMPT : USUAL_PROMPT, 'b1');
-			const { status, end } = await call(fleet, router, {
-				path: '/draft/a',
-				headers,
-				deadlineMs: 15_000,
-				agent: new Agent(),
-			});
-			largeAnswers.push(`${status} ${end}`);
-			await sleep(LARGE_GAP_MS);
-		}
-	};
-	await Promise.all([
-		sendLarge(),
-		...Array.from({ length: ROUTERS * CLIENTS_PER_ROUTER }, (_, index) => runClient(index)),
-	]);
+	await Promise.all(Array.from({ length: ROUTERS * CLIENTS_PER_ROUTER }, (_, index) => runClient(index % ROUTERS)));
 	const most = Math.max(0, ...lost.values());
-	return {
-		broken: most > ALLOWED,
-		requests,
-		rejectedByEngines: rejected.size,
-		largeAnswers,
-		lostByRouter: Object.fromEntries(lost),
-		allowed: ALLOWED,
-	};
+	return { broken: most > ALLOWED, requests, spoiled, lostByRouter: Object.fromEntries(lost), allowed: ALLOWED };
 });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,86 +1,56 @@
-// Engines are replaced one after the other; each ends its last streams, which have no length, and exits.
-import { Agent } from 'node:http';
+// A machine freezes; meanwhile an engine crashes in the middle of streams without a length, and starts again.
 import { dirname } from 'node:path';
-import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { call, HAS_TROUBLE, runCase } from '../common/fleet.mjs';
-import { DRAFT_ROUTE, ranWhole, SCRIBES, startEngine } from '../common/streamEngines.mjs';
+import { DRAFT_ROUTE, SCRIBES, startEngine } from '../common/streamEngines.mjs';
 
 const ROUTERS = 3;
-const ENGINES = 8;
-const EVENTS = 24;
-const CLIENTS_PER_ROUTER = 16;
-/** Site file: release share = 0.45, x = 1.0, gap_s = 1.0. Three of eight engines at a time, and the release comes again. */
-const RELEASES = 4;
-const REPLACED = 3;
-const GAP_MS = 1_000;
-const PAUSE_MS = 3_000;
-/** LOST: a machine may do it three times. */
-const ALLOWED = 3;
+const ENGINES = 4;
+const EVENTS = 40;
+const STREAMS_PER_ROUTER = 12;
+/** Site file: node_freeze count = 1, for_s = 4.0; srv_crash share = 0.25, for_s = 2.0 to 4.5. */
+const FREEZE_MS = 3_400;
+const DOWN_MS = 2_200;
+const UNTIL_CRASH_MS = 200;
+const HEARTBEAT_MS = 1_200;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (fleet) => {
 	await fleet.start(ROUTERS, [DRAFT_ROUTE], [SCRIBES]);
 	const engines = [];
-	let started = 0;
-	const startNext = async () => {
-		const engine = await startEngine(fleet, `i-${++started}`, EVENTS);
-		engine.entry = fleet.register(engine, 'scribes', { slots: 64 });
-		engines.push(engine);
-	};
 	for (let index = 1; index <= ENGINES; index++) {
-		await startNext();
+		engines.push(await startEngine(fleet, `i-${index}`, EVENTS));
+		fleet.register(engines[index - 1], 'scribes', { slots: 64 });
 	}
 	await fleet.waitUntilReady();
-	const replace = async (engine) => {
-		await startNext();
-		const { entry, id } = engine;
-		// The engine reports `draining`, serves on for drain_ms and a little longer, and exits.
-		fleet.store.put(`servers/${id}`, { ...entry, state: 'draining', seq: entry.seq + 1 });
-		fleet.record('draining', { engine: id });
-		engine.child.kill('SIGTERM');
-		void engine.exited.then(() => {
-			fleet.record('left', { engine: id });
-			fleet.store.put(`servers/${id}`, undefined);
-		});
-	};
-	const playMs = RELEASES * (REPLACED * GAP_MS + PAUSE_MS) + 6_000;
-	const until = performance.now() + playMs;
-	const results = [];
-	const runClient = async (router) => {
-		const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-		while (performance.now() < until) {
-			results.push(await call(fleet, router, { path: '/draft/a', deadlineMs: 15_000, agent }));
-			await sleep(20 + Math.random() * 300);
-		}
-		agent.destroy();
-	};
-	const clients = fleet.routers.flatMap((router) =>
-		Array.from({ length: CLIENTS_PER_ROUTER }, () => runClient(router)),
+	const calls = fleet.routers.flatMap((router) =>
+		Array.from({ length: STREAMS_PER_ROUTER }, () => call(fleet, router, { path: '/draft/a', deadlineMs: 15_000 })),
 	);
-	await sleep(2_000);
-	for (let release = 0; HAS_TROUBLE && release < RELEASES; release++) {
-		for (let replaced = 0; replaced < REPLACED; replaced++) {
-			await replace(engines.shift());
-			await sleep(GAP_MS);
-		}
-		await sleep(PAUSE_MS);
+	await sleep(1_000);
+	if (HAS_TROUBLE) {
+		const [router] = fleet.routers;
+		const [crashed] = engines;
+		router.child.kill('SIGSTOP');
+		fleet.record('frozen', { router: router.name });
+		await sleep(UNTIL_CRASH_MS);
+		crashed.child.kill('SIGKILL');
+		fleet.record('crashed', { engine: crashed.id });
+		await sleep(DOWN_MS);
+		// Each start is a new boot with a new id; the old entry lapses after three heartbeat intervals of silence.
+		const reborn = await startEngine(fleet, `i-${ENGINES + 1}`, EVENTS, crashed.port);
+		fleet.register(reborn, 'scribes', { slots: 64 });
+		fleet.record('started-again', { engine: reborn.id });
+		void sleep(3 * HEARTBEAT_MS - DOWN_MS).then(() => fleet.store.put(`servers/${crashed.id}`, undefined));
+		await sleep(FREEZE_MS - DOWN_MS - UNTIL_CRASH_MS);
+		router.child.kill('SIGCONT');
+		fleet.record('woken', { router: router.name });
 	}
-	await Promise.all(clients);
-	await sleep(200);
-	const lost = new Map();
-	for (const { id, router, whole } of results) {
-		if (!whole && ranWhole.has(id)) {
-			fleet.record('whole-answer-cut', { id, router });
-			lost.set(router, (lost.get(router) ?? 0) + 1);
-		}
+	const results = await Promise.all(calls);
+	const pieces = (text) => text.match(/^data: /gm)?.length ?? 0;
+	const short = results.filter(({ status, whole, text }) => status === 200 && whole && pieces(text) < EVENTS);
+	for (const { id, router, text } of short) {
+		fleet.record('short-but-complete', { id, router, pieces: pieces(text), of: EVENTS });
 	}
-	const most = Math.max(0, ...lost.values());
-	return {
-		broken: most > ALLOWED,
-		requests: results.length,
-		whole: results.filter(({ whole }) => whole).length,
-		lostByRouter: Object.fromEntries(lost),
-		allowed: ALLOWED,
-	};
+	const cutVisibly = results.filter(({ whole }) => !whole).length;
+	return { broken: short.length > 0, streams: results.length, shortButComplete: short.length, cutVisibly };
 });
--- a/review/common/streamEngine.mjs
+++ b/review/common/streamEngine.mjs
@@ -1,25 +1,15 @@
 // Stand-in of a model engine as a process of its own: streams of events in answers that have no length and end with their
 // channel (PROTOCOL.md: "An engine's answer may have no length and end with its channel"). Arguments: HOST PORT ID EVENTS.
-// SIGTERM: it serves on for DRAIN_MS; then it takes no new channels, ends its running streams, and exits.
 import { createServer } from 'node:http';
 import process from 'node:process';
-import { setInterval, setTimeout } from 'node:timers';
+import { setInterval } from 'node:timers';
 
 /** All running streams get an event at each step, as in an engine that processes requests in batches. */
 const STEP_MS = 150;
-const DRAIN_MS = 2_200;
 const [host, port, id, eventCount] = process.argv.slice(2);
 const events = Number(eventCount);
 
 const streams = new Set();
-let mayExit = false;
-
-function exitIfDone() {
-	if (mayExit && streams.size === 0) {
-		process.exit(0);
-	}
-}
-
 setInterval(() => {
 	for (const stream of streams) {
 		stream.made++;
@@ -29,7 +19,6 @@
 			stream.socket.end(() => {
 				process.stdout.write(`whole ${stream.requestId}\n`);
 				streams.delete(stream);
-				exitIfDone();
 			});
 		}
 	}
@@ -50,18 +39,7 @@
 	const stream = { requestId, socket, made: 0 };
 	streams.add(stream);
 	socket.on('error', () => undefined);
-	socket.once('close', () => {
-		streams.delete(stream);
-		exitIfDone();
-	});
-});
-
-process.on('SIGTERM', () => {
-	setTimeout(() => {
-		mayExit = true;
-		server.close();
-		exitIfDone();
-	}, DRAIN_MS);
+	socket.once('close', () => streams.delete(stream));
 });
 
 server.listen(Number(port), host, () => process.stdout.write(`listening ${server.address().port}\n`));
--- a/review/common/streamEngines.mjs
+++ b/review/common/streamEngines.mjs
@@ -6,14 +6,10 @@
 
 const script = join(ROOT, 'review/common/streamEngine.mjs');
 
-/** Requests whose answers engines have written to the end. */
-export const ranWhole = new Set();
-
 export async function startEngine(fleet, id, events, port = 0) {
 	const command = [script, ENGINE_HOST, String(port), id, String(events)];
 	const child = spawn(process.execPath, command, { stdio: ['ignore', 'pipe', 'inherit'] });
 	const engine = { id, child, close: () => child.kill('SIGKILL') };
-	engine.exited = new Promise((resolve) => child.once('close', resolve));
 	await new Promise((resolve) => {
 		let rest = '';
 		child.stdout.on('data', (chunk) => {
@@ -26,7 +22,6 @@
 					engine.address = `${ENGINE_HOST}:${value}`;
 					resolve();
 				} else if (what === 'whole') {
-					ranWhole.add(value);
 					fleet.record('ran-whole', { engine: id, id: value });
 				} else {
 					fleet.record('run', { engine: id, id: value });
