--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -155,8 +155,8 @@
 		child.stderr.on('data', keep);
 		child.once('exit', (code, signal) => {
 			router.ended = true;
-			this.record('router-ended', { router: router.name, code, signal, bySignal: router.signalled ?? false });
-			if (!this.isClosing && router.isRemoved !== true) {
+			this.record('router-ended', { router: router.name, code, signal });
+			if (!this.isClosing) {
 				// The platform starts a process again that has ended.
 				setTimeout(() => {
 					if (!this.isClosing) {
