--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -62,7 +62,7 @@
 	for (let index = 1; index <= ENGINES; index++) {
 		const engine = new Engine(`desk-${index}`, WORK_MS, record, FAULTY.has(`desk-${index}`) ? spoil : undefined);
 		await engine.listen(ENGINE_HOST);
-		fleet.register(engine, 'orderdesk');
+		fleet.register(engine, 'orderdesk', { slots: 64 });
 	}
 	await fleet.waitUntilReady();
 	startedAt = performance.now();
@@ -80,8 +80,8 @@
 			const result = await call(fleet, router, { path: '/order/a', agent });
 			requests++;
 			const engine = ranAt.get(result.id);
-			// LOST: the channel was closed without an answer, and the request was passed on to a sound engine.
-			if (result.status === 0 && engine !== undefined && !FAULTY.has(engine)) {
+			// LOST: a kept channel was closed without an answer, and the request was passed on to a sound engine.
+			if (result.isReused && result.status === 0 && engine !== undefined && !FAULTY.has(engine)) {
 				lost.set(result.router, (lost.get(result.router) ?? 0) + 1);
 			}
 		}
--- a/review/common/engine.mjs
+++ b/review/common/engine.mjs
@@ -15,11 +15,9 @@
 	 * @param {(request: object, response: object, head: object, text: string) => boolean} answer writes an answer of the
 	 * case itself and returns true, or returns false for the sound answer
 	 * @param {number} idleTimeoutMs time after which idle channels are closed
-	 * @param {{ isTooLarge: (request: object) => boolean, reject: (request: object, response: object) => void }} memory
-	 * which requests do not fit into the engine's memory, and how they are rejected
 	 */
-	constructor(id, workMs, record, answer = () => false, idleTimeoutMs = 30_000, memory = { isTooLarge: () => false }) {
-		Object.assign(this, { id, workMs, record, answer, memory });
+	constructor(id, workMs, record, answer = () => false, idleTimeoutMs = 30_000) {
+		Object.assign(this, { id, workMs, record, answer });
 		this.server = createServer({ keepAliveTimeout: idleTimeoutMs }, (request, response) => {
 			const chunks = [];
 			request.on('data', (chunk) => chunks.push(chunk));
@@ -48,10 +46,6 @@
 				.end();
 			return;
 		}
-		if (this.memory.isTooLarge(request)) {
-			this.memory.reject(request, response);
-			return;
-		}
 		this.record('run', { engine: this.id, id, method: request.method, path: request.url });
 		setTimeout(() => {
 			if (response.destroyed) {
--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -222,7 +222,7 @@
 	fleet.record('sent', { id, router: router.name, path });
 	const sentAt = performance.now();
 	return new Promise((resolve) => {
-		const result = { id, router: router.name, status: 0, headers: {}, text: '', whole: false };
+		const result = { id, router: router.name, isReused: false, status: 0, headers: {}, text: '', whole: false };
 		const finish = (end) => {
 			if (result.end === undefined) {
 				result.end = end;
@@ -262,6 +262,7 @@
 			},
 		);
 		request.on('error', (error) => finish(`channel closed: ${error.message}`));
+		request.on('socket', () => (result.isReused = request.reusedSocket));
 		request.end(body);
 	});
 }
--- a/review/common/streamEngines.mjs
+++ b/review/common/streamEngines.mjs
@@ -6,8 +6,8 @@
 
 const script = join(ROOT, 'review/common/streamEngine.mjs');
 
-export async function startEngine(fleet, id, events, port = 0) {
-	const command = [script, ENGINE_HOST, String(port), id, String(events)];
+export async function startEngine(fleet, id, events, unframedOneIn, port = 0) {
+	const command = [script, ENGINE_HOST, String(port), id, String(events), String(unframedOneIn)];
 	const child = spawn(process.execPath, command, { stdio: ['ignore', 'pipe', 'inherit'] });
 	const engine = { id, child, close: () => child.kill('SIGKILL') };
 	await new Promise((resolve) => {
@@ -24,7 +24,7 @@
 				} else if (what === 'whole') {
 					fleet.record('ran-whole', { engine: id, id: value });
 				} else {
-					fleet.record('run', { engine: id, id: value });
+					fleet.record(what, { engine: id, id: value });
 				}
 			}
 		});
