Fail only its own request by an invalid head of a response

Cause: the parser of Node.js accepts heads that ServerResponse.writeHead refuses. The exception left a listener of the event 'response', outside of the effect that turns defects into a 502. The head was also counted as sent before it was written.

Ruled out: a fault of the effect runtime; a defect inside the effect is answered with 502 (test of the gateway, unchanged).

Change: the client checks heads with the functions by which Node.js checks what it sends, and an invalid one fails its attempt as broken. Listeners of an attempt hand exceptions to the effect of their call. Both interfaces and handed-over requests use this client.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -54,6 +54,10 @@
 
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD']);
 
+/** Lowest and highest status of a final response (RFC 9110, section 15). */
+const MINIMUM_STATUS = 200;
+const MAXIMUM_STATUS = 999;
+
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
 /** Matches transfer codings that end with chunks; without chunks, a body ends with its connection. */
@@ -209,7 +213,7 @@
 				outgoing.destroy();
 			}
 		});
-		outgoing.on('response', (response) => this.receive(response));
+		outgoing.on('response', (response) => this.contain(() => this.receive(response)));
 	}
 
 	/** Closes the connection when no data has arrived for too long. */
@@ -235,7 +239,23 @@
 		this.outgoing?.end(this.request.body);
 	}
 
+	// An exception that leaves an event listener would end the process, and with it all other requests.
+	private contain(listener: () => void): void {
+		try {
+			listener();
+		} catch (error) {
+			this.settle(Effect.die(error));
+			this.outgoing?.destroy();
+		}
+	}
+
 	private receive(response: http.IncomingMessage): void {
+		const headFault = findHeadFault(response);
+		if (headFault !== undefined) {
+			this.fail('broken', headFault);
+			this.outgoing?.destroy();
+			return;
+		}
 		const status = response.statusCode ?? 0;
 		const received: ResponseHead = { status, headers: filterHeaders(response.headers, NO_EXCLUDED_HEADERS) };
 		const refusal = this.protocol.classifyRefusal(received);
@@ -272,25 +292,27 @@
 			});
 		}
 		this.sink.head({ status, headers: filterHeaders(response.headers, HOP_BY_HOP_HEADERS) });
-		response.on('data', (chunk: Buffer) => {
-			this.silentChecks = 0;
-			if (this.settled) {
-				return;
-			}
-			const mayContinue = this.sink.write(chunk, () => response.resume());
-			const fault = this.sink.findFault?.();
-			if (fault !== undefined) {
-				this.fail('broken', fault);
-				this.outgoing?.destroy();
-			} else if (!mayContinue) {
-				response.pause();
-			}
-		});
-		response.on('end', () => this.endResponse());
+		response.on('data', (chunk: Buffer) => this.contain(() => this.passOn(response, chunk)));
+		response.on('end', () => this.contain(() => this.endResponse()));
 		response.on('error', (error) => this.fail('broken', error.message));
 		response.on('close', () => this.fail('broken', 'broke off its answer'));
 	}
 
+	private passOn(response: http.IncomingMessage, chunk: Buffer): void {
+		this.silentChecks = 0;
+		if (this.settled) {
+			return;
+		}
+		const mayContinue = this.sink.write(chunk, () => response.resume());
+		const fault = this.sink.findFault?.();
+		if (fault !== undefined) {
+			this.fail('broken', fault);
+			this.outgoing?.destroy();
+		} else if (!mayContinue) {
+			response.pause();
+		}
+	}
+
 	private endResponse(): void {
 		if (this.connectionEnd === undefined || (this.connectionEnd === 'closed' && this.sink.hasEndMarker?.() === true)) {
 			this.settle(Effect.void);
@@ -351,6 +373,28 @@
 	}
 }
 
+/**
+ * Checks the head of a response by the rules for sending one. The parser of Node.js accepts more, for example a space in the
+ * name of a header, and writing such a head to a caller throws an exception.
+ *
+ * @param response as parsed
+ * @returns why the head is not valid; undefined if it is
+ */
+function findHeadFault({ statusCode = 0, headers }: http.IncomingMessage): string | undefined {
+	if (statusCode < MINIMUM_STATUS || statusCode > MAXIMUM_STATUS) {
+		return `sent the invalid status ${statusCode}`;
+	}
+	try {
+		for (const name in headers) {
+			http.validateHeaderName(name);
+			[headers[name] ?? []].flat().forEach((value) => http.validateHeaderValue(name, value));
+		}
+	} catch (error) {
+		return `sent an invalid header: ${String(error)}`;
+	}
+	return undefined;
+}
+
 /** Discards the rest of a response, and closes its connection when the rest is too large or takes too long. */
 function discardBody(response: http.IncomingMessage): void {
 	let bytes = 0;
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -259,6 +259,41 @@
 			expect(status).toBeUndefined();
 		}
 	});
+
+	// Guards against the end of the router by an exception: Node.js parses these heads, but refuses to send them to a caller.
+	test.each([
+		['a space in the name of a header', 'HTTP/1.1 200 OK\r\nid: 1\r\nx signature: s\r\n'],
+		['the status 000', 'HTTP/1.1 000 OK\r\nid: 1\r\n'],
+		['the status 099', 'HTTP/1.1 099 OK\r\nid: 1\r\n'],
+		['a control character in a value', 'HTTP/1.1 200 OK\r\nid: 1\r\nfield: a\x01b\r\n'],
+		['a delete character in a value that is a list', 'HTTP/1.1 200 OK\r\nid: 1\r\nset-cookie: a\x7fb\r\n'],
+	])('a head with %s is no response', async (_, head) => {
+		const url = await startRawServer((socket) => socket.write(`${head}content-length: 2\r\n\r\nok`));
+		const { result, status } = await call(createClient(), url, '1');
+		expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		expect(status).toBeUndefined();
+	});
+
+	// Guards against the end of the process by an exception that a listener of a connection's events does not catch.
+	test.each(['head', 'write', 'findFault', 'hasEndMarker'] as const)(
+		'an unexpected error in %s ends only its own call',
+		async (method) => {
+			const url = await startRawServer((socket) => socket.end('HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole'));
+			const request: BackendRequest = { method: 'GET', path: '/', headers: { id: '1' }, body: Buffer.alloc(0) };
+			const sink = {
+				sent: () => undefined,
+				head: () => undefined,
+				write: () => true,
+				findFault: () => undefined,
+				hasEndMarker: () => true,
+				[method]: () => {
+					throw new Error('unexpected');
+				},
+			};
+			const exit = await Effect.runPromiseExit(createClient().call({ id: 'server', url }, request, sink));
+			expect(exit).toMatchObject({ _tag: 'Failure', cause: { reasons: [{ _tag: 'Die' }] } });
+		},
+	);
 });
 
 describe('HttpBackendClient without a protocol', () => {
--- a/src/gateway/node/gatewayResponse.ts
+++ b/src/gateway/node/gatewayResponse.ts
@@ -62,7 +62,6 @@
 		if (this.headSent || this.response.destroyed) {
 			return;
 		}
-		this.headSent = true;
 		const outgoingHeaders: http.OutgoingHttpHeaders = {};
 		for (const name in headers) {
 			const value = headers[name];
@@ -72,6 +71,7 @@
 			outgoingHeaders.connection = 'close';
 		}
 		this.response.writeHead(status, outgoingHeaders);
+		this.headSent = true;
 		// Shows the caller that the stream is alive before the first bytes of the body arrive.
 		this.response.flushHeaders();
 	}
