Take only bytes in the protocol for the response to a request

Cause: nothing was required of a head. The identifier was asked for only on a kept connection, the signature and the version of HTTP never; the parser of Node.js accepts HTTP/2.0 and HTTP/0.9 in a status line.

--- a/src/backends/common/backendClient.ts
+++ b/src/backends/common/backendClient.ts
@@ -120,6 +120,13 @@
 	 * @returns the identifier; undefined when the message has none
 	 */
 	readonly requestIdentifierOf: (headers: ResponseHead['headers']) => string | undefined;
+	/**
+	 * Checks whether the head of a response, which is not a refusal, has what the protocol requires of one.
+	 *
+	 * @param head status and headers of the response
+	 * @returns why it is not a response in the protocol; undefined if it may be one
+	 */
+	readonly findHeadFault: (head: ResponseHead) => string | undefined;
 	/**
 	 * Extracts the state that a server reports about itself.
 	 *
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -45,6 +45,7 @@
 		return status === CONFLICT ? 'fenced' : 'refused';
 	},
 	requestIdentifierOf: () => undefined,
+	findHeadFault: () => undefined,
 	parseNotice: () => undefined,
 	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: false,
@@ -54,6 +55,9 @@
 
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD']);
 
+/** Major version of HTTP on these connections; later versions have no heads in text. */
+const PROTOCOL_MAJOR_VERSION = 1;
+
 /** Lowest and highest status of a final response (RFC 9110, section 15). */
 const MINIMUM_STATUS = 200;
 const MAXIMUM_STATUS = 999;
@@ -250,18 +254,16 @@
 	}
 
 	private receive(response: http.IncomingMessage): void {
-		const headFault = findHeadFault(response);
-		if (headFault !== undefined) {
-			this.fail('broken', headFault);
-			this.outgoing?.destroy();
-			return;
-		}
 		const status = response.statusCode ?? 0;
 		const received: ResponseHead = { status, headers: filterHeaders(response.headers, NO_EXCLUDED_HEADERS) };
 		const refusal = this.protocol.classifyRefusal(received);
 		const match = this.matchResponse(received, response.socket, refusal !== undefined);
-		if (match === 'other') {
-			this.fail('broken', 'sent the answer to another request');
+		const headFault =
+			findHeadFault(response) ??
+			(match === 'other' ? 'sent the answer to another request' : undefined) ??
+			(refusal === undefined ? this.protocol.findHeadFault(received) : undefined);
+		if (headFault !== undefined) {
+			this.fail('broken', headFault);
 			this.outgoing?.destroy();
 			return;
 		}
@@ -344,8 +346,7 @@
 		const expected = this.protocol.requestIdentifierOf(this.request.headers);
 		const received = this.protocol.requestIdentifierOf(headers);
 		if (received === undefined) {
-			const isUncertain = expected !== undefined && !isRefusal && this.outgoing?.reusedSocket === true;
-			return isUncertain ? 'other' : 'unidentified';
+			return expected === undefined || isRefusal ? 'unidentified' : 'other';
 		}
 		if (received !== expected) {
 			return 'other';
@@ -380,7 +381,15 @@
  * @param response as parsed
  * @returns why the head is not valid; undefined if it is
  */
-function findHeadFault({ statusCode = 0, headers }: http.IncomingMessage): string | undefined {
+function findHeadFault({
+	statusCode = 0,
+	headers,
+	httpVersion,
+	httpVersionMajor,
+}: http.IncomingMessage): string | undefined {
+	if (httpVersionMajor !== PROTOCOL_MAJOR_VERSION) {
+		return `answered in HTTP/${httpVersion}`;
+	}
 	if (statusCode < MINIMUM_STATUS || statusCode > MAXIMUM_STATUS) {
 		return `sent the invalid status ${statusCode}`;
 	}
--- a/src/backends/test/closeDelimitedResponses.test.ts
+++ b/src/backends/test/closeDelimitedResponses.test.ts
@@ -9,6 +9,7 @@
 const protocol: BackendProtocol = {
 	classifyRefusal: () => undefined,
 	requestIdentifierOf: () => undefined,
+	findHeadFault: () => undefined,
 	parseNotice: () => undefined,
 	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: true,
--- a/src/backends/test/endlessBytes.test.ts
+++ b/src/backends/test/endlessBytes.test.ts
@@ -9,6 +9,7 @@
 const protocol: BackendProtocol = {
 	classifyRefusal: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
 	requestIdentifierOf: () => undefined,
+	findHeadFault: () => undefined,
 	parseNotice: () => undefined,
 	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: true,
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -8,6 +8,7 @@
 const protocol: BackendProtocol = {
 	classifyRefusal: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
 	requestIdentifierOf: ({ id }) => (typeof id === 'string' ? id : undefined),
+	findHeadFault: () => undefined,
 	parseNotice: (_request, { headers }) =>
 		headers.leaving === undefined ? undefined : { isLeaving: true, restMs: undefined, unreadableTime: undefined },
 	parseRequestLimit: () => undefined,
@@ -245,6 +246,31 @@
 		expect(body).toBe('');
 	});
 
+	// Guards against passing bytes that are no response in the protocol on as a success: without the check of the identifier,
+	// this one was accepted on a new connection.
+	test.each([
+		['in another version of HTTP', 'HTTP/2.0 200 OK\r\nid: 1\r\n'],
+		['without the identifier of the request', 'HTTP/1.1 200 OK\r\n'],
+		['without headers in another version of HTTP', 'HTTP/2.0 200 \r\n'],
+		['that refuses in another version of HTTP', 'HTTP/2.0 503 Busy\r\nid: 1\r\nnot-run: 1\r\n'],
+		['that fails without the identifier of the request', 'HTTP/1.1 500 Error\r\n'],
+	])('a head %s is no response on a new connection', async (_, head) => {
+		const url = await startRawServer((socket) => socket.end(`${head}\r\nnoise`));
+		const { result, status, body } = await call(createClient(), url, '1');
+		expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		expect({ status, body }).toEqual({ status: undefined, body: '' });
+	});
+
+	// Guards against passing on a response that lacks what the protocol requires of it.
+	test('a head in which the protocol finds a fault is no response', async () => {
+		const url = await startRawServer((socket) => socket.write(responseWithLength('1', 'unsigned')));
+		const client = HttpBackendClient.create({ ...protocol, findHeadFault: () => 'sent no signature' });
+		cleanUps.push(() => client.dispose());
+		const { result, body } = await call(client, url, '1');
+		expect(result).toMatchObject({ failure: { kind: 'broken', message: 'backend server server: sent no signature' } });
+		expect(body).toBe('');
+	});
+
 	// Guards against passing a head that was cut off on as a response with an empty or short body.
 	test.each([
 		['closes', (socket: net.Socket, text: string) => socket.end(text)],
