Limit what unfinished events of a stream occupy

Cause: up to 1 MiB was held for each stream; each piece was joined with all bytes before it and searched again; and the parts passed on last stayed referenced, up to twice a stream, for their id and their end.

Change: an event may have 64 KiB, bytes held grow by doubling and only new ones are searched, and of parts passed on the last 1,024 bytes and the line of the id stay.

--- a/src/dispatch/node/eventStream.ts
+++ b/src/dispatch/node/eventStream.ts
@@ -1,3 +1,5 @@
+import { GrowingBuffer } from '../../base/node/growingBuffer.js';
+
 const DATA_FIELD = Buffer.from('data:');
 const DATA_LINE_START = Buffer.from('\ndata:');
 const EVENT_END = Buffer.from('\n\n');
@@ -15,17 +17,26 @@
 const LOWER_A = 0x61;
 const LOWER_Z = 0x7a;
 
-/** Maximum size of an event, which is buffered until it is complete. Valid events contain a few tokens only. */
-export const MAXIMUM_EVENT_BYTES = 1_048_576;
+/**
+ * Maximum size of an event, which is buffered until it is complete. Valid events contain a few tokens only, and the events of
+ * all streams must fit into the memory of a small instance.
+ */
+export const MAXIMUM_EVENT_BYTES = 65_536;
+
+/** Of a part that is longer, only the end is retained after it was passed on. */
+const MAXIMUM_RETAINED_BYTES = 1_024;
 
 /**
  * Incremental scanner for a stream of server-sent events. It scans bytes without decoding them, since decoding the
  * event of each token would cost more than passing it on.
  */
 export class EventStream {
-	private held: Buffer | undefined;
+	/** Bytes of an event that is not complete, unless incomplete events are passed on. */
+	private readonly held = GrowingBuffer.create();
+	/** End of the bytes that were passed on last. */
 	private lastPart: Buffer | undefined;
-	private lastPartWithId: Buffer | undefined;
+	/** Line of the last `id` that was passed on. */
+	private lastIdLine: Buffer | undefined;
 	/** Identifier of the last event before the stream was resumed. */
 	private resumedAfter: string | undefined;
 	private isResumed = false;
@@ -44,27 +55,27 @@
 
 	/** Whether the end marker has arrived, so that the response is complete. */
 	public get isComplete(): boolean {
-		const last = this.held !== undefined && this.held.length > 0 ? this.held : this.lastPart;
+		const last = this.held.length > 0 ? this.held.bytes : this.lastPart;
 		return last !== undefined && endsWithMarker(last);
 	}
 
 	/** Whether the bytes received so far end within an event, which an empty line or the end marker ends. */
 	public get endsWithinEvent(): boolean {
-		const rest = this.completeEventsOnly ? this.held : this.lastPart;
-		return rest !== undefined && !endsWithEmptyLine(rest) && !endsWithMarker(rest);
+		const rest = this.completeEventsOnly ? this.held.bytes : this.lastPart;
+		return rest !== undefined && rest.length > 0 && !endsWithEmptyLine(rest) && !endsWithMarker(rest);
 	}
 
 	/** @returns why the bytes received so far are not a valid stream; undefined if they may be */
 	public findFault(): string | undefined {
-		return (this.held?.length ?? 0) > MAXIMUM_EVENT_BYTES
+		return this.held.length > MAXIMUM_EVENT_BYTES
 			? 'sent an event that does not end within the maximum size'
 			: this.fault;
 	}
 
 	/** `id` of the last event with an `id` that was passed on. */
 	public get lastEventId(): string | undefined {
-		const lines = [...(this.lastPartWithId?.toString('utf8').matchAll(ID_LINES) ?? [])];
-		return lines.at(-1)?.[1];
+		const [line] = this.lastIdLine?.toString('utf8').matchAll(ID_LINES) ?? [];
+		return line?.[1];
 	}
 
 	/**
@@ -84,23 +95,19 @@
 				return undefined;
 			}
 		}
-		this.lastPart = this.completeEventsOnly ? ready : this.joinTail(ready);
-		if (ready.subarray(0, ID_START.length).equals(ID_START) || ready.includes(ID_LINE_START)) {
-			this.lastPartWithId = ready;
-		}
+		this.lastPart = retainEnd(this.completeEventsOnly ? ready : this.joinTail(ready));
+		this.lastIdLine = findLastIdLine(ready) ?? this.lastIdLine;
 		return ready;
 	}
 
 	/** @returns the buffered rest once the stream has ended, such as an end marker without its empty line */
 	public takeBuffered(): Buffer | undefined {
-		const held = this.held;
-		this.held = undefined;
-		return held;
+		return this.held.length > 0 ? this.held.take() : undefined;
 	}
 
 	/** Discards an incomplete event before the stream is resumed; the bytes that follow must continue the stream. */
 	public prepareResumption(): void {
-		this.held = undefined;
+		this.held.clear();
 		this.fault = undefined;
 		this.isResumed = true;
 		this.resumedAfter = this.lastEventId;
@@ -127,18 +134,37 @@
 		return undefined;
 	}
 
+	// Only new bytes are searched, so that an event in many pieces costs no more than one in few.
 	private splitAtLastEvent(chunk: Buffer): Buffer | undefined {
-		const bytes = this.held === undefined ? chunk : Buffer.concat([this.held, chunk]);
-		this.held = undefined;
-		const length = bytes.length;
-		if (length >= 2 && bytes[length - 1] === LINE_FEED && bytes[length - 2] === LINE_FEED) {
-			return bytes;
+		const end = this.endOfLastEvent(chunk);
+		if (end === 0) {
+			this.held.append(chunk);
+			return undefined;
+		}
+		let ready = chunk.subarray(0, end);
+		if (this.held.length > 0) {
+			this.held.append(ready);
+			ready = this.held.take();
+		}
+		if (end < chunk.length) {
+			this.held.append(chunk.subarray(end));
+		}
+		return ready;
+	}
+
+	/** Returns the position after the last event that ends in a chunk; 0 if none does. */
+	private endOfLastEvent(chunk: Buffer): number {
+		if (chunk.length >= 2 && chunk[chunk.length - 1] === LINE_FEED && chunk[chunk.length - 2] === LINE_FEED) {
+			return chunk.length;
 		}
-		const end = Math.max(endOfLast(bytes, EVENT_END), endOfLast(bytes, EVENT_END_WITH_RETURNS));
-		if (end < length) {
-			this.held = bytes.subarray(end);
+		const end = endOfLastSeparator(chunk);
+		if (end > 0 || this.held.length === 0) {
+			return end;
 		}
-		return end === 0 ? undefined : bytes.subarray(0, end);
+		// A separator that began in the bytes held.
+		const overlap = EVENT_END_WITH_RETURNS.length - 1;
+		const before = this.held.bytes.subarray(-overlap);
+		return Math.max(0, endOfLastSeparator(Buffer.concat([before, chunk.subarray(0, overlap)])) - before.length);
 	}
 
 	private joinTail(chunk: Buffer): Buffer {
@@ -173,6 +199,26 @@
 	return false;
 }
 
+function endOfLastSeparator(bytes: Buffer): number {
+	return Math.max(endOfLast(bytes, EVENT_END), endOfLast(bytes, EVENT_END_WITH_RETURNS));
+}
+
+/** Returns the end of a part without keeping the memory of a long part. */
+function retainEnd(part: Buffer): Buffer {
+	return part.length > MAXIMUM_RETAINED_BYTES ? Buffer.from(part.subarray(-MAXIMUM_RETAINED_BYTES)) : part;
+}
+
+/** Returns the last line that begins with an `id`; undefined if there is none. */
+function findLastIdLine(part: Buffer): Buffer | undefined {
+	const at = part.lastIndexOf(ID_LINE_START);
+	if (at < 0 && !startsWith(part, ID_START)) {
+		return undefined;
+	}
+	const start = at + 1;
+	const line = part.subarray(start, endOfLine(part, start));
+	return part.length > MAXIMUM_RETAINED_BYTES ? Buffer.from(line) : line;
+}
+
 function endOfLast(bytes: Buffer, separator: Buffer): number {
 	const at = bytes.lastIndexOf(separator);
 	return at < 0 ? 0 : at + separator.length;
--- a/src/dispatch/test/eventStream.test.ts
+++ b/src/dispatch/test/eventStream.test.ts
@@ -1,6 +1,8 @@
-import { describe, expect, test } from '@jest/globals';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import { describe, expect, jest, test } from '@jest/globals';
 import fc from 'fast-check';
-import { countTokens, EventStream } from '../node/eventStream.js';
+import { countTokens, EventStream, MAXIMUM_EVENT_BYTES } from '../node/eventStream.js';
 
 const MARKER = 'data: [DONE]\n\n';
 
@@ -15,6 +17,23 @@
 	return points.slice(1).map((end, index) => bytes.subarray(points[index], end));
 }
 
+/** Streams of an instance on which faulty servers may send at the same time. */
+const STREAMS = 300;
+
+/** Memory limit of the smallest instances. */
+const MEMORY_OF_INSTANCE_BYTES = 350 * 1_048_576;
+
+/** @returns bytes of the buffers in use */
+function usedMemory(): number {
+	setFlagsFromString('--expose-gc');
+	(runInNewContext('gc') as () => void)();
+	return process.memoryUsage().arrayBuffers;
+}
+
+function multiplesOf(size: number): readonly number[] {
+	return Array.from({ length: Math.floor(MAXIMUM_EVENT_BYTES / size) }, (_, index) => index * size);
+}
+
 describe('EventStream', () => {
 	// Guards against lost or duplicated bytes and against treating an interrupted stream as complete, for any division of
 	// the stream into chunks.
@@ -66,4 +85,52 @@
 		expect(countTokens(Buffer.from(eventsOf(['"choices":[]']) + last))).toBe(1);
 		expect(countTokens(Buffer.from(last))).toBe(0);
 	});
+
+	// Guards against a router that runs out of memory while faulty servers send events without end on many streams.
+	test('the unfinished events of many streams fit into the memory of an instance', () => {
+		const piece = Buffer.alloc(1_024, 'x');
+		const begin = Buffer.from('id: 1\ndata: ');
+		const usedBefore = usedMemory();
+		const streams = Array.from({ length: STREAMS }, () => EventStream.create(true));
+		for (const stream of streams) {
+			stream.push(begin);
+			while (stream.findFault() === undefined) {
+				stream.push(piece);
+			}
+		}
+		expect(usedMemory() - usedBefore).toBeLessThan(MEMORY_OF_INSTANCE_BYTES / 3);
+		expect(streams.every((stream) => stream.findFault() !== undefined)).toBe(true);
+	});
+
+	// Guards against large events that are kept after they have been passed on, one or two for each open stream.
+	test('the last events of many streams fit into the memory of an instance', () => {
+		const usedBefore = usedMemory();
+		const streams = Array.from({ length: STREAMS }, () => EventStream.create(true));
+		for (const stream of streams) {
+			stream.push(Buffer.from(`id: 1\ndata: ${'x'.repeat(900_000)}\n\n`));
+			stream.push(Buffer.from(`data: ${'x'.repeat(900_000)}\n\n`));
+		}
+		expect(new Set(streams.map(({ lastEventId }) => lastEventId))).toEqual(new Set(['1']));
+		expect(usedMemory() - usedBefore).toBeLessThan(MEMORY_OF_INSTANCE_BYTES / 3);
+	});
+
+	// Guards against copying and searching an event again with each of its pieces, which occupied the processor.
+	test('copies an event in many pieces a constant number of times', () => {
+		let copiedBytes = 0;
+		const concatenate = Buffer.concat.bind(Buffer);
+		jest.spyOn(Buffer, 'concat').mockImplementation((list) => {
+			const joined = concatenate(list);
+			copiedBytes += joined.length;
+			return joined;
+		});
+		const copy = jest.spyOn(Buffer.prototype, 'copy');
+		const event = Buffer.from(`data: ${'x'.repeat(MAXIMUM_EVENT_BYTES - 100)}\n\n`);
+		const stream = EventStream.create(true);
+		const passed = cut(event, multiplesOf(64)).flatMap((piece) => stream.push(piece) ?? []);
+		copiedBytes += copy.mock.results.reduce((sum, { value }) => sum + Number(value), 0);
+		jest.restoreAllMocks();
+		expect(passed.map((part) => part.equals(event))).toEqual([true]);
+		expect(copiedBytes).toBeGreaterThan(0);
+		expect(copiedBytes).toBeLessThan(5 * event.length);
+	});
 });
