Fail a request at once when its server answers with an upgrade

Cause: without a listener for 'upgrade', Node.js closes the connection without the event 'error' or 'response', so the attempt did not end. Without the header Upgrade the connection ends with an error, as before.

Change: the attempt fails as broken. The new test with the header failed before (it ran into its time limit of 30 s), the one without passed.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -217,6 +217,10 @@
 				outgoing.destroy();
 			}
 		});
+		outgoing.on('upgrade', (_, socket) => {
+			this.fail('broken', 'answered with an upgrade that was not asked for');
+			socket.destroy();
+		});
 		outgoing.on('response', (response) => this.contain(() => this.receive(response)));
 	}
 
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -271,6 +271,19 @@
 		expect(body).toBe('');
 	});
 
+	// Guards against holding a request until its deadline after its server has answered with an upgrade, which Node.js ends by
+	// closing the connection without an error.
+	test.each(['upgrade: websocket\r\nconnection: upgrade\r\n', ''])(
+		'an upgrade that was not asked for fails the request at once (headers: %j)',
+		async (headers) => {
+			const url = await startRawServer((socket) =>
+				socket.write(`HTTP/1.1 101 Switching Protocols\r\nid: 1\r\n${headers}\r\nnoise`),
+			);
+			const { result } = await call(createClient(), url, '1');
+			expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		},
+	);
+
 	// Guards against passing a head that was cut off on as a response with an empty or short body.
 	test.each([
 		['closes', (socket: net.Socket, text: string) => socket.end(text)],
