Pass a whole response on although surplus bytes follow it

PROTOCOL.md: "Such bytes belong to no request."

Cause: Node.js reports the noise as an error of the request before it emits the body that it has parsed, and the error failed the attempt.

Change: an error after the last byte of the response is left to the connection, which Node.js closes. A response that is not complete fails as before. Of the new tests the one with noise failed before; those with a surplus response and with an incomplete one passed.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -174,6 +174,7 @@
 
 class Attempt {
 	private outgoing: http.ClientRequest | undefined;
+	private response: http.IncomingMessage | undefined;
 	private sent = false;
 	private settled = false;
 	private silentChecks = 0;
@@ -209,7 +210,12 @@
 				this.send();
 			});
 		});
-		outgoing.on('error', (error) => this.fail(this.sent ? 'broken' : 'unreachable', error.message));
+		outgoing.on('error', (error) => {
+			// An error after the last byte of the response, such as surplus bytes, only concerns the connection.
+			if (this.response?.complete !== true) {
+				this.fail(this.sent ? 'broken' : 'unreachable', error.message);
+			}
+		});
 		let interimResponses = 0;
 		outgoing.on('information', () => {
 			if (++interimResponses > MAXIMUM_INTERIM_RESPONSES) {
@@ -258,6 +264,7 @@
 	}
 
 	private receive(response: http.IncomingMessage): void {
+		this.response = response;
 		const status = response.statusCode ?? 0;
 		const received: ResponseHead = { status, headers: filterHeaders(response.headers, NO_EXCLUDED_HEADERS) };
 		const refusal = this.protocol.classifyRefusal(received);
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -284,6 +284,25 @@
 		},
 	);
 
+	// Guards against breaking a complete response off because its server has sent bytes behind it that belong to no request.
+	test.each(['noise behind it', responseWithLength('0', 'of another request')])(
+		'a complete response is passed on although %j follows in the same packet',
+		async (surplus) => {
+			const url = await startRawServer((socket) => socket.write(responseWithLength('1', 'whole') + surplus));
+			const client = createClient();
+			const { result, body } = await call(client, url, '1');
+			expect({ outcome: result._tag, body }).toEqual({ outcome: 'Success', body: 'whole' });
+			await pause(20);
+			expect(client.hasIdleConnection(url)).toBe(false);
+		},
+	);
+
+	test('an incomplete response is broken off when noise follows', async () => {
+		const head = 'HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n';
+		const url = await startRawServer((socket) => socket.write(`${head}5\r\nwhole\r\nnoise`));
+		expect((await call(createClient(), url, '1')).result).toMatchObject({ failure: { kind: 'broken' } });
+	});
+
 	// Guards against passing a head that was cut off on as a response with an empty or short body.
 	test.each([
 		['closes', (socket: net.Socket, text: string) => socket.end(text)],
