--- a/src/gateway/test/invalidResponses.test.ts
+++ b/src/gateway/test/invalidResponses.test.ts
@@ -70,4 +70,16 @@
 		expect(await send(port)).toMatchObject({ status: 502, whole: true });
 		expect(lines.some(({ event }) => event === 'request-failed-unexpectedly')).toBe(true);
 	});
+
+	// Guards against taking noise for the crash of its server, and so refusing a sound request as one that crashes servers.
+	test('does not quarantine its request while it runs on', async () => {
+		const { port, lines } = await startWith([
+			await respondWithBytes('HTTP/2.0 200 \r\n\r\nnoise'),
+			await respondWithBytes('x'),
+		]);
+		for (let repetition = 0; repetition < 5; repetition++) {
+			expect(await send(port)).toMatchObject({ status: 502 });
+		}
+		expect(lines.some(({ event }) => event === 'server-crashed')).toBe(false);
+	});
 });
