--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -45,6 +45,7 @@
 		return status === CONFLICT ? 'fenced' : 'refused';
 	},
 	requestIdentifierOf: () => undefined,
+	findHeadFault: () => undefined,
 	parseNotice: () => undefined,
 	parseRequestLimit: () => undefined,
 	allowsCloseDelimited: false,
@@ -54,6 +55,13 @@
 
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD']);
 
+/** Major version of HTTP on these connections; later versions have no heads in text. */
+const PROTOCOL_MAJOR_VERSION = 1;
+
+/** Lowest and highest status of a final response (RFC 9110, section 15). */
+const MINIMUM_STATUS = 200;
+const MAXIMUM_STATUS = 999;
+
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
 /** Matches transfer codings that end with chunks; without chunks, a body ends with its connection. */
@@ -166,6 +174,7 @@
 
 class Attempt {
 	private outgoing: http.ClientRequest | undefined;
+	private response: http.IncomingMessage | undefined;
 	private sent = false;
 	private settled = false;
 	private silentChecks = 0;
@@ -201,7 +210,12 @@
 				this.send();
 			});
 		});
-		outgoing.on('error', (error) => this.fail(this.sent ? 'broken' : 'unreachable', error.message));
+		outgoing.on('error', (error) => {
+			// An error after the last byte of the response, such as surplus bytes, only concerns the connection.
+			if (this.response?.complete !== true) {
+				this.fail(this.sent ? 'broken' : 'unreachable', error.message);
+			}
+		});
 		let interimResponses = 0;
 		outgoing.on('information', () => {
 			if (++interimResponses > MAXIMUM_INTERIM_RESPONSES) {
@@ -209,7 +223,11 @@
 				outgoing.destroy();
 			}
 		});
-		outgoing.on('response', (response) => this.receive(response));
+		outgoing.on('upgrade', (_, socket) => {
+			this.fail('broken', 'answered with an upgrade that was not asked for');
+			socket.destroy();
+		});
+		outgoing.on('response', (response) => this.contain(() => this.receive(response)));
 	}
 
 	/** Closes the connection when no data has arrived for too long. */
@@ -235,13 +253,28 @@
 		this.outgoing?.end(this.request.body);
 	}
 
+	// An exception that leaves an event listener would end the process, and with it all other requests.
+	private contain(listener: () => void): void {
+		try {
+			listener();
+		} catch (error) {
+			this.settle(Effect.die(error));
+			this.outgoing?.destroy();
+		}
+	}
+
 	private receive(response: http.IncomingMessage): void {
+		this.response = response;
 		const status = response.statusCode ?? 0;
 		const received: ResponseHead = { status, headers: filterHeaders(response.headers, NO_EXCLUDED_HEADERS) };
 		const refusal = this.protocol.classifyRefusal(received);
 		const match = this.matchResponse(received, response.socket, refusal !== undefined);
-		if (match === 'other') {
-			this.fail('broken', 'sent the answer to another request');
+		const headFault =
+			findHeadFault(response) ??
+			(match === 'other' ? 'sent the answer to another request' : undefined) ??
+			(refusal === undefined ? this.protocol.findHeadFault(received) : undefined);
+		if (headFault !== undefined) {
+			this.fail('broken', headFault);
 			this.outgoing?.destroy();
 			return;
 		}
@@ -272,25 +305,27 @@
 			});
 		}
 		this.sink.head({ status, headers: filterHeaders(response.headers, HOP_BY_HOP_HEADERS) });
-		response.on('data', (chunk: Buffer) => {
-			this.silentChecks = 0;
-			if (this.settled) {
-				return;
-			}
-			const mayContinue = this.sink.write(chunk, () => response.resume());
-			const fault = this.sink.findFault?.();
-			if (fault !== undefined) {
-				this.fail('broken', fault);
-				this.outgoing?.destroy();
-			} else if (!mayContinue) {
-				response.pause();
-			}
-		});
-		response.on('end', () => this.endResponse());
+		response.on('data', (chunk: Buffer) => this.contain(() => this.passOn(response, chunk)));
+		response.on('end', () => this.contain(() => this.endResponse()));
 		response.on('error', (error) => this.fail('broken', error.message));
 		response.on('close', () => this.fail('broken', 'broke off its answer'));
 	}
 
+	private passOn(response: http.IncomingMessage, chunk: Buffer): void {
+		this.silentChecks = 0;
+		if (this.settled) {
+			return;
+		}
+		const mayContinue = this.sink.write(chunk, () => response.resume());
+		const fault = this.sink.findFault?.();
+		if (fault !== undefined) {
+			this.fail('broken', fault);
+			this.outgoing?.destroy();
+		} else if (!mayContinue) {
+			response.pause();
+		}
+	}
+
 	private endResponse(): void {
 		if (this.connectionEnd === undefined || (this.connectionEnd === 'closed' && this.sink.hasEndMarker?.() === true)) {
 			this.settle(Effect.void);
@@ -322,8 +357,7 @@
 		const expected = this.protocol.requestIdentifierOf(this.request.headers);
 		const received = this.protocol.requestIdentifierOf(headers);
 		if (received === undefined) {
-			const isUncertain = expected !== undefined && !isRefusal && this.outgoing?.reusedSocket === true;
-			return isUncertain ? 'other' : 'unidentified';
+			return expected === undefined || isRefusal ? 'unidentified' : 'other';
 		}
 		if (received !== expected) {
 			return 'other';
@@ -351,6 +385,36 @@
 	}
 }
 
+/**
+ * Checks the head of a response by the rules for sending one. The parser of Node.js accepts more, for example a space in the
+ * name of a header, and writing such a head to a caller throws an exception.
+ *
+ * @param response as parsed
+ * @returns why the head is not valid; undefined if it is
+ */
+function findHeadFault({
+	statusCode = 0,
+	headers,
+	httpVersion,
+	httpVersionMajor,
+}: http.IncomingMessage): string | undefined {
+	if (httpVersionMajor !== PROTOCOL_MAJOR_VERSION) {
+		return `answered in HTTP/${httpVersion}`;
+	}
+	if (statusCode < MINIMUM_STATUS || statusCode > MAXIMUM_STATUS) {
+		return `sent the invalid status ${statusCode}`;
+	}
+	try {
+		for (const name in headers) {
+			http.validateHeaderName(name);
+			[headers[name] ?? []].flat().forEach((value) => http.validateHeaderValue(name, value));
+		}
+	} catch (error) {
+		return `sent an invalid header: ${String(error)}`;
+	}
+	return undefined;
+}
+
 /** Discards the rest of a response, and closes its connection when the rest is too large or takes too long. */
 function discardBody(response: http.IncomingMessage): void {
 	let bytes = 0;
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -8,6 +8,7 @@
 const protocol: BackendProtocol = {
 	classifyRefusal: ({ headers }) => (headers['not-run'] === undefined ? undefined : 'refused'),
 	requestIdentifierOf: ({ id }) => (typeof id === 'string' ? id : undefined),
+	findHeadFault: () => undefined,
 	parseNotice: (_request, { headers }) =>
 		headers.leaving === undefined ? undefined : { isLeaving: true, restMs: undefined, unreadableTime: undefined },
 	parseRequestLimit: () => undefined,
@@ -245,6 +246,63 @@
 		expect(body).toBe('');
 	});
 
+	// Guards against passing bytes that are no response in the protocol on as a success: without the check of the identifier,
+	// this one was accepted on a new connection.
+	test.each([
+		['in another version of HTTP', 'HTTP/2.0 200 OK\r\nid: 1\r\n'],
+		['without the identifier of the request', 'HTTP/1.1 200 OK\r\n'],
+		['without headers in another version of HTTP', 'HTTP/2.0 200 \r\n'],
+		['that refuses in another version of HTTP', 'HTTP/2.0 503 Busy\r\nid: 1\r\nnot-run: 1\r\n'],
+		['that fails without the identifier of the request', 'HTTP/1.1 500 Error\r\n'],
+	])('a head %s is no response on a new connection', async (_, head) => {
+		const url = await startRawServer((socket) => socket.end(`${head}\r\nnoise`));
+		const { result, status, body } = await call(createClient(), url, '1');
+		expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		expect({ status, body }).toEqual({ status: undefined, body: '' });
+	});
+
+	// Guards against passing on a response that lacks what the protocol requires of it.
+	test('a head in which the protocol finds a fault is no response', async () => {
+		const url = await startRawServer((socket) => socket.write(responseWithLength('1', 'unsigned')));
+		const client = HttpBackendClient.create({ ...protocol, findHeadFault: () => 'sent no signature' });
+		cleanUps.push(() => client.dispose());
+		const { result, body } = await call(client, url, '1');
+		expect(result).toMatchObject({ failure: { kind: 'broken', message: 'backend server server: sent no signature' } });
+		expect(body).toBe('');
+	});
+
+	// Guards against holding a request until its deadline after its server has answered with an upgrade, which Node.js ends by
+	// closing the connection without an error.
+	test.each(['upgrade: websocket\r\nconnection: upgrade\r\n', ''])(
+		'an upgrade that was not asked for fails the request at once (headers: %j)',
+		async (headers) => {
+			const url = await startRawServer((socket) =>
+				socket.write(`HTTP/1.1 101 Switching Protocols\r\nid: 1\r\n${headers}\r\nnoise`),
+			);
+			const { result } = await call(createClient(), url, '1');
+			expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		},
+	);
+
+	// Guards against breaking a complete response off because its server has sent bytes behind it that belong to no request.
+	test.each(['noise behind it', responseWithLength('0', 'of another request')])(
+		'a complete response is passed on although %j follows in the same packet',
+		async (surplus) => {
+			const url = await startRawServer((socket) => socket.write(responseWithLength('1', 'whole') + surplus));
+			const client = createClient();
+			const { result, body } = await call(client, url, '1');
+			expect({ outcome: result._tag, body }).toEqual({ outcome: 'Success', body: 'whole' });
+			await pause(20);
+			expect(client.hasIdleConnection(url)).toBe(false);
+		},
+	);
+
+	test('an incomplete response is broken off when noise follows', async () => {
+		const head = 'HTTP/1.1 200 OK\r\nid: 1\r\ntransfer-encoding: chunked\r\n\r\n';
+		const url = await startRawServer((socket) => socket.write(`${head}5\r\nwhole\r\nnoise`));
+		expect((await call(createClient(), url, '1')).result).toMatchObject({ failure: { kind: 'broken' } });
+	});
+
 	// Guards against passing a head that was cut off on as a response with an empty or short body.
 	test.each([
 		['closes', (socket: net.Socket, text: string) => socket.end(text)],
@@ -259,6 +317,41 @@
 			expect(status).toBeUndefined();
 		}
 	});
+
+	// Guards against the end of the router by an exception: Node.js parses these heads, but refuses to send them to a caller.
+	test.each([
+		['a space in the name of a header', 'HTTP/1.1 200 OK\r\nid: 1\r\nx signature: s\r\n'],
+		['the status 000', 'HTTP/1.1 000 OK\r\nid: 1\r\n'],
+		['the status 099', 'HTTP/1.1 099 OK\r\nid: 1\r\n'],
+		['a control character in a value', 'HTTP/1.1 200 OK\r\nid: 1\r\nfield: a\x01b\r\n'],
+		['a delete character in a value that is a list', 'HTTP/1.1 200 OK\r\nid: 1\r\nset-cookie: a\x7fb\r\n'],
+	])('a head with %s is no response', async (_, head) => {
+		const url = await startRawServer((socket) => socket.write(`${head}content-length: 2\r\n\r\nok`));
+		const { result, status } = await call(createClient(), url, '1');
+		expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		expect(status).toBeUndefined();
+	});
+
+	// Guards against the end of the process by an exception that a listener of a connection's events does not catch.
+	test.each(['head', 'write', 'findFault', 'hasEndMarker'] as const)(
+		'an unexpected error in %s ends only its own call',
+		async (method) => {
+			const url = await startRawServer((socket) => socket.end('HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole'));
+			const request: BackendRequest = { method: 'GET', path: '/', headers: { id: '1' }, body: Buffer.alloc(0) };
+			const sink = {
+				sent: () => undefined,
+				head: () => undefined,
+				write: () => true,
+				findFault: () => undefined,
+				hasEndMarker: () => true,
+				[method]: () => {
+					throw new Error('unexpected');
+				},
+			};
+			const exit = await Effect.runPromiseExit(createClient().call({ id: 'server', url }, request, sink));
+			expect(exit).toMatchObject({ _tag: 'Failure', cause: { reasons: [{ _tag: 'Die' }] } });
+		},
+	);
 });
 
 describe('HttpBackendClient without a protocol', () => {
