Keep counts within the fields of messages between routers

Cause: the predicted reading time grows with the square of the prompt and did not fit into a 32-bit field; encoding throws, in a timer. The same holds for the contact with the store after 49.7 days.

Change: all whole numbers of these messages are kept within their field by one function, and the load is rounded to the range of its float.

--- a/src/fleet/common/fleetMessages.ts
+++ b/src/fleet/common/fleetMessages.ts
@@ -3,6 +3,7 @@
 import type { FleetPeer } from './fleetPeer.js';
 import type * as wire from './generated/masticloom/fleet/v1/fleet.js';
 import type { RelayedReport } from './reportBuffer.js';
+import { toWireCount } from './wireCount.js';
 
 /** Parses an address in a message; returns undefined when it is invalid. */
 export type AddressParser = (text: string) => SocketAddress | undefined;
@@ -13,7 +14,7 @@
  * @returns milliseconds since then plus 1, as sent in datagrams; 0 when undefined
  */
 export function encodeStoreContact(contactSince: number | undefined, now: number): number {
-	return contactSince === undefined ? 0 : 1 + Math.max(0, Math.round(now - contactSince));
+	return contactSince === undefined ? 0 : toWireCount(1 + Math.max(0, now - contactSince));
 }
 
 /**
@@ -32,7 +33,7 @@
 		leaving: peer.leaving,
 		relieved: peer.isRelieved,
 		storeContactMs: encodeStoreContact(peer.contactSince, now),
-		ageMs: Math.max(0, Math.round(now - peer.heardAt)),
+		ageMs: toWireCount(now - peer.heardAt),
 		lost: peer.lost,
 	};
 }
@@ -89,13 +90,14 @@
 export function encodeReport(engine: number, report: EngineReport, ageMs = 0): wire.EngineReport {
 	return {
 		engine,
-		waitMs: Math.round(report.waitMs),
+		waitMs: toWireCount(report.waitMs),
 		pace: report.pace,
-		load: report.load,
-		inProgress: report.inProgress,
+		// A finite value beyond the range of the field cannot be encoded.
+		load: Math.fround(report.load),
+		inProgress: toWireCount(report.inProgress),
 		failureRate: report.failureRate,
-		suspendedMs: Math.round(report.suspendedMs),
-		ageMs: Math.max(0, Math.round(ageMs)),
+		suspendedMs: toWireCount(report.suspendedMs),
+		ageMs: toWireCount(ageMs),
 		requestsPerSecond: report.requestsPerSecond,
 		remainingFraction: report.remainingFraction,
 	};
--- a/src/fleet/common/fleetOutbox.ts
+++ b/src/fleet/common/fleetOutbox.ts
@@ -18,6 +18,7 @@
 import type { ServerOutcome } from '../../engines/common/serverOutcomes.js';
 import { encodeReport } from './fleetMessages.js';
 import * as wire from './generated/masticloom/fleet/v1/fleet.js';
+import { MAXIMUM_WIRE_COUNT, toWireCount } from './wireCount.js';
 
 /**
  * Maximum number of entries in a list of a datagram. Longer lists are split over several datagrams, since a fragmented
@@ -30,9 +31,6 @@
 
 const HUNDREDTHS = 100;
 
-/** Largest value of the field on the wire; it stands for an unlimited number of tokens. */
-const UNLIMITED_TOKENS = 0xffff_ffff;
-
 const OUTCOMES: ReadonlyMap<ServerOutcome, wire.Outcome> = new Map([
 	['answered', wire.Outcome.OUTCOME_ANSWERED],
 	['failed', wire.Outcome.OUTCOME_FAILED],
@@ -146,18 +144,18 @@
 		this.reservations.push({
 			service: request.service,
 			sequence: request.sequence,
-			promptTokens: work.promptTokens,
+			promptTokens: toWireCount(work.promptTokens),
 			parts: work.parts.map(({ key }) => key),
-			partTokens: work.parts.map(({ tokens }) => tokens),
-			tokensPerEvent: work.tokensPerEvent,
-			pauseAimMs: Number.isFinite(work.pauseAimMs) ? Math.round(work.pauseAimMs) : 0,
-			limitMs: Math.max(0, Math.round(request.limitMs)),
-			maximumLoad: Math.round(request.maximumLoad * HUNDREDTHS),
-			maximumRereadTokens: Math.min(UNLIMITED_TOKENS, request.maximumRereadTokens),
+			partTokens: work.parts.map(({ tokens }) => toWireCount(tokens)),
+			tokensPerEvent: toWireCount(work.tokensPerEvent),
+			pauseAimMs: Number.isFinite(work.pauseAimMs) ? toWireCount(work.pauseAimMs) : 0,
+			limitMs: toWireCount(request.limitMs),
+			maximumLoad: toWireCount(request.maximumLoad * HUNDREDTHS),
+			maximumRereadTokens: toWireCount(request.maximumRereadTokens),
 			excluded: [...request.excluded],
 			connected: [...request.connected],
 			account: request.claim.account,
-			cost: Math.round(request.claim.cost),
+			cost: toWireCount(request.claim.cost),
 		});
 	}
 
@@ -171,9 +169,9 @@
 		this.answers.push({
 			sequence,
 			engine: server === undefined ? 0 : shortKey(server),
-			waitMs: Math.round(waitMs),
-			delayMs: Math.round(delayMs),
-			workMs: Math.round(workMs),
+			waitMs: toWireCount(waitMs),
+			delayMs: toWireCount(delayMs),
+			workMs: toWireCount(workMs),
 			overShare: isOverShare,
 			reports: encodeReports(reports),
 		});
@@ -198,13 +196,13 @@
 	 * @param now monotonic milliseconds
 	 */
 	public moveTo(state: wire.RouterState, ownInProgress: (server: string) => number, now: number): void {
-		const ageMs = (at: number): number => Math.max(0, Math.round(now - at));
+		const ageMs = (at: number): number => toWireCount(now - at);
 		state.placements = this.placements
 			.splice(0, MAXIMUM_LIST_LENGTH)
 			.map(({ server, sequence, workMs, parts, at }) => ({
 				engine: shortKey(server),
 				sequence,
-				workMs: Math.round(workMs),
+				workMs: toWireCount(workMs),
 				parts: [...parts],
 				ageMs: ageMs(at),
 			}));
@@ -222,7 +220,10 @@
 		state.reservations = this.reservations.splice(0, MAXIMUM_LIST_LENGTH);
 		state.answers = this.answers.splice(0, MAXIMUM_LIST_LENGTH);
 		state.outcomes = this.outcomes.splice(0, MAXIMUM_LIST_LENGTH);
-		state.streams = [...this.servers].map((server) => ({ engine: shortKey(server), requests: ownInProgress(server) }));
+		state.streams = [...this.servers].map((server) => ({
+			engine: shortKey(server),
+			requests: toWireCount(ownInProgress(server)),
+		}));
 		this.servers.clear();
 	}
 
@@ -252,7 +253,7 @@
 		},
 		limitMs: request.limitMs,
 		maximumLoad: request.maximumLoad / HUNDREDTHS,
-		maximumRereadTokens: request.maximumRereadTokens === UNLIMITED_TOKENS ? Infinity : request.maximumRereadTokens,
+		maximumRereadTokens: request.maximumRereadTokens === MAXIMUM_WIRE_COUNT ? Infinity : request.maximumRereadTokens,
 	};
 }
 
