Do not believe a surplus refusal on a connection in use

Cause: surplus bytes of an earlier response, the head of a refusal without an identifier, were taken for the refusal of the order on its way, with the verdict not-run, so the order was sent to another server. Other responses without an identifier were doubted on such a connection.

Change: there, a refusal without an identifier fails the attempt as broken, with the verdict may-have-run. On a new connection, where nothing can be left over, it is believed as before; servers of the platform repeat the identifier in every response.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -357,7 +357,9 @@
 		const expected = this.protocol.requestIdentifierOf(this.request.headers);
 		const received = this.protocol.requestIdentifierOf(headers);
 		if (received === undefined) {
-			return expected === undefined || isRefusal ? 'unidentified' : 'other';
+			// Surplus bytes of an earlier response may arrive only on a connection that has carried one.
+			const isPlausible = isRefusal && this.outgoing?.reusedSocket !== true;
+			return expected === undefined || isPlausible ? 'unidentified' : 'other';
 		}
 		if (received !== expected) {
 			return 'other';
--- a/src/backends/test/httpBackendClient.test.ts
+++ b/src/backends/test/httpBackendClient.test.ts
@@ -303,6 +303,21 @@
 		expect((await call(createClient(), url, '1')).result).toMatchObject({ failure: { kind: 'broken' } });
 	});
 
+	// Guards against running an order twice: surplus bytes that arrive while it is on its way were taken for its refusal.
+	test('a refusal without an identifier is not believed on a connection that has carried another request', async () => {
+		const refusal = 'HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n';
+		const url = await startRawServer((socket, count) =>
+			socket.write(count === 1 ? responseWithLength('1', 'ok') : refusal),
+		);
+		const client = createClient();
+		await call(client, url, '1');
+		await pause(10);
+		const { result } = await call(client, url, '2');
+		expect(client.connectionsOpened).toBe(1);
+		expect(result).toMatchObject({ failure: { kind: 'broken', verdict: 'may-have-run' } });
+		expect((await call(client, url, '3')).result).toMatchObject({ failure: { kind: 'refused', verdict: 'not-run' } });
+	});
+
 	// Guards against passing a head that was cut off on as a response with an empty or short body.
 	test.each([
 		['closes', (socket: net.Socket, text: string) => socket.end(text)],
