Allow the test of records one read per valid period

Trace: a read is valid for 50 ms (SINGLE_VERSION_VALID_MS), and the test takes 50 streams up in a loop that needs less when the machine is idle. The case is allowed; the bound held only because the loop was fast.

Change: the bound is 2 reads and one for each whole period that the loop has taken, which is 2 as before on an idle machine.

--- a/src/streams/test/streamVersionRecords.test.ts
+++ b/src/streams/test/streamVersionRecords.test.ts
@@ -20,6 +20,9 @@
 
 type FixtureRecords = StreamVersionRecords & { readonly kill: () => void; readonly registry: MemoryStore };
 
+/** Time in milliseconds for which a router may rely on one read of the records while there is one version. */
+const READ_VALID_MS = 50;
+
 const stops: (() => void)[] = [];
 
 afterEach(() => stops.splice(0).forEach((stop) => stop()));
@@ -118,11 +121,13 @@
 		}
 		const after = startRecords(store, 'router-2');
 		register(after, 'v1');
+		const takenUpAt = performance.now();
 		for (let index = 0; index < 50; index++) {
 			expect(await find(after, `stream-${index}`)).toEqual({ kind: 'known', version: 'v1', source: 'single-version' });
 		}
 		expect(store.writes - writes).toBeLessThanOrEqual(1);
-		expect(store.reads - reads).toBeLessThanOrEqual(2);
+		const validPeriods = Math.floor((performance.now() - takenUpAt) / READ_VALID_MS);
+		expect(store.reads - reads).toBeLessThanOrEqual(2 + validPeriods);
 	});
 
 	// Guards against guessing the version that is registered when the old one left while nobody ran.
