Show that a request answered 408 is run afterwards (REFUSED)

Rule: a request that isn't idempotent is answered 408 and runs later. Events: a client opens a channel; the machine freezes; the request arrives; the machine wakes, and its check for channels without a request, every 30 s, answers 408 before the request is read; the request is then read and sent to an engine.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,13 +1,10 @@
-// Clients send large bodies, within the limits of the configuration. Then half of the clients of a zone with three machines
-// move to a zone with one machine. The harness does what the platform does: it kills a process that exceeds memory_mb.
+// Clients open channels and send the first request on each 0.9 s later. One machine of three freezes for 4 s in between.
 // See claim.txt.
-import { Buffer } from 'node:buffer';
-import { readFileSync, writeFileSync } from 'node:fs';
-import http from 'node:http';
+import { writeFileSync } from 'node:fs';
+import net from 'node:net';
 import { dirname, join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
-import { clearInterval, setInterval } from 'node:timers';
 import { fileURLToPath } from 'node:url';
 import { Fleet, network, sleep } from '../common-2/fleet.mjs';
 import { PlainServer } from '../common-2/server.mjs';
@@ -16,54 +13,54 @@
 const TROUBLE = process.env.TROUBLE !== '0';
 const HOST = 'ficu95.example';
 const KEY = 'asnmgkcuyj8pjbvk9m68';
-const MEMORY_MB = 350;
-const BYTES_PER_MB = 1_048_576;
-const MAXIMUM_BODY_BYTES = 4_194_304;
-/** Clients of drammen, which has one machine. */
-const OWN_CLIENTS = 4;
-/** Half of the clients of oslo-a, which has three machines; the other half is not played. */
-const MOVING_CLIENTS = 40;
-/** Clients of drammen whose requests have bodies of 800 bytes. */
-const SMALL_CLIENTS = 5;
-/** All clients together send 106 million bytes a second, less than link_mbps. */
-const BYTES_PER_SECOND = 2_400_000;
-/** The platform restarts a process after a short delay. */
-const RESTART_MS = 500;
-const PIECE_BYTES = 65_536;
-const WORK_MS = 450;
-const SHIFT_MS = 6_500;
-/** Pause before each shift, in which the clients are back in oslo-a. */
-const PAUSE_MS = 6_000;
-const SHIFTS = 4;
-/** The rule allows three. */
-const ALLOWED = 3;
+const ZONES = ['oslo-a', 'oslo-b', 'drammen'];
+const DEADLINE_MS = 15_000;
+/** Time for which a new channel is idle before its first request; header_timeout_ms is 3,000. */
+const IDLE_MS = 900;
+const FREEZE_MS = 4_000;
+/** Time from the start of a machine, and from the end of a freeze, to the next freeze. The router looks every 30 s for
+ * channels without a request. */
+const BETWEEN_MS = 28_000;
+const FREEZES = 1;
+const CHANNELS_PER_SECOND = 12;
+/** A client closes a channel this long after its answer; it retries on a new one. */
+const CLOSE_MS = 50;
 
 const folder = dirname(fileURLToPath(import.meta.url));
 const lines = [];
 const startedAt = performance.now();
-const record = (text) => lines.push(`${((performance.now() - startedAt) / 1_000).toFixed(3)} ${text}`);
+const secondsOf = (at) => ((at - startedAt) / 1_000).toFixed(3);
+const record = (text) => lines.push(`${secondsOf(performance.now())} ${text}`);
 
 const CONFIGURATION = {
 	version: 3,
 	routes: [
 		{
-			name: 'book',
+			name: 'review',
 			host: HOST,
-			prefix: '/book/',
-			type: 'unsafe',
-			service: 'app',
+			prefix: '/review/',
+			type: 'streaming',
+			service: 'modell',
 			max_attempts: 1,
-			timeout_ms: 15_000,
+			timeout_ms: DEADLINE_MS,
 			slo_ms: 1_000,
-			priority: 2,
+			tpot_slo_ms: 500,
+			priority: 1,
 			public: false,
 			resumable: false,
 		},
 	],
-	services: [{ name: 'app', health_path: '/healthz', max_conns: 110 }],
+	services: [
+		{
+			name: 'modell',
+			health_path: '/healthz',
+			max_conns: 370,
+			backend: { slots: 64, kv_capacity: 662_249, stride: 5 },
+		},
+	],
 	limits: {
 		max_header_bytes: 16_384,
-		max_body_bytes: MAXIMUM_BODY_BYTES,
+		max_body_bytes: 4_194_304,
 		header_timeout_ms: 3_000,
 		idle_timeout_ms: 15_000,
 		tokens_per_s: 340_000,
@@ -71,92 +68,56 @@
 	tenants: [{ name: 'hule930', api_keys: [KEY] }],
 };
 
-const BODY = Buffer.alloc(MAXIMUM_BODY_BYTES, 'history of returns, ');
-const SMALL_BODY = Buffer.alloc(800, 'booking, ');
 const requests = [];
-let until = 0;
 
-/** One request on the kept channel of a client; resolves with the milliseconds to wait before the next one. */
-function send(router, agent, client, body) {
-	const entry = {
-		id: `${process.pid.toString(16)}${requests.length.toString(16).padStart(8, '0')}`,
-		client,
-		status: 0,
-		at: performance.now(),
-	};
+/** Opens a channel, sends one request on it after a while, and reads the answer. */
+function call(router) {
+	const id = `${process.pid.toString(16)}${requests.length.toString(16).padStart(8, '0')}`;
+	const entry = { id, router: router.name, openedAt: performance.now(), text: '' };
 	requests.push(entry);
 	return new Promise((resolve) => {
-		const request = http.request({
-			host: router.host,
-			port: router.port,
-			method: 'POST',
-			path: '/book/1',
-			agent,
-			headers: {
-				host: HOST,
-				'x-request-id': entry.id,
-				'x-deadline-ms': '15000',
-				authorization: `Bearer ${KEY}`,
-				'content-length': body.length,
-			},
-		});
-		let hasEnded = false;
-		request.on('response', (response) => {
-			response.resume();
-			response.once('close', () => {
-				entry.status = response.statusCode;
-				entry.whole = response.complete;
-				hasEnded = true;
-				resolve(1_000 * Number(response.headers['retry-after'] ?? 0));
-			});
-		});
-		request.once('error', (error) => {
-			entry.error = error.code;
-			hasEnded = true;
-			resolve(500);
-		});
-		void (async () => {
-			const from = performance.now();
-			for (let offset = 0; offset < body.length && !hasEnded; offset += PIECE_BYTES) {
-				request.write(body.subarray(offset, offset + PIECE_BYTES));
-				await sleep(Math.max(0, from + ((offset + PIECE_BYTES) / BYTES_PER_SECOND) * 1_000 - performance.now()));
+		const socket = net.connect({ host: router.host, port: router.port, allowHalfOpen: true });
+		const end = () => {
+			void sleep(CLOSE_MS).then(() => socket.destroy());
+			resolve();
+		};
+		void sleep(IDLE_MS).then(() => {
+			if (entry.text !== '' || socket.destroyed || socket.readableEnded) {
+				end(); // The channel was closed while it was idle; a sound client doesn't use it.
+				return;
 			}
-			if (!hasEnded) {
-				request.end();
-				entry.sentAt = performance.now();
+			entry.sentAt = performance.now();
+			const body = `history of ${id}`;
+			socket.write(
+				`POST /review/1 HTTP/1.1\r\nHost: ${HOST}\r\nX-Request-Id: ${id}\r\nX-Model: m\r\nX-Token-Usage: 1460,15\r\n` +
+					`X-Prefix-Hash: 5c1e07a2:800,${id}:660\r\nX-Deadline-Ms: ${DEADLINE_MS}\r\nAuthorization: Bearer ${KEY}\r\n` +
+					`Content-Length: ${body.length}\r\n\r\n${body}`,
+			);
+			void sleep(DEADLINE_MS).then(end);
+		});
+		socket.on('data', (bytes) => {
+			entry.answeredAt ??= performance.now();
+			entry.text += bytes.toString('latin1');
+			entry.status = Number(/^HTTP\/1\.1 (\d+)/.exec(entry.text)?.[1]);
+			const headEnd = entry.text.indexOf('\r\n\r\n');
+			const length = Number(/^content-length: (\d+)/im.exec(entry.text)?.[1] ?? NaN);
+			if (headEnd >= 0 && entry.text.length >= headEnd + 4 + length) {
+				end();
 			}
-		})();
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', resolve);
 	});
 }
 
-/** Sends one request after the other on a kept channel to the router of its zone at the moment. */
-async function runClient(routerOf, client, body) {
-	let agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
-	let router = routerOf();
-	while (performance.now() < until) {
-		if (routerOf() !== router) {
-			agent.destroy();
-			agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
-			router = routerOf();
-		}
-		await sleep((await send(router, agent, client, body)) + 20);
-	}
-	agent.destroy();
-}
-
-function residentBytes(pid) {
-	return Number(/^VmRSS:\s+(\d+) kB/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0) * 1_024;
-}
-
 async function run() {
 	const store = await new Store().listen(`${network}.250`);
 	const servers = [];
 	let fleet;
-	let timer;
 	try {
-		fleet = await Fleet.create(['drammen', 'oslo-a', 'oslo-a', 'oslo-a'], () => `${network}.250:${store.port}`);
-		for (const [index, zone] of ['drammen', 'hamar', 'oslo-a', 'oslo-b'].entries()) {
-			const server = await new PlainServer(`i-7f3a91c${index}`, 'app', zone, WORK_MS).listen(
+		fleet = await Fleet.create(ZONES, () => `${network}.250:${store.port}`);
+		for (const [index, zone] of ['oslo-a', 'oslo-b', 'drammen', 'hamar'].entries()) {
+			const server = await new PlainServer(`i-7f3a91c${index}`, 'modell', zone, 300).listen(
 				`${network}.${150 + index}`,
 			);
 			servers.push(server);
@@ -164,91 +125,66 @@
 		}
 		store.put('op/config', CONFIGURATION);
 		fleet.startAll();
+		let from = performance.now();
 		if (!(await fleet.waitUntilReady())) {
 			record('the fleet did not become ready');
 			return 2;
 		}
-		const [router, ...others] = fleet.routers;
-		record(`ready; the machine of drammen uses ${Math.round(residentBytes(router.child.pid) / BYTES_PER_MB)} MB`);
-		let peak = 0;
-		let kills = 0;
-		timer = setInterval(() => {
-			if (router.child.exitCode !== null || router.child.signalCode !== null || router.child.killed) {
-				return;
-			}
-			const bytes = residentBytes(router.child.pid);
-			peak = Math.max(peak, bytes);
-			if (bytes > MEMORY_MB * BYTES_PER_MB) {
-				kills++;
-				router.child.kill('SIGKILL');
-				void router.exit.then(() => sleep(RESTART_MS)).then(() => fleet.start(router));
-				record(
-					`the process uses ${Math.round(bytes / BYTES_PER_MB)} MB, more than memory_mb=${MEMORY_MB}: killed, as the platform does`,
-				);
+		record('ready');
+		const [frozen] = fleet.routers;
+		const pending = [];
+		for (let freeze = 1; freeze <= FREEZES; freeze++) {
+			await sleep(Math.max(0, from + BETWEEN_MS - 2_000 - performance.now()));
+			const freezeAt = from + BETWEEN_MS;
+			let isFrozen = false;
+			// Clients come for two seconds before the freeze and for four after its beginning, to all machines in turn.
+			for (let index = 0; performance.now() < freezeAt + FREEZE_MS; index++) {
+				if (TROUBLE && !isFrozen && performance.now() >= freezeAt) {
+					isFrozen = true;
+					record(`${frozen.name} freezes for ${FREEZE_MS / 1_000} s`);
+					frozen.child.kill('SIGSTOP');
+				}
+				pending.push(call(fleet.routers[index % fleet.routers.length]));
+				await sleep(1_000 / CHANNELS_PER_SECOND);
 			}
-		}, 25);
-		until = performance.now() + SHIFTS * (PAUSE_MS + SHIFT_MS);
-		let hasMoved = false;
-		const clients = [
-			...Array.from({ length: SMALL_CLIENTS }, (_, index) =>
-				runClient(() => router, `drammen-small-${index + 1}`, SMALL_BODY),
-			),
-			...Array.from({ length: OWN_CLIENTS }, (_, index) => runClient(() => router, `drammen-${index + 1}`, BODY)),
-			...Array.from({ length: MOVING_CLIENTS }, (_, index) =>
-				runClient(() => (hasMoved ? router : others[index % others.length]), `oslo-a-${index + 1}`, BODY),
-			),
-		];
-		record(
-			`${OWN_CLIENTS} clients of drammen and ${MOVING_CLIENTS} of oslo-a send bodies of ${BODY.length} bytes, ${BYTES_PER_SECOND} bytes a second each`,
-		);
-		for (let shift = 1; shift <= SHIFTS; shift++) {
-			await sleep(PAUSE_MS);
-			record(`most memory so far: ${Math.round(peak / BYTES_PER_MB)} MB`);
-			if (TROUBLE) {
-				record(`shift: the ${MOVING_CLIENTS} clients move from oslo-a to drammen for ${SHIFT_MS / 1_000} s`);
-				hasMoved = true;
+			if (isFrozen) {
+				frozen.child.kill('SIGCONT');
+				record(`${frozen.name} wakes`);
 			}
-			await sleep(SHIFT_MS);
-			hasMoved = false;
+			from = performance.now();
 		}
-		until = 0;
-		await Promise.race([Promise.all(clients), sleep(16_000)]);
-		record(`most memory: ${Math.round(peak / BYTES_PER_MB)} MB; the process was killed ${kills} times`);
-		clearInterval(timer);
-		await sleep(RESTART_MS + 100);
+		await sleep(2_000);
+		await Promise.race([Promise.all(pending), sleep(DEADLINE_MS)]);
 		return judge(servers);
 	} finally {
-		clearInterval(timer);
 		await fleet?.close();
 		servers.forEach((server) => server.close());
 		store.close();
 	}
 }
 
-/** Requests of kept channels that were passed on to a sound server, and whose channel was closed without an answer. */
 function judge(servers) {
 	const runs = new Map(servers.flatMap(({ runs: all }) => all.map((entry) => [entry.id, entry])));
-	const used = new Set();
-	let lost = 0;
-	let cut = 0;
-	for (const { id, client, status, whole, error, at, sentAt } of requests) {
-		const isKept = used.has(client);
-		used.add(client);
-		const hasNoAnswer = isKept && runs.has(id) && status === 0;
-		const isCut = isKept && runs.has(id) && status !== 0 && whole === false;
-		lost += hasNoAnswer ? 1 : 0;
-		cut += isCut ? 1 : 0;
-		const sent =
-			sentAt === undefined ? 'not sent in full' : `sent in full at ${((sentAt - startedAt) / 1_000).toFixed(3)}`;
-		lines.push(
-			`${((at - startedAt) / 1_000).toFixed(3)} client ${client} ${id}: ${sent}, ${runs.has(id) ? 'run' : 'not run'}, ${status === 0 ? `no answer (${error})` : status}${hasNoAnswer ? ' LOST' : ''}${isCut ? ', cut' : ''}`,
-		);
+	let broken = 0;
+	for (const { id, router, openedAt, sentAt, answeredAt, status } of requests) {
+		const ran = runs.get(id);
+		const isBroken =
+			sentAt !== undefined && answeredAt > sentAt && [408, 421, 429, 503].includes(status) && ran !== undefined;
+		broken += isBroken ? 1 : 0;
+		if (status !== 200) {
+			const sent = sentAt === undefined ? 'not sent' : `sent ${secondsOf(sentAt)}`;
+			const answer = status === undefined ? 'no answer' : `answer ${status} at ${secondsOf(answeredAt)}`;
+			const work = ran === undefined ? 'not run' : `run from ${secondsOf(ran.at)}`;
+			lines.push(
+				`${router} ${id}: channel opened ${secondsOf(openedAt)}, ${sent}, ${answer}, ${work}${isBroken ? ' REFUSED' : ''}`,
+			);
+		}
 	}
 	const answers = requests.filter(({ status }) => status === 200).length;
 	lines.push(
-		`${requests.length} requests, ${answers} answered with 200; run, and the channel closed without an answer: ${lost} (allowed: ${ALLOWED}); cut within an answer: ${cut}`,
+		`${requests.length} requests, ${answers} answered with 200; answered with a promise that they have not run, and run: ${broken}`,
 	);
-	return answers === 0 ? 2 : lost > ALLOWED ? 1 : 0;
+	return answers === 0 ? 2 : broken > 0 ? 1 : 0;
 }
 
 const code = await run().catch((error) => {
--- a/review/common-2/server.mjs
+++ b/review/common-2/server.mjs
@@ -37,11 +37,14 @@
 			}
 			this.runs.push({ id, at: performance.now(), path: request.url, server: this.id, service: this.service });
 			setTimeout(() => {
-				const body = Buffer.from(`answer of ${this.service} to ${id}`);
+				const events = [1, 2, 3].map((event) => `id: ${event}\ndata: ${id} ${event}\n\n`).join('');
+				const isStream = request.headers['x-model'] !== undefined;
+				const body = Buffer.from(isStream ? events : `answer of ${this.service} to ${id}`);
 				response.writeHead(200, {
 					'x-request-id': id,
 					'x-signature': `${this.id}.${id}`,
 					'x-backend-load': '0,0,6',
+					...(isStream ? { 'content-type': 'text/event-stream' } : {}),
 					'content-length': body.length,
 				});
 				response.end(body);
