--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -117,9 +117,9 @@
 	try {
 		fleet = await Fleet.create(ZONES, () => `${network}.250:${store.port}`);
 		for (const [index, zone] of ['oslo-a', 'oslo-b', 'drammen', 'hamar'].entries()) {
-			const server = await new PlainServer(`i-7f3a91c${index}`, 'modell', zone, 300).listen(
-				`${network}.${150 + index}`,
-			);
+			const server = new PlainServer(`i-7f3a91c${index}`, 'modell', zone, 300);
+			server.slots = 64;
+			await server.listen(`${network}.${150 + index}`);
 			servers.push(server);
 			store.put(`servers/${server.id}`, server.registration());
 		}
--- a/review/common-2/server.mjs
+++ b/review/common-2/server.mjs
@@ -23,7 +23,7 @@
 	registration(state = 'ready') {
 		this.seq++;
 		const { service, address, zone, seq, born } = this;
-		return { service, address, zone, version: '1', slots: 6, state, cold_left_ms: 0, seq, born };
+		return { service, address, zone, version: '1', slots: this.slots ?? 6, state, cold_left_ms: 0, seq, born };
 	}
 
 	receive(request, response) {
