Run nothing behind a 408, and time requests after reading them

Cause: the 408 ended the sending side only, and the receiving side stayed attached to the HTTP parser; and Node.js enforces the header timeout on a timer, before it reads what has arrived during a freeze, counted from the opening of the connection.

Ruled out: that the freeze is needed. A request behind the 408 ran without one.

Change: the router observes the arrival of requests itself, after a poll of the sockets; the header timeout begins with the first byte. A connection that is refused as a whole (400, 408, 431) is detached from the parser, discards what comes and is closed after 2 s at the latest. A body that is received has 30 s, as Node.js enforced before, and gets a 503 in place of a reset.

Tests: src/gateway/test/callerTimeouts.test.ts; on 6 of 7 fail (a second request run where none is allowed, 408 where 200 is due, connections open after 35 and 5 s).

--- a/src/gateway/node/bodyReceiver.ts
+++ b/src/gateway/node/bodyReceiver.ts
@@ -19,8 +19,7 @@
 }
 
 /**
- * Why a body was not received: it is larger than allowed, the client disconnected, no byte arrived within the idle timeout,
- * there is no memory for it, or it consists of very small chunks while the CPU is saturated.
+ * Why a body was not received: it is larger than allowed, the client disconnected, it did not arrive within its timeouts, there is no memory for it, or it consists of very small chunks while the CPU is saturated.
  */
 export type BodyFailure = 'too-large' | 'incomplete' | 'timed-out' | 'no-memory' | 'tiny-chunks';
 
@@ -29,6 +28,8 @@
 	readonly maximumBytes: number;
 	/** Maximum time between two pieces of the body in milliseconds. */
 	readonly idleTimeoutMs: number;
+	/** Maximum time for the whole body in milliseconds. */
+	readonly totalTimeoutMs: number;
 }
 
 const EMPTY = Buffer.alloc(0);
@@ -98,7 +99,7 @@
 		const reception = new BodyReception(
 			request.socket.remoteAddress ?? '',
 			contentLength === undefined ? limits.maximumBytes : Number(contentLength),
-			limits.idleTimeoutMs,
+			limits,
 			this.clock.now(),
 			(result) => {
 				this.incomplete.delete(reception);
@@ -156,7 +157,7 @@
 	 */
 	public sweep(now: number, isSaturated: boolean, stallLimitMs: number): void {
 		for (const reception of [...this.incomplete]) {
-			if (reception.isIdle(now) || now - reception.progressedAt > stallLimitMs) {
+			if (reception.isOverdue(now) || now - reception.progressedAt > stallLimitMs) {
 				reception.settle('timed-out');
 			}
 		}
@@ -248,12 +249,12 @@
 	public constructor(
 		public readonly clientAddress: string,
 		private readonly maximumBytes: number,
-		private readonly idleTimeoutMs: number,
-		now: number,
+		private readonly limits: Pick<BodyLimits, 'idleTimeoutMs' | 'totalTimeoutMs'>,
+		private readonly startedAt: number,
 		private readonly onSettled: (result: Buffer | BodyFailure) => void,
 	) {
-		this.progressedAt = now;
-		this.sweptAt = now;
+		this.progressedAt = startedAt;
+		this.sweptAt = startedAt;
 	}
 
 	public get bytes(): Buffer {
@@ -268,8 +269,8 @@
 		return !this.settled && this.used < this.chunks * TINY_CHUNK_BYTES;
 	}
 
-	/** Records progress since the previous sweep; returns whether the idle timeout has passed without any byte. */
-	public isIdle(now: number): boolean {
+	/** Records progress since the previous sweep; returns whether one of the timeouts of the body has passed. */
+	public isOverdue(now: number): boolean {
 		if (this.used > this.sweptBytes) {
 			this.sweptBytes = this.used;
 			this.sweptAt = now;
@@ -278,7 +279,7 @@
 			this.progressBytes = this.used;
 			this.progressedAt = now;
 		}
-		return now - this.sweptAt > this.idleTimeoutMs;
+		return now - this.sweptAt > this.limits.idleTimeoutMs || now - this.startedAt > this.limits.totalTimeoutMs;
 	}
 
 	public needsGrowth({ length }: Buffer): boolean {
--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -3,6 +3,8 @@
 import type { IClock } from '../../base/common/clock.js';
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
 import { resetConnection } from '../../base/node/brokenResponse.js';
+import { closeLingering, ignoreFurtherRequests } from '../../base/node/lingeringClose.js';
+import { type ArrivalLimits, type OverdueArrival, RequestArrival } from '../common/requestArrival.js';
 import type { ConnectionReading } from './chunkPacer.js';
 
 /** Unanswered requests of a connection at which it is not read until some of them are answered. */
@@ -40,8 +42,9 @@
 	/** Network address of the client, which may be that of a load balancer. */
 	readonly address: string;
 	readonly openedAt: number;
-	/** Whether the headers of a request have been received completely. */
-	hasRequested: boolean;
+	readonly arrival: RequestArrival;
+	/** Request whose headers were received last. */
+	lastRequest: IncomingMessage | undefined;
 	/** In the order of their arrival. */
 	readonly unanswered: Map<ServerResponse, UnansweredRequest>;
 	unansweredBytes: number;
@@ -52,11 +55,6 @@
 	isClosing: boolean;
 }
 
-/** Part of Node's HTTP parser; a connection has the parser in an undocumented property. */
-interface RequestParser {
-	onIncoming?: () => number;
-}
-
 /**
  * Bounds what each connection of a caller holds: unanswered requests are counted, charged to the budget and run one after
  * the other, and the connection is not read while there are too many.
@@ -99,10 +97,12 @@
 		if (socket.destroyed) {
 			return;
 		}
+		const openedAt = this.clock.now();
 		const connection: CallerConnection = {
 			address: socket.remoteAddress ?? '',
-			openedAt: this.clock.now(),
-			hasRequested: false,
+			openedAt,
+			arrival: RequestArrival.create(openedAt),
+			lastRequest: undefined,
 			unanswered: new Map(),
 			unansweredBytes: 0,
 			isPaused: false,
@@ -165,12 +165,14 @@
 	 * @param headerBytes size of its headers
 	 * @returns what becomes of the request; a request of a closing connection must be ignored
 	 */
-	public accept({ socket }: IncomingMessage, response: ServerResponse, headerBytes: number): ConnectionDecision {
+	public accept(request: IncomingMessage, response: ServerResponse, headerBytes: number): ConnectionDecision {
+		const { socket } = request;
 		const connection = this.connections.get(socket);
 		if (connection === undefined || connection.isClosing) {
 			return 'closing';
 		}
-		connection.hasRequested = true;
+		connection.lastRequest = request;
+		connection.arrival.recordHeaders(this.clock.now());
 		const { unanswered } = connection;
 		const bytes = headerBytes + REQUEST_OVERHEAD_BYTES;
 		const isFirst = unanswered.size === 0;
@@ -188,6 +190,9 @@
 			this.budget.release('request', isReserved ? bytes : 0);
 			connection.unansweredBytes -= bytes;
 			unanswered.delete(response);
+			if (unanswered.size === 0) {
+				connection.arrival.recordAnswer(socket.bytesRead, connection.lastRequest?.complete === false);
+			}
 			this.proceed(socket, connection);
 		});
 		if (unanswered.size >= PAUSING_REQUESTS && !connection.isPaused) {
@@ -208,8 +213,8 @@
 	 */
 	public closeSilent(now: number, headerTimeoutMs: number, isCrowded: boolean): number {
 		const silentByAddress = new Map<string, Socket[]>();
-		for (const [socket, { address, openedAt, hasRequested }] of this.connections) {
-			if (!hasRequested && now - openedAt > headerTimeoutMs) {
+		for (const [socket, { address, openedAt, lastRequest }] of this.connections) {
+			if (lastRequest === undefined && now - openedAt > headerTimeoutMs) {
 				const silent = silentByAddress.get(address) ?? [];
 				silent.push(socket);
 				silentByAddress.set(address, silent);
@@ -225,6 +230,40 @@
 		return closed;
 	}
 
+	/**
+	 * Finds the connections without an unanswered request whose callers do not send what they have begun. Must be called after
+	 * all that has arrived has been read.
+	 *
+	 * @param now monotonic milliseconds
+	 * @param limits of the time
+	 * @returns the connections, and what is overdue on each
+	 */
+	public findOverdue(now: number, limits: ArrivalLimits): readonly (readonly [Socket, OverdueArrival])[] {
+		return [...this.connections].flatMap(([socket, { arrival, lastRequest, unanswered, isClosing }]) => {
+			if (isClosing || unanswered.size > 0) {
+				return [];
+			}
+			const overdue = arrival.findOverdue(socket.bytesRead, lastRequest?.complete === false, now, limits);
+			return overdue === undefined ? [] : [[socket, overdue] as const];
+		});
+	}
+
+	/**
+	 * Ends a connection without an unanswered request with a last response. What arrives on it afterwards is discarded.
+	 *
+	 * @param socket of the connection
+	 * @param lastBytes the last response
+	 */
+	public endWith(socket: Socket, lastBytes: string): void {
+		const connection = this.connections.get(socket);
+		if (connection !== undefined) {
+			connection.isClosing = true;
+			connection.isPaused = false;
+			connection.isHeld = false;
+		}
+		closeLingering(socket, lastBytes);
+	}
+
 	/**
 	 * Runs a request once those before it on its connection have been answered, so that a connection has one at a time.
 	 *
@@ -253,11 +292,7 @@
 		}
 		connection.isClosing = true;
 		connection.isPaused = true;
-		// The parser has the rest of the read, with thousands of requests whose objects would be held until the close.
-		const { parser } = socket as Socket & { parser?: RequestParser };
-		if (parser) {
-			parser.onIncoming = () => 0;
-		}
+		ignoreFurtherRequests(socket);
 		socket.pause();
 		// A regular end would complete a response without a length.
 		const timer = setTimeout(() => resetConnection(socket), CLOSING_TIMEOUT_MS);
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -51,6 +51,9 @@
 /** Maximum time to receive a complete request. Bodies are small, and requests of slow callers occupy memory. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
+/** Header and idle timeout while there is no configuration. */
+const DEFAULT_TIMEOUT_MS = 60_000;
+
 /** Two health checks of a load balancer that performs one per second. */
 const DEFAULT_BALANCER_DELAY_MS = 2_000;
 
@@ -83,11 +86,15 @@
 const NOT_READY = { status: SERVICE_UNAVAILABLE, retryAfterMs: NOT_READY_RETRY_MS };
 const SHUTTING_DOWN = { ...NOT_READY, code: 'shutting-down' };
 
-const STATUS_TEXTS: Readonly<Record<number, string>> = {
-	400: 'Bad Request',
-	408: 'Request Timeout',
-	431: 'Request Header Fields Too Large',
-};
+const BAD_REQUEST = 400;
+const REQUEST_TIMEOUT = 408;
+const HEADER_TOO_LARGE = 431;
+
+const STATUS_TEXTS = {
+	[BAD_REQUEST]: 'Bad Request',
+	[REQUEST_TIMEOUT]: 'Request Timeout',
+	[HEADER_TOO_LARGE]: 'Request Header Fields Too Large',
+} as const;
 
 /** HTTP/1.1 server for callers, whose requests it forwards to backend servers or hands over to other routers. */
 export class GatewayServer extends Disposable {
@@ -105,6 +112,7 @@
 	private readonly rotationEmitter = this.register(Emitter.create<boolean>());
 	private readonly responseBuffering: ResponseBuffering | undefined;
 	private headerTimeoutMs = Infinity;
+	private idleTimeoutMs = DEFAULT_TIMEOUT_MS;
 	private silentCheckAt = 0;
 	private isClosing = false;
 	private isRefusing = false;
@@ -139,7 +147,9 @@
 		this.server = http.createServer(
 			{
 				maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
-				requestTimeout: REQUEST_TIMEOUT_MS,
+				// Node applies these on a timer, before it reads what has arrived in the meantime.
+				headersTimeout: 0,
+				requestTimeout: 0,
 				noDelay: true,
 				// Node would answer requests without a host itself, and hold the answers to thousands of them.
 				requireHostHeader: false,
@@ -169,7 +179,8 @@
 			this.loadShedder.recordLag(Math.max(0, now - expectedAt), now);
 			this.incoming.recordLag(this.loadShedder.meanLagMs, now);
 			this.updateRotation(now);
-			this.enforceTimeouts(now);
+			// After a freeze, timers run before the sockets are read, and what has arrived in time would seem to be late.
+			afterNextPoll(() => this.enforceTimeouts(context.clock.now()));
 			expectedAt = now + LAG_SAMPLE_INTERVAL_MS;
 		}, LAG_SAMPLE_INTERVAL_MS);
 		this.register(
@@ -258,7 +269,7 @@
 	/** @param limits of the configuration in force */
 	public setLimits(limits: IngressLimits): void {
 		this.headerTimeoutMs = limits.headerTimeoutMs;
-		this.server.headersTimeout = limits.headerTimeoutMs;
+		this.idleTimeoutMs = limits.idleTimeoutMs;
 		this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
 	}
 
@@ -399,7 +410,11 @@
 			shareGrant = this.grantShare(response, fields, routing, arrivedAt);
 		}
 		const mayHandOver = (): boolean => handoverHeader === undefined && this.handover.neighbours.hasAvailable(arrivedAt);
-		const bodyLimits = { maximumBytes: limits.maximumBodyBytes, idleTimeoutMs: limits.idleTimeoutMs };
+		const bodyLimits = {
+			maximumBytes: limits.maximumBodyBytes,
+			idleTimeoutMs: limits.idleTimeoutMs,
+			totalTimeoutMs: REQUEST_TIMEOUT_MS,
+		};
 		const refuseBody = (failure: BodyFailure): void => {
 			if (failure === 'too-large') {
 				refuse({ status: 413, code: 'body-too-large' }, routing);
@@ -523,6 +538,22 @@
 			this.silentCheckAt = now + SILENT_CHECK_INTERVAL_MS;
 			const closed = this.connectionsOfCallers.closeSilent(now, this.headerTimeoutMs, isCrowded);
 			this.limitLog.record('silent', closed);
+			this.endOverdue(now);
+		}
+	}
+
+	private endOverdue(now: number): void {
+		const limits = {
+			headerTimeoutMs: Math.min(this.headerTimeoutMs, DEFAULT_TIMEOUT_MS),
+			unusedTimeoutMs: this.idleTimeoutMs + IDLE_MARGIN_MS,
+			bodyTimeoutMs: REQUEST_TIMEOUT_MS,
+		};
+		for (const [socket, overdue] of this.connectionsOfCallers.findOverdue(now, limits)) {
+			if (overdue === 'headers') {
+				this.refuseConnection(socket, REQUEST_TIMEOUT, 'header-timeout');
+			} else {
+				socket.destroy();
+			}
 		}
 	}
 
@@ -573,10 +604,16 @@
 			socket.destroy();
 			return;
 		}
-		const status = statusOfBadInput(error.code);
-		this.context.log.write('refused', { status, reason: error.code ?? error.message });
+		const status = error.code === 'HPE_HEADER_OVERFLOW' ? HEADER_TOO_LARGE : BAD_REQUEST;
+		this.refuseConnection(socket, status, error.code ?? error.message);
+	}
+
+	/** Refuses what has arrived on a connection without an unanswered request, and everything after it. */
+	private refuseConnection(socket: Socket, status: keyof typeof STATUS_TEXTS, reason: string): void {
+		this.context.log.write('refused', { status, reason });
 		this.context.metrics.countRequest('', status, 'bad-input', 0);
-		socket.end(`HTTP/1.1 ${status} ${STATUS_TEXTS[status] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		const head = `HTTP/1.1 ${status} ${STATUS_TEXTS[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+		this.connectionsOfCallers.endWith(socket, head);
 	}
 }
 
@@ -588,14 +625,3 @@
 		}
 	}, OVERSIZED_BODY_READ_MS).unref();
 }
-
-function statusOfBadInput(code: string | undefined): number {
-	switch (code) {
-		case 'HPE_HEADER_OVERFLOW':
-			return 431;
-		case 'ERR_HTTP_REQUEST_TIMEOUT':
-			return 408;
-		default:
-			return 400;
-	}
-}
--- /dev/null
+++ b/src/gateway/test/callerTimeouts.test.ts
@@ -0,0 +1,159 @@
+import { createConnection, type Socket } from 'node:net';
+import { afterEach, describe, expect, test } from '@jest/globals';
+import {
+	configurationWith,
+	type GatewayFixture,
+	HOST,
+	KEY,
+	pause,
+	respondWith,
+	routeWith,
+	serverOf,
+	startGateway,
+} from './gatewayFixture.js';
+
+const HEADER_TIMEOUT_MS = 400;
+const IDLE_TIMEOUT_MS = 45_000;
+
+/** Node.js, which used to enforce the header timeout, looks for overdue connections every 30 s. */
+const OVERDUE_LIMIT_MS = 35_000;
+const TEST_TIMEOUT_MS = 60_000;
+
+const fixtures: GatewayFixture[] = [];
+const sockets: Socket[] = [];
+
+afterEach(() => {
+	sockets.splice(0).forEach((socket) => socket.destroy());
+	fixtures.splice(0).forEach((fixture) => fixture.dispose());
+});
+
+async function startRouter(idleTimeoutMs = IDLE_TIMEOUT_MS): Promise<GatewayFixture> {
+	const configuration = configurationWith([routeWith()]);
+	const limits = { ...configuration.limits, idleTimeoutMs, headerTimeoutMs: HEADER_TIMEOUT_MS };
+	const fixture = await startGateway([respondWith(200, 'filed')], { ...configuration, limits }, [
+		serverOf('desk', 'desk-1'),
+	]);
+	fixture.gateway.setLimits(limits);
+	fixtures.push(fixture);
+	return fixture;
+}
+
+interface Connection {
+	readonly socket: Socket;
+	readonly statuses: () => readonly string[];
+}
+
+function connect(port: number): Connection {
+	// The caller keeps its sending side open after the end of the responses, so that it can send behind them.
+	const socket = createConnection({ port, host: '127.0.0.1', allowHalfOpen: true });
+	let received = '';
+	socket.on('data', (bytes) => (received += bytes.toString()));
+	socket.on('error', () => undefined);
+	sockets.push(socket);
+	return { socket, statuses: () => [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status ?? '') };
+}
+
+function requestText(id: string): string {
+	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\nContent-Length: 4\r\n\r\nbody`;
+}
+
+async function waitUntil(condition: () => boolean, limitMs = OVERDUE_LIMIT_MS): Promise<void> {
+	for (const end = performance.now() + limitMs; !condition() && performance.now() < end;) {
+		await pause(5);
+	}
+	expect(condition()).toBe(true);
+}
+
+const WHOLE = requestText('late');
+const HALF = WHOLE.length / 2;
+
+describe('the header timeout', () => {
+	// Guards against a request that runs although its caller was told with a 408 that it never will.
+	test.each([
+		['begun', ''],
+		['begun behind an answered one', requestText('answered')],
+	])(
+		'refuses a request %s for good',
+		async (_, before) => {
+			const { port, attempts } = await startRouter();
+			const { socket, statuses } = connect(port);
+			const answered = before === '' ? [] : ['200'];
+			socket.write(before);
+			await waitUntil(() => statuses().length === answered.length);
+			socket.write(WHOLE.slice(0, HALF));
+			await waitUntil(() => statuses().length > answered.length);
+			socket.write(WHOLE.slice(HALF) + requestText('further'));
+			await pause(200);
+			expect(statuses()).toEqual([...answered, '408']);
+			expect(attempts).toHaveLength(answered.length);
+			socket.write(requestText('later'));
+			await waitUntil(() => socket.readableEnded);
+			expect(attempts).toHaveLength(answered.length);
+		},
+		TEST_TIMEOUT_MS,
+	);
+
+	// Guards against refusing a caller that has sent nothing yet, which only the idle timeout limits.
+	test(
+		'does not begin before the first byte of a request',
+		async () => {
+			const { port } = await startRouter();
+			const silent = connect(port);
+			const overdue = connect(port);
+			overdue.socket.write(WHOLE.slice(0, HALF));
+			await waitUntil(() => overdue.statuses().length > 0);
+			silent.socket.write(requestText('first'));
+			await waitUntil(() => silent.statuses().length > 0);
+			expect(silent.statuses()).toEqual(['200']);
+			silent.socket.write(requestText('second'));
+			await waitUntil(() => silent.statuses().length === 2);
+			expect(silent.statuses()).toEqual(['200', '200']);
+		},
+		TEST_TIMEOUT_MS,
+	);
+
+	// Guards against closing a connection whose caller sends a body slowly behind an early response.
+	test('does not apply to the rest of a body whose request has been refused', async () => {
+		const { port, gateway } = await startRouter();
+		const { socket, statuses } = connect(port);
+		socket.write(`POST /unknown/ HTTP/1.1\r\nHost: ${HOST}\r\nContent-Length: 8\r\n\r\n`);
+		for (let sent = 0; sent < 8; sent++) {
+			await pause(HEADER_TIMEOUT_MS);
+			socket.write('x');
+		}
+		socket.write(requestText('next'));
+		await waitUntil(() => statuses().length === 2);
+		expect(statuses()).toEqual(['404', '200']);
+		expect(gateway.connections).toBe(1);
+	});
+});
+
+describe('a connection that is refused as a whole', () => {
+	// Guards against callers that occupy connections by not closing them after a refusal.
+	test.each([
+		['noise', 'no request\r\n\r\n'],
+		['half a request', WHOLE.slice(0, HALF)],
+	])(
+		'is closed soon after %s, even if its caller does not close it',
+		async (_, text) => {
+			const { port, gateway } = await startRouter();
+			const { socket, statuses } = connect(port);
+			socket.write(text);
+			await waitUntil(() => statuses().length > 0);
+			await waitUntil(() => gateway.connections === 0, 5_000);
+		},
+		TEST_TIMEOUT_MS,
+	);
+});
+
+describe('the idle timeout', () => {
+	// Guards against connections that are occupied for good by callers that never send a request.
+	test('closes a connection on which nothing has arrived', async () => {
+		const { port, gateway } = await startRouter(500);
+		const { statuses, socket } = connect(port);
+		await waitUntil(() => gateway.connections === 1);
+		await waitUntil(() => gateway.connections === 0, 8_000);
+		await waitUntil(() => socket.readableEnded);
+		expect(statuses()).toEqual([]);
+	});
+});
