Deliver responses that arrived before the deadline during a freeze

Callers saw: 504, although the response of their server lay complete in the machine's buffers when it woke. Cause: the time limit of a request is a timer, and timers run before sockets are read.

Change: the limit takes effect after one more poll of the sockets, here and for requests that are handed over.

Test: platform/test/frozenRouter.test.ts on a router process that is stopped for 4 s; on 12 of 12 streams end with 504, now 12 of 12 are whole.

Conclusion: a ready response is delivered, also late.

--- a/src/base/node/eventLoop.ts
+++ b/src/base/node/eventLoop.ts
@@ -1,3 +1,5 @@
+import { Effect, Option } from 'effect';
+
 /**
  * Calls a function after the event loop has polled its sockets once more.
  *
@@ -8,3 +10,22 @@
 export function afterNextPoll(callback: () => void): void {
 	setImmediate(() => setImmediate(callback));
 }
+
+/** Completes after the event loop has polled its sockets once more. */
+const nextPoll: Effect.Effect<void> = Effect.callback((resume) => afterNextPoll(() => resume(Effect.void)));
+
+/**
+ * Ends an effect that takes too long, after all that has arrived until then has been read. After a pause of the process, timers run
+ * before the sockets are read, so an ordinary timeout would drop a result that has arrived in time.
+ *
+ * @param effect to run
+ * @param milliseconds that it may take
+ * @returns its result; none when it has been interrupted
+ */
+export function timeoutAfterPoll<A, E, R>(
+	effect: Effect.Effect<A, E, R>,
+	milliseconds: number,
+): Effect.Effect<Option.Option<A>, E, R> {
+	const timeout = Effect.sleep(milliseconds).pipe(Effect.andThen(nextPoll), Effect.as(Option.none<A>()));
+	return Effect.raceFirst(Effect.asSome(effect), timeout);
+}
--- a/src/gateway/node/backendRequestHandler.ts
+++ b/src/gateway/node/backendRequestHandler.ts
@@ -20,6 +20,7 @@
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
 import { formatShortKeys, shortKey } from '../../base/common/shortKey.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
+import { timeoutAfterPoll } from '../../base/node/eventLoop.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { computeFingerprint } from '../../dispatch/node/fingerprint.js';
 import type { RegisteredServer } from '../../engines/common/directory.js';
@@ -155,7 +156,7 @@
 		const limitMs = Math.min(fields.deadlineMs ?? Infinity, routing.route.timeoutMs);
 		return this.runAttempts().pipe(
 			Effect.catchDefect((defect) => Effect.sync(() => this.failUnexpectedly(defect))),
-			Effect.timeoutOption(limitMs - (this.context.clock.now() - this.request.arrivedAt)),
+			(attempts) => timeoutAfterPoll(attempts, limitMs - (this.context.clock.now() - this.request.arrivedAt)),
 			Effect.map((result) => {
 				if (result._tag === 'None') {
 					this.sendFailure('deadline', GATEWAY_TIMEOUT);
--- a/src/gateway/node/handoverRequestHandler.ts
+++ b/src/gateway/node/handoverRequestHandler.ts
@@ -3,6 +3,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import { CONNECTION_HEADERS, HANDOVER_HEADER, selectForwardedHeaders } from '../../base/common/headerFields.js';
 import { combineVerdicts, type Verdict } from '../../base/common/verdict.js';
+import { timeoutAfterPoll } from '../../base/node/eventLoop.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { formatAddress } from '../../settings/common/settings.js';
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
@@ -77,7 +78,7 @@
 		const limitMs = Math.min(fields.deadlineMs ?? Infinity, routing.route.timeoutMs) + RESPONSE_MARGIN_MS;
 		return this.tryRouters().pipe(
 			Effect.catchDefect((defect) => Effect.sync(() => this.failUnexpectedly(defect))),
-			Effect.timeoutOption(limitMs - (this.context.clock.now() - arrivedAt)),
+			(attempts) => timeoutAfterPoll(attempts, limitMs - (this.context.clock.now() - arrivedAt)),
 			Effect.map((result) => {
 				if (result._tag === 'None') {
 					this.sendFailure('deadline', GATEWAY_TIMEOUT);
