Distinguish a freeze of the process from a saturated CPU

Callers saw: 503 'overloaded' for requests that reached a machine while it was frozen. Cause: the lag of the event loop after the freeze counted as saturation, so the limit fell to 20 requests a second when the backlog was read.

Change: a timer that is late by 500 ms or more while the process used less than a tenth of that as CPU time is no sign of load.

Tests: frozenRouter.test.ts (real process, stopped for 4 s): on 2 of 24 requests are served, 22 get 503; now 24 of 24 are served. processPause.test.ts holds that a saturated CPU, also on 0.12 of a core, and a CPU quota are still seen as such.

Conclusion: sound requests are served after a freeze.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -5,6 +5,7 @@
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
 import { HANDOVER_HEADER } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { isProcessPause } from '../../base/common/processPause.js';
 import { afterNextPoll } from '../../base/node/eventLoop.js';
 import { breakOff } from '../../base/node/brokenResponse.js';
 import { listenOn } from '../../base/node/listen.js';
@@ -80,6 +81,8 @@
 /** Least delay in milliseconds until a caller retries for want of memory, which is due within about a second. */
 const MEMORY_RETRY_MS = 500;
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
 const SERVICE_UNAVAILABLE = 503;
 
 /** Refusals while the router has no configuration, an outdated one, or is shutting down. */
@@ -174,10 +177,12 @@
 		);
 		this.server.on('drop', () => this.limitLog.record('connection-limit'));
 		let expectedAt = context.clock.now() + LAG_SAMPLE_INTERVAL_MS;
+		let cpuUsage = process.cpuUsage();
 		const timer = setInterval(() => {
 			const now = context.clock.now();
-			this.loadShedder.recordLag(Math.max(0, now - expectedAt), now);
-			this.incoming.recordLag(this.loadShedder.meanLagMs, now);
+			const { user, system } = process.cpuUsage(cpuUsage);
+			cpuUsage = process.cpuUsage();
+			this.recordLag(Math.max(0, now - expectedAt), (user + system) / MICROSECONDS_PER_MILLISECOND, now);
 			this.updateRotation(now);
 			// After a freeze, timers run before the sockets are read, and what has arrived in time would seem to be late.
 			afterNextPoll(() => this.enforceTimeouts(context.clock.now()));
@@ -530,6 +535,15 @@
 		});
 	}
 
+	private recordLag(lagMs: number, cpuMs: number, now: number): void {
+		if (isProcessPause(lagMs, cpuMs)) {
+			this.context.log.write('process-paused', { pausedMs: Math.round(lagMs), cpuMs: Math.round(cpuMs) });
+			return;
+		}
+		this.loadShedder.recordLag(lagMs, now);
+		this.incoming.recordLag(this.loadShedder.meanLagMs, now);
+	}
+
 	/** Ends what callers have begun and not continued. */
 	private enforceTimeouts(now: number): void {
 		const isCrowded = this.connections > this.maximumConnections * CROWDED_FRACTION;
