Read the store's response before a call to it times out

Callers saw: requests that reached a frozen machine were decided by an old configuration, although the newer one had arrived before them. Cause: the watch's timeout of 3 s had passed when the machine woke, and its connection was closed before it was read.

Change: the timeout of JSON calls takes effect after one more poll of the sockets.

Conclusion: what has arrived is read before it is given up.

--- a/src/base/node/eventLoop.ts
+++ b/src/base/node/eventLoop.ts
@@ -1,4 +1,5 @@
 import { Effect, Option } from 'effect';
+import { type IDisposable, toDisposable } from '../common/lifecycle.js';
 
 /**
  * Calls a function after the event loop has polled its sockets once more.
@@ -11,12 +12,34 @@
 	setImmediate(() => setImmediate(callback));
 }
 
+/**
+ * Calls a function when a time has passed and all that has arrived until then has been read. After a pause of the process, timers
+ * run before the sockets are read, so an ordinary timer would find that nothing has arrived during the pause.
+ *
+ * @param callback function to call
+ * @param milliseconds to wait
+ * @returns a disposable that cancels the call
+ */
+export function setTimeoutAfterPoll(callback: () => void, milliseconds: number): IDisposable {
+	let isCancelled = false;
+	const timer = setTimeout(() => {
+		afterNextPoll(() => {
+			if (!isCancelled) {
+				callback();
+			}
+		});
+	}, milliseconds);
+	return toDisposable(() => {
+		isCancelled = true;
+		clearTimeout(timer);
+	});
+}
+
 /** Completes after the event loop has polled its sockets once more. */
 const nextPoll: Effect.Effect<void> = Effect.callback((resume) => afterNextPoll(() => resume(Effect.void)));
 
 /**
- * Ends an effect that takes too long, after all that has arrived until then has been read. After a pause of the process, timers run
- * before the sockets are read, so an ordinary timeout would drop a result that has arrived in time.
+ * Ends an effect that takes too long, after all that has arrived until then has been read.
  *
  * @param effect to run
  * @param milliseconds that it may take
--- a/src/store/node/httpJson.ts
+++ b/src/store/node/httpJson.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
 
 /** Maximum size of a response body. A snapshot of a thousand servers takes 0.5 MB, and a single value up to 1.4 MB. */
 const MAXIMUM_BODY_BYTES = 33_554_432;
@@ -47,11 +48,11 @@
 			signal: options.signal,
 			headers: payload && { 'content-type': 'application/json', 'content-length': payload.length },
 		});
-		const timer = setTimeout(() => {
+		const timeout = setTimeoutAfterPoll(() => {
 			request.destroy(new Error(`no response within ${options.timeoutMs} ms`));
 		}, options.timeoutMs);
 		const fail = (error: Error): void => {
-			clearTimeout(timer);
+			timeout.dispose();
 			reject(new HttpCallError(error.message, connected));
 		};
 		request.on('socket', (socket) => {
@@ -75,7 +76,7 @@
 			});
 			response.on('error', fail);
 			response.on('end', () => {
-				clearTimeout(timer);
+				timeout.dispose();
 				try {
 					const text = Buffer.concat(chunks).toString('utf8');
 					const { statusCode = 0, headers } = response;
