Read an idle connection before it is closed

Callers saw: a reset of a connection that they used within the idle timeout, while the machine was frozen. Cause: Node closes an idle connection on a timer, before it reads what has arrived.

Change: a listener for the server's timeout polls the sockets once more, and closes the connection only if nothing has arrived.

Tests: callerTimeouts.test.ts, four limits that pass while the process does nothing.

Conclusion: what a caller has sent in time is read before its connection is given up.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -165,6 +165,8 @@
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
 			this.respondToBadInput(error, socket),
 		);
+		// Without a listener, Node closes an idle connection before it reads what has arrived.
+		this.server.on('timeout', (socket: Socket) => this.closeIfIdle(socket));
 		this.server.maxConnections = maximumConnections;
 		this.server.on('connection', (socket) => this.connectionsOfCallers.add(socket));
 		this.incoming = IncomingConnections.create(
@@ -556,6 +558,15 @@
 		}
 	}
 
+	private closeIfIdle(socket: Socket): void {
+		const { bytesRead } = socket;
+		afterNextPoll(() => {
+			if (socket.bytesRead === bytesRead) {
+				socket.destroy();
+			}
+		});
+	}
+
 	private endOverdue(now: number): void {
 		const limits = {
 			headerTimeoutMs: Math.min(this.headerTimeoutMs, DEFAULT_TIMEOUT_MS),
--- a/src/gateway/test/callerTimeouts.test.ts
+++ b/src/gateway/test/callerTimeouts.test.ts
@@ -19,6 +19,14 @@
 const OVERDUE_LIMIT_MS = 35_000;
 const TEST_TIMEOUT_MS = 60_000;
 
+const MAXIMUM_CONNECTIONS = 1_000;
+
+/** Time after which a router closes an idle connection whose caller may not use it at all. */
+const IDLE_CLOSE_MS = 3_000;
+
+/** Longer than the header timeout, and long enough to be seen as a pause of the process. */
+const PAUSE_MS = 1_100;
+
 const fixtures: GatewayFixture[] = [];
 const sockets: Socket[] = [];
 
@@ -27,12 +35,15 @@
 	fixtures.splice(0).forEach((fixture) => fixture.dispose());
 });
 
-async function startRouter(idleTimeoutMs = IDLE_TIMEOUT_MS): Promise<GatewayFixture> {
+async function startRouter(
+	idleTimeoutMs = IDLE_TIMEOUT_MS,
+	maximumConnections = MAXIMUM_CONNECTIONS,
+): Promise<GatewayFixture> {
 	const configuration = configurationWith([routeWith()]);
 	const limits = { ...configuration.limits, idleTimeoutMs, headerTimeoutMs: HEADER_TIMEOUT_MS };
-	const fixture = await startGateway([respondWith(200, 'filed')], { ...configuration, limits }, [
-		serverOf('desk', 'desk-1'),
-	]);
+	const servers = [serverOf('desk', 'desk-1')];
+	const behaviours = [respondWith(200, 'filed')];
+	const fixture = await startGateway(behaviours, { ...configuration, limits }, servers, maximumConnections);
 	fixture.gateway.setLimits(limits);
 	fixtures.push(fixture);
 	return fixture;
@@ -64,6 +75,11 @@
 	expect(condition()).toBe(true);
 }
 
+/** Stops the process after its last writes, so that they are received and not read. */
+function pauseProcess(): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS);
+}
+
 const WHOLE = requestText('late');
 const HALF = WHOLE.length / 2;
 
@@ -157,3 +173,37 @@
 		expect(statuses()).toEqual([]);
 	});
 });
+
+describe('what arrives during a pause of the process', () => {
+	// Guards against enforcing a timeout on what has arrived before it, since timers run before sockets are read.
+	test.each([
+		['the second half of the headers', WHOLE.slice(0, HALF), MAXIMUM_CONNECTIONS],
+		['the first request of a connection, while connections are few', '', 1],
+		['the second half of a body, while connections are few', WHOLE.slice(0, -2), 1],
+	])('is served: %s', async (_, before, maximumConnections) => {
+		const { port, gateway } = await startRouter(IDLE_TIMEOUT_MS, maximumConnections);
+		const { socket, statuses } = connect(port);
+		await waitUntil(() => gateway.connections === 1);
+		socket.write(before);
+		await pause(HEADER_TIMEOUT_MS / 2);
+		socket.write(WHOLE.slice(before.length));
+		pauseProcess();
+		await waitUntil(() => statuses().length > 0 || socket.readableEnded || socket.destroyed);
+		expect(statuses()).toEqual(['200']);
+	});
+
+	test('is served: the next request on a connection that was idle', async () => {
+		const { port, gateway } = await startRouter(0);
+		const { socket, statuses } = connect(port);
+		socket.write(requestText('first'));
+		await waitUntil(() => statuses().length === 1);
+		const idleSince = performance.now();
+		// The idle timeout of the server, less the time in which the request arrives.
+		await waitUntil(() => performance.now() - idleSince > IDLE_CLOSE_MS - PAUSE_MS / 2);
+		expect(gateway.connections).toBe(1);
+		socket.write(WHOLE);
+		pauseProcess();
+		await waitUntil(() => statuses().length === 2 || socket.readableEnded || socket.destroyed);
+		expect(statuses()).toEqual(['200', '200']);
+	});
+});
