Poll once more before a server counts as unreachable

Seen in a test: a server that accepted a connection while the process was paused failed as 'unreachable', and its probe as 'unknown'. Cause: the limits of 1 s and 0.5 s were timers, which run before the sockets are polled.

Change: both take effect after one more poll.

Conclusion: a pause of the router is no evidence against servers.

--- a/src/backends/node/connectionProbe.ts
+++ b/src/backends/node/connectionProbe.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import { Effect } from 'effect';
+import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
 import type { ProbeResult, ServerProbe } from '../common/serverProbe.js';
 
 /** Time in which a server that runs accepts a connection, in milliseconds. */
@@ -11,12 +12,16 @@
 	return Effect.callback<ProbeResult>((resume) => {
 		const socket = connect({ host: hostname, port: Number(port) });
 		const end = (result: ProbeResult): void => {
+			timeout.dispose();
 			socket.destroy();
 			resume(Effect.succeed(result));
 		};
-		socket.setTimeout(PROBE_TIMEOUT_MS, () => end('unknown'));
+		const timeout = setTimeoutAfterPoll(() => end('unknown'), PROBE_TIMEOUT_MS);
 		socket.once('connect', () => end('accepting'));
 		socket.once('error', (error: NodeJS.ErrnoException) => end(error.code === 'ECONNREFUSED' ? 'refusing' : 'unknown'));
-		return Effect.sync(() => socket.destroy());
+		return Effect.sync(() => {
+			timeout.dispose();
+			socket.destroy();
+		});
 	});
 };
--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -3,6 +3,7 @@
 import { Effect } from 'effect';
 import { CONNECTION_HEADERS, NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
 import type { IDisposable } from '../../base/common/lifecycle.js';
+import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
 import type {
 	BackendFailure,
 	ResponseHead,
@@ -229,10 +230,11 @@
 				this.send();
 				return;
 			}
-			const timer = setTimeout(() => outgoing.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS);
-			socket.once('close', () => clearTimeout(timer));
+			const giveUp = (): void => void outgoing.destroy(new Error('no connection in time'));
+			const timeout = setTimeoutAfterPoll(giveUp, CONNECT_TIMEOUT_MS);
+			socket.once('close', () => timeout.dispose());
 			socket.once('connect', () => {
-				clearTimeout(timer);
+				timeout.dispose();
 				this.send();
 			});
 		});
--- a/src/gateway/test/callerTimeouts.test.ts
+++ b/src/gateway/test/callerTimeouts.test.ts
@@ -75,8 +75,11 @@
 	expect(condition()).toBe(true);
 }
 
-/** Stops the process after its last writes, so that they are received and not read. */
-function pauseProcess(): void {
+/** Sends text and stops the process, so that the text is received and not read. */
+async function sendAndPause(socket: Socket, text: string): Promise<void> {
+	// The next phase of the event loop is the one of the timers.
+	await new Promise((resolve) => setImmediate(resolve));
+	socket.write(text);
 	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS);
 }
 
@@ -186,8 +189,7 @@
 		await waitUntil(() => gateway.connections === 1);
 		socket.write(before);
 		await pause(HEADER_TIMEOUT_MS / 2);
-		socket.write(WHOLE.slice(before.length));
-		pauseProcess();
+		await sendAndPause(socket, WHOLE.slice(before.length));
 		await waitUntil(() => statuses().length > 0 || socket.readableEnded || socket.destroyed);
 		expect(statuses()).toEqual(['200']);
 	});
@@ -201,8 +203,7 @@
 		// The idle timeout of the server, less the time in which the request arrives.
 		await waitUntil(() => performance.now() - idleSince > IDLE_CLOSE_MS - PAUSE_MS / 2);
 		expect(gateway.connections).toBe(1);
-		socket.write(WHOLE);
-		pauseProcess();
+		await sendAndPause(socket, WHOLE);
 		await waitUntil(() => statuses().length === 2 || socket.readableEnded || socket.destroyed);
 		expect(statuses()).toEqual(['200', '200']);
 	});
