Serve the requests that were read before a connection is closed

Cause: the close was announced without regard to requests behind it, and the next request was started although Node closes the connection after such a response.

Change: a connection that has to be closed accepts no further request; the last accepted one announces the close. No request is started on a connection that cannot carry its response.

Conclusion: a request that was read is answered.

--- a/src/base/node/lingeringClose.ts
+++ b/src/base/node/lingeringClose.ts
@@ -22,20 +22,29 @@
 }
 
 /**
- * Ends the sending side of a connection and discards what its caller still sends, without parsing it, until the caller closes
- * it too or a time limit has passed. A connection that is closed with unread bytes is reset, and its caller may lose the last
- * response; one whose receiving side stays attached to the parser would run what arrives.
+ * Detaches a connection from the parser, and discards what its caller still sends.
  *
- * @param socket of an HTTP server
- * @param lastBytes sent before the end
+ * @param socket of an HTTP server, whose last request has been received completely or is given up
  */
-export function closeLingering(socket: Socket, lastBytes = ''): void {
+export function discardInput(socket: Socket): void {
 	ignoreFurtherRequests(socket);
 	// Node detaches its parser from a socket that has a listener for data.
 	socket.removeAllListeners('data');
 	socket.on('data', () => undefined);
-	socket.end(lastBytes);
 	socket.resume();
+}
+
+/**
+ * Ends the sending side of a connection and discards what its caller still sends, until the caller closes it too or a time limit
+ * has passed. A connection that is closed with unread bytes is reset, and its caller may lose the last response; one whose
+ * receiving side stays attached to the parser would run what arrives.
+ *
+ * @param socket of an HTTP server
+ * @param lastBytes sent before the end
+ */
+export function closeLingering(socket: Socket, lastBytes = ''): void {
+	discardInput(socket);
+	socket.end(lastBytes);
 	const timer = setTimeout(() => socket.destroy(), LINGER_MS);
 	socket.once('close', () => clearTimeout(timer));
 }
--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -45,6 +45,7 @@
 	readonly arrival: RequestArrival;
 	/** Request whose headers were received last. */
 	lastRequest: IncomingMessage | undefined;
+	lastResponse: ServerResponse | undefined;
 	/** In the order of their arrival. */
 	readonly unanswered: Map<ServerResponse, UnansweredRequest>;
 	unansweredBytes: number;
@@ -52,6 +53,9 @@
 	isPaused: boolean;
 	/** Not read because of the pace of its chunks. */
 	isHeld: boolean;
+	/** Closed after the requests that have been accepted. */
+	isEnding: boolean;
+	/** Closed after the request that is running. */
 	isClosing: boolean;
 }
 
@@ -103,10 +107,12 @@
 			openedAt,
 			arrival: RequestArrival.create(openedAt),
 			lastRequest: undefined,
+			lastResponse: undefined,
 			unanswered: new Map(),
 			unansweredBytes: 0,
 			isPaused: false,
 			isHeld: false,
+			isEnding: false,
 			isClosing: false,
 		};
 		this.connections.set(socket, connection);
@@ -133,10 +139,11 @@
 
 	/**
 	 * @param socket of a connection
-	 * @returns whether the connection is closed after the response in progress
+	 * @returns whether the connection accepts no further request
 	 */
-	public isClosing(socket: Socket): boolean {
-		return this.connections.get(socket)?.isClosing ?? true;
+	public isEnding(socket: Socket): boolean {
+		const connection = this.connections.get(socket);
+		return connection === undefined || connection.isEnding || connection.isClosing;
 	}
 
 	public hold(socket: Socket): void {
@@ -168,10 +175,11 @@
 	public accept(request: IncomingMessage, response: ServerResponse, headerBytes: number): ConnectionDecision {
 		const { socket } = request;
 		const connection = this.connections.get(socket);
-		if (connection === undefined || connection.isClosing) {
+		if (connection === undefined || connection.isEnding || connection.isClosing) {
 			return 'closing';
 		}
 		connection.lastRequest = request;
+		connection.lastResponse = response;
 		connection.arrival.recordHeaders(this.clock.now());
 		const { unanswered } = connection;
 		const bytes = headerBytes + REQUEST_OVERHEAD_BYTES;
@@ -264,6 +272,23 @@
 		closeLingering(socket, lastBytes);
 	}
 
+	/**
+	 * Accepts no further request on a connection, and closes it after those that have been accepted.
+	 *
+	 * @param socket of the connection
+	 * @param response whose headers are about to be sent
+	 * @returns whether it is the last response of the connection
+	 */
+	public endAfter(socket: Socket, response?: ServerResponse): boolean {
+		const connection = this.connections.get(socket);
+		if (connection === undefined || connection.isClosing) {
+			return true;
+		}
+		connection.isEnding = true;
+		ignoreFurtherRequests(socket);
+		return connection.lastResponse === response;
+	}
+
 	/**
 	 * Runs a request once those before it on its connection have been answered, so that a connection has one at a time.
 	 *
@@ -276,7 +301,7 @@
 		const own = connection?.unanswered.get(response);
 		if (connection !== undefined && own !== undefined) {
 			own.run = run;
-			this.startFirst(connection);
+			this.startFirst(socket, connection);
 		}
 	}
 
@@ -316,13 +341,15 @@
 	}
 
 	private proceed(socket: Socket, connection: CallerConnection): void {
-		if (connection.isClosing) {
-			if (!hasRunning(connection)) {
+		const isDone = connection.isEnding && connection.unanswered.size === 0;
+		if (connection.isClosing || isDone) {
+			// Node has already ended a connection whose last response announced the close.
+			if (socket.writable && !hasRunning(connection)) {
 				socket.destroySoon();
 			}
 			return;
 		}
-		this.startFirst(connection);
+		this.startFirst(socket, connection);
 		if (connection.isPaused && connection.unanswered.size < PAUSING_REQUESTS) {
 			connection.isPaused = false;
 			if (!connection.isHeld) {
@@ -331,9 +358,10 @@
 		}
 	}
 
-	private startFirst({ unanswered, isClosing }: CallerConnection): void {
+	private startFirst(socket: Socket, { unanswered, isClosing }: CallerConnection): void {
 		const [entry] = unanswered;
-		if (isClosing || entry === undefined) {
+		// The response to a request behind one that has announced the close could not be sent.
+		if (isClosing || !socket.writable || entry === undefined) {
 			return;
 		}
 		const [response, first] = entry;
--- a/src/gateway/node/gatewayResponse.ts
+++ b/src/gateway/node/gatewayResponse.ts
@@ -33,7 +33,7 @@
 		private readonly response: http.ServerResponse,
 		private readonly requestIdHeader: string,
 		private readonly requestId: string,
-		private readonly closesConnection: () => boolean,
+		private readonly closesConnection: (isRequired: boolean) => boolean,
 		buffering: ResponseBuffering | undefined,
 	) {
 		this.queue = buffering && ResponseQueue.create(response, buffering, { requestId, disconnect: () => this.break() });
@@ -43,7 +43,7 @@
 	 * @param response HTTP response whose headers have not been sent
 	 * @param requestIdHeader header with the request identifier in responses that the router itself generates
 	 * @param requestId identifier of the request; empty when it has none
-	 * @param closesConnection returns whether the connection must be closed after the response
+	 * @param closesConnection returns whether the connection is closed after the response; with whether the response requires it
 	 * @param buffering decides how much is held for a slow caller; when absent, the server is paused
 	 * @returns the response to the caller
 	 */
@@ -51,7 +51,7 @@
 		response: http.ServerResponse,
 		requestIdHeader: string,
 		requestId: string,
-		closesConnection: () => boolean,
+		closesConnection: (isRequired: boolean) => boolean,
 		buffering?: ResponseBuffering,
 	): GatewayResponse {
 		return new GatewayResponse(response, requestIdHeader, requestId, closesConnection, buffering);
@@ -76,7 +76,7 @@
 			const value = headers[name];
 			outgoingHeaders[name] = typeof value === 'string' ? value : value && [...value];
 		}
-		if (this.closesConnection()) {
+		if (this.closesConnection(false)) {
 			outgoingHeaders.connection = 'close';
 		}
 		this.response.writeHead(status, outgoingHeaders);
@@ -140,7 +140,7 @@
 		if (localResponse.notStarted === true) {
 			headers[NOT_STARTED_HEADER] = 'true';
 		}
-		if (localResponse.closesConnection === true || this.closesConnection()) {
+		if (this.closesConnection(localResponse.closesConnection === true)) {
 			headers.connection = 'close';
 		}
 		this.response.writeHead(localResponse.status, headers);
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -359,11 +359,9 @@
 			response,
 			codec.requestIdHeader,
 			fields.id,
-			() =>
-				this.isClosing ||
-				this.isNearConnectionLimit ||
-				this.connectionsOfCallers.isClosing(request.socket) ||
-				(!notStarted && this.incoming.isFromRouter(request.socket)),
+			(isRequired) =>
+				(isRequired || this.mustClose(request.socket, notStarted)) &&
+				this.connectionsOfCallers.endAfter(request.socket, response),
 			this.responseBuffering,
 		);
 		this.open.add(response);
@@ -483,6 +481,20 @@
 		});
 	}
 
+	/**
+	 * @param socket of a connection
+	 * @param isHandedOver whether another router has handed the request over
+	 * @returns whether the connection must be closed after the requests that have been accepted
+	 */
+	private mustClose(socket: Socket, isHandedOver: boolean): boolean {
+		return (
+			this.isClosing ||
+			this.isNearConnectionLimit ||
+			this.connectionsOfCallers.isEnding(socket) ||
+			(!isHandedOver && this.incoming.isFromRouter(socket))
+		);
+	}
+
 	/**
 	 * Counts a request from its headers. A router to which the request is handed over does not count it again.
 	 *
--- /dev/null
+++ b/src/gateway/test/connectionEnds.test.ts
@@ -0,0 +1,109 @@
+import { createConnection, type Socket } from 'node:net';
+import { afterEach, describe, expect, test } from '@jest/globals';
+import { Effect } from 'effect';
+import {
+	type BackendBehaviour,
+	configurationWith,
+	type GatewayFixture,
+	HOST,
+	KEY,
+	pause,
+	respondWith,
+	routeWith,
+	serverOf,
+	startGateway,
+} from './gatewayFixture.js';
+
+const DELAY_MS = 60;
+
+const fixtures: GatewayFixture[] = [];
+const sockets: Socket[] = [];
+
+afterEach(() => {
+	sockets.splice(0).forEach((socket) => socket.destroy());
+	fixtures.splice(0).forEach((fixture) => fixture.dispose());
+});
+
+async function startRouter(behaviour: BackendBehaviour): Promise<GatewayFixture> {
+	const servers = [serverOf('desk', 'desk-1')];
+	const fixture = await startGateway([behaviour], configurationWith([routeWith()]), servers);
+	fixtures.push(fixture);
+	return fixture;
+}
+
+interface Connection {
+	readonly socket: Socket;
+	/** Status and `connection` header of each response. */
+	readonly responses: () => readonly string[];
+	/** How the connection has ended: regularly, or by an error. */
+	readonly end: () => string | undefined;
+}
+
+function connect(port: number): Connection {
+	const socket = createConnection({ port, host: '127.0.0.1' });
+	let received = '';
+	let end: string | undefined;
+	socket.on('data', (bytes) => (received += bytes.toString()));
+	socket.on('error', (error: NodeJS.ErrnoException) => (end = error.code));
+	socket.on('end', () => (end = 'end'));
+	sockets.push(socket);
+	const responses = (): readonly string[] =>
+		[...received.matchAll(/HTTP\/1\.1 (\d+)[^]*?connection: ([a-z-]+)/gi)].map(
+			([, status, mode]) => `${status} ${mode}`,
+		);
+	return { socket, responses, end: () => end };
+}
+
+function requestText(id: string, headers = 'Content-Length: 0\r\n'): string {
+	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\n${headers}\r\n`;
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+	for (const end = performance.now() + 5_000; !condition() && performance.now() < end;) {
+		await pause(5);
+	}
+	expect(condition()).toBe(true);
+}
+
+function later(behaviour: BackendBehaviour): BackendBehaviour {
+	return (...parameters) => Effect.andThen(Effect.sleep(DELAY_MS), behaviour(...parameters));
+}
+
+/** Sends the head of a response at once, and its body later. */
+const respondInParts: BackendBehaviour = (sink) =>
+	Effect.gen(function* () {
+		sink.sent();
+		sink.head({ status: 200, headers: { 'content-length': '5' } });
+		yield* Effect.sleep(DELAY_MS);
+		sink.write(Buffer.from('filed'), () => undefined);
+	});
+
+describe('a connection that is closed after a response', () => {
+	// Guards against running a request whose response cannot be sent any more.
+	test('serves the requests that have been received, and announces the close in the last response', async () => {
+		const { port, attempts, gateway } = await startRouter(later(respondWith(200, 'filed')));
+		const { socket, responses, end } = connect(port);
+		socket.write(requestText('first') + requestText('second') + requestText('third'));
+		await waitUntil(() => attempts.length === 1);
+		gateway.startDraining();
+		await waitUntil(() => end() !== undefined);
+		expect(responses()).toEqual(['200 keep-alive', '200 keep-alive', '200 close']);
+		expect(attempts).toHaveLength(3);
+		expect(end()).toBe('end');
+	});
+
+	test('does not run a request that arrives after the close was announced', async () => {
+		const { port, attempts, gateway } = await startRouter(respondInParts);
+		const { socket, responses, end } = connect(port);
+		gateway.startDraining();
+		socket.write(requestText('first'));
+		await waitUntil(() => attempts.length === 1);
+		await pause(DELAY_MS / 3);
+		socket.write(requestText('second'));
+		await waitUntil(() => end() !== undefined);
+		await pause(2 * DELAY_MS);
+		expect(responses()).toEqual(['200 close']);
+		expect(attempts).toHaveLength(1);
+		expect(gateway.requestsInProgress).toBe(0);
+	});
+});
