Let callers read a refusal while they send the body

Callers saw: a reset in place of a 503 when their request was refused while its body arrived. Cause: a connection that is closed with unread bytes is reset, and the reset discards the response.

Change: such a connection ends its sending side only, discards what arrives without parsing it, and is closed after 2 s at the latest.

Test: connectionEnds.test.ts, a body of 600,000 bytes where 400,000 fit; on its caller reads nothing, now the 503.

Conclusion: a refusal that is true can be read.

--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 import type { IClock } from '../../base/common/clock.js';
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
 import { resetConnection } from '../../base/node/brokenResponse.js';
@@ -116,6 +116,8 @@
 			isClosing: false,
 		};
 		this.connections.set(socket, connection);
+		// Node calls this after a response that announces the close.
+		socket.destroySoon = () => closeSoon(socket, connection);
 		socket.on('resume', () => {
 			// Node resumes a connection after each request that it has read.
 			if (connection.isPaused || connection.isHeld) {
@@ -375,6 +377,17 @@
 	}
 }
 
+/** Closes a connection after its last response, which its caller can read also if it has sent more. */
+function closeSoon(socket: Socket, connection: CallerConnection): void {
+	if (connection.isPaused || connection.isHeld || connection.lastRequest?.complete === false) {
+		connection.isPaused = false;
+		connection.isHeld = false;
+		closeLingering(socket);
+	} else {
+		Socket.prototype.destroySoon.call(socket);
+	}
+}
+
 function hasRunning({ unanswered }: CallerConnection): boolean {
 	return [...unanswered.values()].some(({ isRunning }) => isRunning);
 }
--- a/src/gateway/test/connectionEnds.test.ts
+++ b/src/gateway/test/connectionEnds.test.ts
@@ -15,6 +15,7 @@
 } from './gatewayFixture.js';
 
 const DELAY_MS = 60;
+const BUDGET_BYTES = 400_000;
 
 const fixtures: GatewayFixture[] = [];
 const sockets: Socket[] = [];
@@ -24,9 +25,19 @@
 	fixtures.splice(0).forEach((fixture) => fixture.dispose());
 });
 
-async function startRouter(behaviour: BackendBehaviour): Promise<GatewayFixture> {
+async function startRouter(behaviour: BackendBehaviour, budgetBytes?: number): Promise<GatewayFixture> {
+	const configuration = configurationWith([routeWith()]);
+	const limits = { ...configuration.limits, maximumBodyBytes: 2 * BUDGET_BYTES };
 	const servers = [serverOf('desk', 'desk-1')];
-	const fixture = await startGateway([behaviour], configurationWith([routeWith()]), servers);
+	const fixture = await startGateway(
+		[behaviour],
+		{ ...configuration, limits },
+		servers,
+		1_000,
+		[],
+		() => true,
+		budgetBytes,
+	);
 	fixtures.push(fixture);
 	return fixture;
 }
@@ -106,4 +117,23 @@
 		expect(attempts).toHaveLength(1);
 		expect(gateway.requestsInProgress).toBe(0);
 	});
+
+	// Guards against a reset that takes the refusal away from a caller that is still sending its body.
+	test('lets a caller read a refusal that arrives while it sends its body', async () => {
+		const { port, attempts } = await startRouter(respondWith(200, 'filed'), BUDGET_BYTES);
+		const { socket, responses, end } = connect(port);
+		socket.pause();
+		const total = 1.5 * BUDGET_BYTES;
+		const part = Buffer.alloc(total / 30, 'x');
+		socket.write(requestText('large', `Content-Length: ${total}\r\n`));
+		for (let sent = 0; sent < total; sent += part.length) {
+			socket.write(part);
+			await pause(10);
+		}
+		socket.resume();
+		await waitUntil(() => end() !== undefined);
+		expect(responses()).toEqual(['503 close']);
+		expect(end()).toBe('end');
+		expect(attempts).toHaveLength(0);
+	});
 });
