Serve requests that have noise behind them

Callers saw: a reset for a whole request when what followed it on the connection was no HTTP. Cause: a parse error reset each connection with an unanswered request.

Change: the connection is detached from the parser and closed after the requests that were received completely.

Tests: connectionEnds.test.ts, 'what is not HTTP behind a request'; on both fail (no response where two are due).

Conclusion: noise costs only its connection.

--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -3,7 +3,7 @@
 import type { IClock } from '../../base/common/clock.js';
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
 import { resetConnection } from '../../base/node/brokenResponse.js';
-import { closeLingering, ignoreFurtherRequests } from '../../base/node/lingeringClose.js';
+import { closeLingering, discardInput, ignoreFurtherRequests } from '../../base/node/lingeringClose.js';
 import { type ArrivalLimits, type OverdueArrival, RequestArrival } from '../common/requestArrival.js';
 import type { ConnectionReading } from './chunkPacer.js';
 
@@ -291,6 +291,21 @@
 		return connection.lastResponse === response;
 	}
 
+	/**
+	 * Discards everything behind the requests that have been accepted, and closes the connection after them. A request that has
+	 * not been received completely is given up with the connection.
+	 *
+	 * @param socket of a connection with unanswered requests
+	 */
+	public endBehindAccepted(socket: Socket): void {
+		if (this.connections.get(socket)?.lastRequest?.complete === false) {
+			socket.destroy();
+			return;
+		}
+		this.endAfter(socket);
+		discardInput(socket);
+	}
+
 	/**
 	 * Runs a request once those before it on its connection have been answered, so that a connection has one at a time.
 	 *
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -636,11 +636,18 @@
 	}
 
 	private respondToBadInput(error: NodeJS.ErrnoException, socket: Socket): void {
-		// A response in progress must not be mixed with another one.
-		if (!socket.writable || error.code === 'ECONNRESET' || this.connectionsOfCallers.isBusy(socket)) {
+		if (!socket.writable || error.code === 'ECONNRESET') {
 			socket.destroy();
 			return;
 		}
+		if (this.connectionsOfCallers.isBusy(socket)) {
+			if (socket.readableEnded) {
+				socket.destroy();
+			} else {
+				this.connectionsOfCallers.endBehindAccepted(socket);
+			}
+			return;
+		}
 		const status = error.code === 'HPE_HEADER_OVERFLOW' ? HEADER_TOO_LARGE : BAD_REQUEST;
 		this.refuseConnection(socket, status, error.code ?? error.message);
 	}
--- a/src/gateway/test/connectionEnds.test.ts
+++ b/src/gateway/test/connectionEnds.test.ts
@@ -137,3 +137,28 @@
 		expect(attempts).toHaveLength(0);
 	});
 });
+
+describe('what is not HTTP behind a request', () => {
+	// Guards against taking the response from a request that is running, and that may not be repeated.
+	test('does not end the request', async () => {
+		const { port, attempts } = await startRouter(later(respondWith(200, 'filed')));
+		const { socket, responses, end } = connect(port);
+		socket.write(`${requestText('first')}${requestText('second')}no request\r\n\r\n`);
+		await pause(DELAY_MS / 2);
+		socket.write('more of it');
+		await waitUntil(() => end() !== undefined);
+		expect(responses()).toEqual(['200 keep-alive', '200 close']);
+		expect(attempts).toHaveLength(2);
+		expect(end()).toBe('end');
+	});
+
+	test('does not keep the request running after its caller has left', async () => {
+		const { port, attempts, gateway } = await startRouter(later(later(respondWith(200, 'filed'))));
+		const { socket } = connect(port);
+		socket.write(`${requestText('first')}no request\r\n\r\n`);
+		await waitUntil(() => attempts.length === 1);
+		socket.end();
+		await waitUntil(() => attempts[0]?.interrupted === true);
+		expect(gateway.requestsInProgress).toBe(0);
+	});
+});
