Read idle connections before a planned stop closes them

Callers saw: a reset of a request that had arrived when the stopping router closed idle connections. Cause: the step of the stop is taken on a timer, before the sockets are read.

Change: the connections are closed after one more poll, also those that are passed on, and the stop waits for it. A connection that is passed on counts as used from the first byte that was received.

Test: plannedStop.test.ts; on ECONNRESET, now 503 with the verdict not-run.

Conclusion: a request that has arrived gets a true refusal.

--- a/src/base/node/eventLoop.ts
+++ b/src/base/node/eventLoop.ts
@@ -36,7 +36,7 @@
 }
 
 /** Completes after the event loop has polled its sockets once more. */
-const nextPoll: Effect.Effect<void> = Effect.callback((resume) => afterNextPoll(() => resume(Effect.void)));
+export const nextPoll: Effect.Effect<void> = Effect.callback((resume) => afterNextPoll(() => resume(Effect.void)));
 
 /**
  * Ends an effect that takes too long, after all that has arrived until then has been read.
--- a/src/gateway/node/connectionRelay.ts
+++ b/src/gateway/node/connectionRelay.ts
@@ -65,7 +65,7 @@
 		const router = connect({ host: address.host, port: address.port, noDelay: true, localAddress });
 		const timer = setTimeout(() => router.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS);
 		let isConnected = false;
-		const connection: RelayedConnection = { caller, router, isUsed: () => router.bytesWritten > 0 };
+		const connection: RelayedConnection = { caller, router, isUsed: () => caller.bytesRead > 0 };
 		this.relayed.add(connection);
 		// A caller that leaves meanwhile is noticed when its connection is read.
 		const ignoreError = (): void => undefined;
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -6,7 +6,7 @@
 import { HANDOVER_HEADER } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { isProcessPause } from '../../base/common/processPause.js';
-import { afterNextPoll } from '../../base/node/eventLoop.js';
+import { afterNextPoll, nextPoll } from '../../base/node/eventLoop.js';
 import { breakOff } from '../../base/node/brokenResponse.js';
 import { listenOn } from '../../base/node/listen.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
@@ -255,7 +255,7 @@
 
 	/** Effect that completes when no request is in progress, here or on connections that were passed on. */
 	public get idle(): Effect.Effect<void> {
-		return Effect.andThen(this.open.idle, this.incoming.idle);
+		return nextPoll.pipe(Effect.andThen(this.open.idle), Effect.andThen(this.incoming.idle));
 	}
 
 	/** Fraction of the new connections that are passed on to other routers, from 0 to 1. */
@@ -287,15 +287,17 @@
 	}
 
 	/**
-	 * Refuses new requests, and those that have not been sent to a server, and closes idle connections. The server
+	 * Refuses new requests, and those that have not been sent to a server, and closes connections on which nothing has arrived. The server
 	 * continues to listen until the end, since a load balancer without another instance continues to send connections, and
 	 * a refusal is more informative than a reset.
 	 */
 	public stopAccepting(): void {
 		this.isClosing = true;
 		this.isRefusing = true;
-		this.server.closeIdleConnections();
-		this.incoming.closeUnused();
+		afterNextPoll(() => {
+			this.server.closeIdleConnections();
+			this.incoming.closeUnused();
+		});
 	}
 
 	/**
--- a/src/gateway/test/plannedStop.test.ts
+++ b/src/gateway/test/plannedStop.test.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import { createConnection } from 'node:net';
 import { afterEach, describe, expect, test } from '@jest/globals';
 import { Effect } from 'effect';
 import {
@@ -107,4 +108,26 @@
 		expect((await response).status).toBeGreaterThanOrEqual(502);
 		expect((await incomplete).body).toContain('"verdict":"not-run"');
 	});
+
+	// Guards against a reset of a request that had arrived when idle connections were closed.
+	test('refuses a request as not run that has arrived and was not read', async () => {
+		const { port, gateway, attempts } = await startRouter([respondWith(200, 'filed')]);
+		const socket = createConnection({ port, host: '127.0.0.1' });
+		let received = '';
+		socket.on('data', (bytes) => (received += bytes.toString()));
+		socket.on('error', (error) => (received += error.message));
+		const request = `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nContent-Length: 0\r\n\r\n`;
+		socket.write(request);
+		await pause(DELAY_MS);
+		expect(received).toContain('HTTP/1.1 200');
+		received = '';
+		socket.write(request);
+		gateway.startDraining();
+		gateway.stopAccepting();
+		await Effect.runPromise(gateway.idle);
+		await pause(DELAY_MS);
+		expect(received).toContain('HTTP/1.1 503');
+		expect(received).toContain('"verdict":"not-run"');
+		expect(attempts).toHaveLength(1);
+	});
 });
