Do not count the time in which the router does not read a body

Callers saw: 503 'timed-out' for the last of four requests sent ahead, and a close, although its body had been sent. Cause: the router does not read a connection with four unanswered requests, and counted that time as the caller's.

Change: the limits of a body stand still while its connection is not read.

Conclusion: a caller answers only for its own time.

--- a/src/gateway/node/bodyReceiver.ts
+++ b/src/gateway/node/bodyReceiver.ts
@@ -101,6 +101,7 @@
 			contentLength === undefined ? limits.maximumBytes : Number(contentLength),
 			limits,
 			this.clock.now(),
+			() => request.socket.isPaused(),
 			(result) => {
 				this.incomplete.delete(reception);
 				this.withTinyChunks.delete(reception);
@@ -250,7 +251,9 @@
 		public readonly clientAddress: string,
 		private readonly maximumBytes: number,
 		private readonly limits: Pick<BodyLimits, 'idleTimeoutMs' | 'totalTimeoutMs'>,
-		private readonly startedAt: number,
+		private startedAt: number,
+		/** Whether the router does not read the connection of the body. */
+		private readonly isWithheld: () => boolean,
 		private readonly onSettled: (result: Buffer | BodyFailure) => void,
 	) {
 		this.progressedAt = startedAt;
@@ -271,6 +274,12 @@
 
 	/** Records progress since the previous sweep; returns whether one of the timeouts of the body has passed. */
 	public isOverdue(now: number): boolean {
+		if (this.isWithheld()) {
+			this.sweptAt = now;
+			this.startedAt = now;
+			this.progressedAt = now;
+			return false;
+		}
 		if (this.used > this.sweptBytes) {
 			this.sweptBytes = this.used;
 			this.sweptAt = now;
