--- a/src/store/node/httpJson.ts
+++ b/src/store/node/httpJson.ts
@@ -11,11 +11,12 @@
 	readonly body: unknown;
 }
 
-/** A failed JSON call. `sent` is true when the request may have reached the server. */
+/** A failed JSON call. `sent` is true when the request may have reached the server, `isTimeout` when no response came in time. */
 export class HttpCallError extends Error {
 	public constructor(
 		message: string,
 		public readonly sent: boolean,
+		public readonly isTimeout = false,
 	) {
 		super(message);
 	}
@@ -42,6 +43,7 @@
 	return new Promise((resolve, reject) => {
 		const payload = options.body === undefined ? undefined : Buffer.from(JSON.stringify(options.body));
 		let connected = false;
+		let isTimeout = false;
 		const request = http.request(url, {
 			method: options.method,
 			agent: options.agent,
@@ -49,11 +51,12 @@
 			headers: payload && { 'content-type': 'application/json', 'content-length': payload.length },
 		});
 		const timeout = setTimeoutAfterPoll(() => {
+			isTimeout = true;
 			request.destroy(new Error(`no response within ${options.timeoutMs} ms`));
 		}, options.timeoutMs);
 		const fail = (error: Error): void => {
 			timeout.dispose();
-			reject(new HttpCallError(error.message, connected));
+			reject(new HttpCallError(error.message, connected, isTimeout));
 		};
 		request.on('socket', (socket) => {
 			if (!socket.connecting) {
