Serve the requests before a body that is refused

Callers saw: no response to a request that was read whole, since the body of a later request of its connection was refused. Cause: such a connection was treated like one that has exceeded its bounds.

Change: what arrives after the refused body is discarded, and the requests before it are served. The state of one connection moves into a file of its own.

Conclusion: a refusal concerns its own request.

--- /dev/null
+++ b/src/gateway/node/callerConnection.ts
@@ -0,0 +1,89 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import { closeLingering } from '../../base/node/lingeringClose.js';
+import { RequestArrival } from '../common/requestArrival.js';
+
+/** A request that has been accepted and whose response is not complete. */
+export interface UnansweredRequest {
+	readonly bytes: number;
+	isRunning: boolean;
+	/** Runs the request once those before it have been answered; undefined while it is not ready or when it has run. */
+	run: (() => void) | undefined;
+}
+
+/** State of one connection of a caller. */
+export interface CallerConnection {
+	/** Network address of the client, which may be that of a load balancer. */
+	readonly address: string;
+	readonly openedAt: number;
+	readonly arrival: RequestArrival;
+	/** Request whose headers were received last. */
+	lastRequest: IncomingMessage | undefined;
+	lastResponse: ServerResponse | undefined;
+	/** In the order of their arrival. */
+	readonly unanswered: Map<ServerResponse, UnansweredRequest>;
+	unansweredBytes: number;
+	/** Not read because of unanswered requests. */
+	isPaused: boolean;
+	/** Not read because of the pace of its chunks. */
+	isHeld: boolean;
+	/** Closed after the requests that have been accepted. */
+	isEnding: boolean;
+	/** Closed after the request that is running. */
+	isClosing: boolean;
+}
+
+/**
+ * @param socket of a new connection
+ * @param openedAt monotonic milliseconds
+ * @returns the state of the connection
+ */
+export function createConnection(socket: Socket, openedAt: number): CallerConnection {
+	return {
+		address: socket.remoteAddress ?? '',
+		openedAt,
+		arrival: RequestArrival.create(openedAt),
+		lastRequest: undefined,
+		lastResponse: undefined,
+		unanswered: new Map(),
+		unansweredBytes: 0,
+		isPaused: false,
+		isHeld: false,
+		isEnding: false,
+		isClosing: false,
+	};
+}
+
+/**
+ * Closes a connection after its last response, which its caller can read also if it has sent more.
+ *
+ * @param socket of the connection
+ * @param connection state of the connection
+ */
+export function closeSoon(socket: Socket, connection: CallerConnection): void {
+	if (connection.isPaused || connection.isHeld || connection.lastRequest?.complete === false) {
+		connection.isPaused = false;
+		connection.isHeld = false;
+		closeLingering(socket);
+	} else {
+		Socket.prototype.destroySoon.call(socket);
+	}
+}
+
+/**
+ * @param connection state of a connection
+ * @returns whether a request of the connection is running
+ */
+export function hasRunning({ unanswered }: CallerConnection): boolean {
+	return [...unanswered.values()].some(({ isRunning }) => isRunning);
+}
+
+/**
+ * Reports to a response without a connection that it has been closed.
+ *
+ * @param response that Node does not report the close to
+ */
+export function reportClose(response: ServerResponse): void {
+	response.destroy();
+	response.emit('close');
+}
--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -1,10 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { IClock } from '../../base/common/clock.js';
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
 import { resetConnection } from '../../base/node/brokenResponse.js';
 import { closeLingering, discardInput, ignoreFurtherRequests } from '../../base/node/lingeringClose.js';
-import { type ArrivalLimits, type OverdueArrival, RequestArrival } from '../common/requestArrival.js';
+import type { ArrivalLimits, OverdueArrival } from '../common/requestArrival.js';
+import { type CallerConnection, closeSoon, createConnection, hasRunning, reportClose } from './callerConnection.js';
 import type { ConnectionReading } from './chunkPacer.js';
 
 /** Unanswered requests of a connection at which it is not read until some of them are answered. */
@@ -31,34 +32,6 @@
 /** What becomes of a request: it is served, it must be refused for want of memory, or its connection is being closed. */
 export type ConnectionDecision = 'accepted' | 'no-memory' | 'closing';
 
-interface UnansweredRequest {
-	readonly bytes: number;
-	isRunning: boolean;
-	/** Runs the request once those before it have been answered; undefined while it is not ready or when it has run. */
-	run: (() => void) | undefined;
-}
-
-interface CallerConnection {
-	/** Network address of the client, which may be that of a load balancer. */
-	readonly address: string;
-	readonly openedAt: number;
-	readonly arrival: RequestArrival;
-	/** Request whose headers were received last. */
-	lastRequest: IncomingMessage | undefined;
-	lastResponse: ServerResponse | undefined;
-	/** In the order of their arrival. */
-	readonly unanswered: Map<ServerResponse, UnansweredRequest>;
-	unansweredBytes: number;
-	/** Not read because of unanswered requests. */
-	isPaused: boolean;
-	/** Not read because of the pace of its chunks. */
-	isHeld: boolean;
-	/** Closed after the requests that have been accepted. */
-	isEnding: boolean;
-	/** Closed after the request that is running. */
-	isClosing: boolean;
-}
-
 /**
  * Bounds what each connection of a caller holds: unanswered requests are counted, charged to the budget and run one after
  * the other, and the connection is not read while there are too many.
@@ -101,20 +74,7 @@
 		if (socket.destroyed) {
 			return;
 		}
-		const openedAt = this.clock.now();
-		const connection: CallerConnection = {
-			address: socket.remoteAddress ?? '',
-			openedAt,
-			arrival: RequestArrival.create(openedAt),
-			lastRequest: undefined,
-			lastResponse: undefined,
-			unanswered: new Map(),
-			unansweredBytes: 0,
-			isPaused: false,
-			isHeld: false,
-			isEnding: false,
-			isClosing: false,
-		};
+		const connection = createConnection(socket, this.clock.now());
 		this.connections.set(socket, connection);
 		// Node calls this after a response that announces the close.
 		socket.destroySoon = () => closeSoon(socket, connection);
@@ -131,6 +91,14 @@
 		});
 	}
 
+	/**
+	 * @param socket of a connection
+	 * @returns whether the body of the last request of the connection is still arriving
+	 */
+	public isReceiving(socket: Socket): boolean {
+		return this.connections.get(socket)?.lastRequest?.complete === false;
+	}
+
 	/**
 	 * @param socket of a connection
 	 * @returns whether the connection has an unanswered request
@@ -292,17 +260,18 @@
 	}
 
 	/**
-	 * Discards everything behind the requests that have been accepted, and closes the connection after them. A request that has
-	 * not been received completely is given up with the connection.
+	 * Discards everything that still arrives on a connection, and closes it after the requests that have been accepted.
 	 *
-	 * @param socket of a connection with unanswered requests
+	 * @param socket of a connection whose last request has been received completely or refused
 	 */
 	public endBehindAccepted(socket: Socket): void {
-		if (this.connections.get(socket)?.lastRequest?.complete === false) {
-			socket.destroy();
+		const connection = this.connections.get(socket);
+		if (connection === undefined || connection.isClosing) {
 			return;
 		}
 		this.endAfter(socket);
+		connection.isPaused = false;
+		connection.isHeld = false;
 		discardInput(socket);
 	}
 
@@ -322,16 +291,7 @@
 		}
 	}
 
-	/**
-	 * Stops reading a connection that is closed after the responses that have been started.
-	 *
-	 * @param socket of the connection
-	 */
-	public stopReading(socket: Socket): void {
-		const connection = this.connections.get(socket);
-		if (connection?.isClosing !== false) {
-			return;
-		}
+	private stopReading(socket: Socket, connection: CallerConnection): void {
 		connection.isClosing = true;
 		connection.isPaused = true;
 		ignoreFurtherRequests(socket);
@@ -351,7 +311,7 @@
 
 	/** Closes a connection after the response in progress, or at once if no request of it is running. */
 	private close(socket: Socket, connection: CallerConnection): void {
-		this.stopReading(socket);
+		this.stopReading(socket, connection);
 		if (!hasRunning(connection)) {
 			socket.destroy();
 		}
@@ -391,24 +351,3 @@
 		}
 	}
 }
-
-/** Closes a connection after its last response, which its caller can read also if it has sent more. */
-function closeSoon(socket: Socket, connection: CallerConnection): void {
-	if (connection.isPaused || connection.isHeld || connection.lastRequest?.complete === false) {
-		connection.isPaused = false;
-		connection.isHeld = false;
-		closeLingering(socket);
-	} else {
-		Socket.prototype.destroySoon.call(socket);
-	}
-}
-
-function hasRunning({ unanswered }: CallerConnection): boolean {
-	return [...unanswered.values()].some(({ isRunning }) => isRunning);
-}
-
-/** Reports to a response without a connection that it has been closed. */
-function reportClose(response: ServerResponse): void {
-	response.destroy();
-	response.emit('close');
-}
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -429,7 +429,7 @@
 			} else if (failure !== 'incomplete') {
 				this.limitLog.record(failure);
 				refuseForMemory(failure, routing);
-				this.connectionsOfCallers.stopReading(request.socket);
+				this.connectionsOfCallers.endBehindAccepted(request.socket);
 			}
 		};
 		const decision = this.loadShedder.decide(
@@ -643,7 +643,7 @@
 			return;
 		}
 		if (this.connectionsOfCallers.isBusy(socket)) {
-			if (socket.readableEnded) {
+			if (socket.readableEnded || this.connectionsOfCallers.isReceiving(socket)) {
 				socket.destroy();
 			} else {
 				this.connectionsOfCallers.endBehindAccepted(socket);
--- a/src/gateway/test/connectionEnds.test.ts
+++ b/src/gateway/test/connectionEnds.test.ts
@@ -138,6 +138,19 @@
 	});
 });
 
+describe('a body that is refused', () => {
+	// Guards against dropping requests that were accepted before it on the same connection.
+	test('does not end the requests before it', async () => {
+		const { port, attempts } = await startRouter(later(respondWith(200, 'filed')), BUDGET_BYTES);
+		const { socket, responses, end } = connect(port);
+		socket.write(requestText('first') + requestText('second'));
+		socket.write(requestText('large', `Content-Length: ${1.5 * BUDGET_BYTES}\r\n`) + 'x'.repeat(1.2 * BUDGET_BYTES));
+		await waitUntil(() => end() !== undefined);
+		expect(responses()).toEqual(['200 keep-alive', '200 keep-alive', '503 close']);
+		expect(attempts).toHaveLength(2);
+	});
+});
+
 describe('what is not HTTP behind a request', () => {
 	// Guards against taking the response from a request that is running, and that may not be repeated.
 	test('does not end the request', async () => {
