Poll once more before slow callers are disconnected

Seen in a test: while memory for responses is short, a caller that had read during a pause of the process was disconnected after it. Cause: the check runs on a timer, before the sockets are polled.

Change: it runs after one more poll.

Test: slowCallerPause.test.ts failed before; it and slowReaders.test.ts pass (11 tests).

--- a/src/gateway/node/slowCallerMonitor.ts
+++ b/src/gateway/node/slowCallerMonitor.ts
@@ -1,4 +1,5 @@
 import type { IDisposable } from '../../base/common/lifecycle.js';
+import { afterNextPoll } from '../../base/node/eventLoop.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { ResponseBuffering } from '../common/responseBuffering.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -8,7 +9,7 @@
 
 /** Disconnects callers that do not read their responses, and reports what is held for slow callers. */
 export class SlowCallerMonitor implements IDisposable {
-	private readonly timer = setInterval(() => this.disconnectStalled(), CHECK_INTERVAL_MS).unref();
+	private readonly timer = setInterval(() => afterNextPoll(() => this.disconnectStalled()), CHECK_INTERVAL_MS).unref();
 	private disconnected = 0;
 
 	private constructor(
