--- a/src/gateway/test/callerLimits.test.ts
+++ b/src/gateway/test/callerLimits.test.ts
@@ -14,6 +14,7 @@
 	send,
 	serverOf,
 	startGateway,
+	waitUntil,
 } from './gatewayFixture.js';
 
 const DELAY_MS = 60;
@@ -64,13 +65,6 @@
 	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\n${headers}\r\n${body}`;
 }
 
-async function waitUntil(condition: () => boolean): Promise<void> {
-	for (const end = performance.now() + 5_000; !condition() && performance.now() < end;) {
-		await pause(5);
-	}
-	expect(condition()).toBe(true);
-}
-
 function statusesOf(text: string): readonly string[] {
 	return [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status ?? '');
 }
--- a/src/gateway/test/callerOrders.test.ts
+++ b/src/gateway/test/callerOrders.test.ts
@@ -9,6 +9,7 @@
 	HOST,
 	KEY,
 	pause,
+	pauseProcess,
 	respondWith,
 	routeWith,
 	serverOf,
@@ -137,8 +138,7 @@
 	const orders = fc.sample(callerOrders, { seed, numRuns: CONNECTIONS });
 	const [router] = fc.sample(routerOrders, { seed, numRuns: 1 });
 	const timers = [
-		router?.pauseAt !== undefined &&
-			setTimeout(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS), router.pauseAt),
+		router?.pauseAt !== undefined && setTimeout(() => pauseProcess(PAUSE_MS), router.pauseAt),
 		router?.drainAt !== undefined && setTimeout(() => gateway.startDraining(), router.drainAt),
 		router?.drainAt !== undefined && setTimeout(() => gateway.stopAccepting(), router.drainAt + DRAIN_MS),
 	];
--- a/src/gateway/test/callerTimeouts.test.ts
+++ b/src/gateway/test/callerTimeouts.test.ts
@@ -8,10 +8,12 @@
 	HOST,
 	KEY,
 	pause,
+	pauseProcess,
 	respondWith,
 	routeWith,
 	serverOf,
 	startGateway,
+	waitUntil,
 } from './gatewayFixture.js';
 
 const HEADER_TIMEOUT_MS = 400;
@@ -75,19 +77,12 @@
 	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\nContent-Length: 4\r\n\r\nbody`;
 }
 
-async function waitUntil(condition: () => boolean, limitMs = OVERDUE_LIMIT_MS): Promise<void> {
-	for (const end = performance.now() + limitMs; !condition() && performance.now() < end;) {
-		await pause(5);
-	}
-	expect(condition()).toBe(true);
-}
-
 /** Sends text and stops the process, so that the text is received and not read. */
 async function sendAndPause(socket: Socket, text: string): Promise<void> {
 	// The next phase of the event loop is the one of the timers.
 	await new Promise((resolve) => setImmediate(resolve));
 	socket.write(text);
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS);
+	pauseProcess(PAUSE_MS);
 }
 
 const WHOLE = requestText('late');
@@ -105,15 +100,15 @@
 			const { socket, statuses } = connect(port);
 			const answered = before === '' ? [] : ['200'];
 			socket.write(before);
-			await waitUntil(() => statuses().length === answered.length);
+			await waitUntil(() => statuses().length === answered.length, OVERDUE_LIMIT_MS);
 			socket.write(WHOLE.slice(0, HALF));
-			await waitUntil(() => statuses().length > answered.length);
+			await waitUntil(() => statuses().length > answered.length, OVERDUE_LIMIT_MS);
 			socket.write(WHOLE.slice(HALF) + requestText('further'));
 			await pause(200);
 			expect(statuses()).toEqual([...answered, '408']);
 			expect(attempts).toHaveLength(answered.length);
 			socket.write(requestText('later'));
-			await waitUntil(() => socket.readableEnded);
+			await waitUntil(() => socket.readableEnded, OVERDUE_LIMIT_MS);
 			expect(attempts).toHaveLength(answered.length);
 		},
 		TEST_TIMEOUT_MS,
@@ -127,7 +122,7 @@
 			const silent = connect(port);
 			const overdue = connect(port);
 			overdue.socket.write(WHOLE.slice(0, HALF));
-			await waitUntil(() => overdue.statuses().length > 0);
+			await waitUntil(() => overdue.statuses().length > 0, OVERDUE_LIMIT_MS);
 			silent.socket.write(requestText('first'));
 			await waitUntil(() => silent.statuses().length > 0);
 			expect(silent.statuses()).toEqual(['200']);
@@ -165,7 +160,7 @@
 			const { port, gateway } = await startRouter();
 			const { socket, statuses } = connect(port);
 			socket.write(text);
-			await waitUntil(() => statuses().length > 0);
+			await waitUntil(() => statuses().length > 0, OVERDUE_LIMIT_MS);
 			await waitUntil(() => gateway.connections === 0, 5_000);
 		},
 		TEST_TIMEOUT_MS,
@@ -179,7 +174,7 @@
 		const { statuses, socket } = connect(port);
 		await waitUntil(() => gateway.connections === 1);
 		await waitUntil(() => gateway.connections === 0, 8_000);
-		await waitUntil(() => socket.readableEnded);
+		await waitUntil(() => socket.readableEnded, OVERDUE_LIMIT_MS);
 		expect(statuses()).toEqual([]);
 	});
 });
--- a/src/gateway/test/connectionEnds.test.ts
+++ b/src/gateway/test/connectionEnds.test.ts
@@ -12,6 +12,7 @@
 	routeWith,
 	serverOf,
 	startGateway,
+	waitUntil,
 } from './gatewayFixture.js';
 
 const DELAY_MS = 60;
@@ -69,13 +70,6 @@
 	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\n${headers}\r\n`;
 }
 
-async function waitUntil(condition: () => boolean): Promise<void> {
-	for (const end = performance.now() + 5_000; !condition() && performance.now() < end;) {
-		await pause(5);
-	}
-	expect(condition()).toBe(true);
-}
-
 function later(behaviour: BackendBehaviour): BackendBehaviour {
 	return (...parameters) => Effect.andThen(Effect.sleep(DELAY_MS), behaviour(...parameters));
 }
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -323,9 +323,33 @@
 	return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+/**
+ * Waits for a condition.
+ *
+ * @param condition to wait for
+ * @param limitMs milliseconds after which the test fails
+ */
+export async function waitUntil(condition: () => boolean, limitMs = 5_000): Promise<void> {
+	for (const end = performance.now() + limitMs; !condition() && performance.now() < end;) {
+		await pause(5);
+	}
+	if (!condition()) {
+		throw new Error(`not met within ${limitMs} ms: ${condition.toString()}`);
+	}
+}
+
+/**
+ * Stops this process, as a freeze of its machine does; the operating system goes on receiving.
+ *
+ * @param milliseconds to stand still
+ */
+export function pauseProcess(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 /** Blocks the event loop, as a saturated CPU does, until the load shedders of this process have recorded the lag. */
 export async function blockEventLoop(): Promise<void> {
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 400);
+	pauseProcess(400);
 	// A load shedder records the lag at its next timer.
 	await new Promise((resolve) => setTimeout(resolve, 60));
 }
--- a/src/gateway/test/slowCallerPause.test.ts
+++ b/src/gateway/test/slowCallerPause.test.ts
@@ -5,6 +5,7 @@
 import { ResponseBuffering } from '../common/responseBuffering.js';
 import { GatewayMetrics } from '../node/gatewayMetrics.js';
 import { SlowCallerMonitor } from '../node/slowCallerMonitor.js';
+import { pauseProcess } from './gatewayFixture.js';
 
 /** Longer than the time after which a caller that does not read is disconnected while the budget is short. */
 const PAUSE_MS = 3_500;
@@ -31,7 +32,7 @@
 	await new Promise((resolve) => setTimeout(resolve, PAUSE_MS / 10));
 	await new Promise((resolve) => setImmediate(resolve));
 	caller.write('progress');
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, PAUSE_MS);
+	pauseProcess(PAUSE_MS);
 	await new Promise((resolve) => setTimeout(resolve, PAUSE_MS / 10));
 	expect(isDisconnected).toBe(false);
 });
