Share the raw requests of tests, and one definition of an arriving body

Four test files had their own text of a request and reading of statuses, which become rawRequests.ts; 'the body of the last request is still arriving' stood in four places and becomes isReceivingBody. Two comments are wrapped.

--- a/src/gateway/node/bodyReceiver.ts
+++ b/src/gateway/node/bodyReceiver.ts
@@ -19,7 +19,8 @@
 }
 
 /**
- * Why a body was not received: it is larger than allowed, the client disconnected, it did not arrive within its timeouts, there is no memory for it, or it consists of very small chunks while the CPU is saturated.
+ * Why a body was not received: it is larger than allowed, the client disconnected, it did not arrive within its timeouts,
+ * there is no memory for it, or it consists of very small chunks while the CPU is saturated.
  */
 export type BodyFailure = 'too-large' | 'incomplete' | 'timed-out' | 'no-memory' | 'tiny-chunks';
 
--- a/src/gateway/node/callerConnection.ts
+++ b/src/gateway/node/callerConnection.ts
@@ -54,6 +54,14 @@
 	};
 }
 
+/**
+ * @param connection state of a connection
+ * @returns whether the body of the last request of the connection is still arriving
+ */
+export function isReceivingBody({ lastRequest }: CallerConnection): boolean {
+	return lastRequest?.complete === false;
+}
+
 /**
  * Closes a connection after its last response, which its caller can read also if it has sent more.
  *
@@ -61,7 +69,7 @@
  * @param connection state of the connection
  */
 export function closeSoon(socket: Socket, connection: CallerConnection): void {
-	if (connection.isPaused || connection.isHeld || connection.lastRequest?.complete === false) {
+	if (connection.isPaused || connection.isHeld || isReceivingBody(connection)) {
 		connection.isPaused = false;
 		connection.isHeld = false;
 		closeLingering(socket);
--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -5,7 +5,14 @@
 import { resetConnection } from '../../base/node/brokenResponse.js';
 import { closeLingering, discardInput, ignoreFurtherRequests } from '../../base/node/lingeringClose.js';
 import type { ArrivalLimits, OverdueArrival } from '../common/requestArrival.js';
-import { type CallerConnection, closeSoon, createConnection, hasRunning, reportClose } from './callerConnection.js';
+import {
+	type CallerConnection,
+	closeSoon,
+	createConnection,
+	hasRunning,
+	isReceivingBody,
+	reportClose,
+} from './callerConnection.js';
 import type { ConnectionReading } from './chunkPacer.js';
 
 /** Unanswered requests of a connection at which it is not read until some of them are answered. */
@@ -96,7 +103,8 @@
 	 * @returns whether the body of the last request of the connection is still arriving
 	 */
 	public isReceiving(socket: Socket): boolean {
-		return this.connections.get(socket)?.lastRequest?.complete === false;
+		const connection = this.connections.get(socket);
+		return connection !== undefined && isReceivingBody(connection);
 	}
 
 	/**
@@ -169,7 +177,7 @@
 			connection.unansweredBytes -= bytes;
 			unanswered.delete(response);
 			if (unanswered.size === 0) {
-				connection.arrival.recordAnswer(socket.bytesRead, connection.lastRequest?.complete === false);
+				connection.arrival.recordAnswer(socket.bytesRead, isReceivingBody(connection));
 			}
 			this.proceed(socket, connection);
 		});
@@ -217,11 +225,11 @@
 	 * @returns the connections, and what is overdue on each
 	 */
 	public findOverdue(now: number, limits: ArrivalLimits): readonly (readonly [Socket, OverdueArrival])[] {
-		return [...this.connections].flatMap(([socket, { arrival, lastRequest, unanswered, isClosing }]) => {
-			if (isClosing || unanswered.size > 0) {
+		return [...this.connections].flatMap(([socket, connection]) => {
+			if (connection.isClosing || connection.unanswered.size > 0) {
 				return [];
 			}
-			const overdue = arrival.findOverdue(socket.bytesRead, lastRequest?.complete === false, now, limits);
+			const overdue = connection.arrival.findOverdue(socket.bytesRead, isReceivingBody(connection), now, limits);
 			return overdue === undefined ? [] : [[socket, overdue] as const];
 		});
 	}
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -287,9 +287,9 @@
 	}
 
 	/**
-	 * Refuses new requests, and those that have not been sent to a server, and closes connections on which nothing has arrived. The server
-	 * continues to listen until the end, since a load balancer without another instance continues to send connections, and
-	 * a refusal is more informative than a reset.
+	 * Refuses new requests, and those that have not been sent to a server, and closes connections on which nothing has
+	 * arrived. The server continues to listen until the end, since a load balancer without another instance continues to send
+	 * connections, and a refusal is more informative than a reset.
 	 */
 	public stopAccepting(): void {
 		this.isClosing = true;
--- a/src/gateway/test/callerLimits.test.ts
+++ b/src/gateway/test/callerLimits.test.ts
@@ -6,8 +6,6 @@
 	type BackendBehaviour,
 	configurationWith,
 	type GatewayFixture,
-	HOST,
-	KEY,
 	pause,
 	respondWith,
 	routeWith,
@@ -16,6 +14,7 @@
 	startGateway,
 	waitUntil,
 } from './gatewayFixture.js';
+import { requestText, statusesOf } from './rawRequests.js';
 
 const DELAY_MS = 60;
 const BUDGET_BYTES = 400_000;
@@ -61,14 +60,6 @@
 	return { socket, received: () => received };
 }
 
-function requestText(id: string, headers = 'Content-Length: 0\r\n', body = ''): string {
-	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\n${headers}\r\n${body}`;
-}
-
-function statusesOf(text: string): readonly string[] {
-	return [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status ?? '');
-}
-
 describe('requests pipelined on one connection', () => {
 	// Guards against one connection that occupies a connection to a server for each request that it has sent.
 	test('run one after the other and are all answered', async () => {
--- a/src/gateway/test/callerOrders.test.ts
+++ b/src/gateway/test/callerOrders.test.ts
@@ -15,6 +15,7 @@
 	serverOf,
 	startGateway,
 } from './gatewayFixture.js';
+import { statusesOf } from './rawRequests.js';
 
 /** Seeds of the orders; more by hand: `ORDERS_SEEDS=100-150 npm test -- src/gateway/test/callerOrders.test.ts`. */
 const [FIRST_SEED = 1, LAST_SEED = 3] = (process.env.ORDERS_SEEDS ?? '1-3').split('-').map(Number);
@@ -129,7 +130,7 @@
 		sent = end;
 		await pause(waitMs);
 	}
-	return () => [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status));
+	return () => statusesOf(received).map(Number);
 }
 
 /** Plays generated orders of all callers and of the router at once, and returns the promises that were broken. */
--- a/src/gateway/test/callerTimeouts.test.ts
+++ b/src/gateway/test/callerTimeouts.test.ts
@@ -6,7 +6,6 @@
 	configurationWith,
 	type GatewayFixture,
 	HOST,
-	KEY,
 	pause,
 	pauseProcess,
 	respondWith,
@@ -15,6 +14,7 @@
 	startGateway,
 	waitUntil,
 } from './gatewayFixture.js';
+import { requestText, statusesOf } from './rawRequests.js';
 
 const HEADER_TIMEOUT_MS = 400;
 const IDLE_TIMEOUT_MS = 45_000;
@@ -70,11 +70,11 @@
 	socket.on('data', (bytes) => (received += bytes.toString()));
 	socket.on('error', () => undefined);
 	sockets.push(socket);
-	return { socket, statuses: () => [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status ?? '') };
+	return { socket, statuses: () => statusesOf(received) };
 }
 
-function requestText(id: string): string {
-	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\nContent-Length: 4\r\n\r\nbody`;
+function textWithBody(id: string): string {
+	return requestText(id, 'Content-Length: 4\r\n', 'body');
 }
 
 /** Sends text and stops the process, so that the text is received and not read. */
@@ -85,14 +85,14 @@
 	pauseProcess(PAUSE_MS);
 }
 
-const WHOLE = requestText('late');
+const WHOLE = textWithBody('late');
 const HALF = WHOLE.length / 2;
 
 describe('the header timeout', () => {
 	// Guards against a request that runs although its caller was told with a 408 that it never will.
 	test.each([
 		['begun', ''],
-		['begun behind an answered one', requestText('answered')],
+		['begun behind an answered one', textWithBody('answered')],
 	])(
 		'refuses a request %s for good',
 		async (_, before) => {
@@ -103,11 +103,11 @@
 			await waitUntil(() => statuses().length === answered.length, OVERDUE_LIMIT_MS);
 			socket.write(WHOLE.slice(0, HALF));
 			await waitUntil(() => statuses().length > answered.length, OVERDUE_LIMIT_MS);
-			socket.write(WHOLE.slice(HALF) + requestText('further'));
+			socket.write(WHOLE.slice(HALF) + textWithBody('further'));
 			await pause(200);
 			expect(statuses()).toEqual([...answered, '408']);
 			expect(attempts).toHaveLength(answered.length);
-			socket.write(requestText('later'));
+			socket.write(textWithBody('later'));
 			await waitUntil(() => socket.readableEnded, OVERDUE_LIMIT_MS);
 			expect(attempts).toHaveLength(answered.length);
 		},
@@ -123,10 +123,10 @@
 			const overdue = connect(port);
 			overdue.socket.write(WHOLE.slice(0, HALF));
 			await waitUntil(() => overdue.statuses().length > 0, OVERDUE_LIMIT_MS);
-			silent.socket.write(requestText('first'));
+			silent.socket.write(textWithBody('first'));
 			await waitUntil(() => silent.statuses().length > 0);
 			expect(silent.statuses()).toEqual(['200']);
-			silent.socket.write(requestText('second'));
+			silent.socket.write(textWithBody('second'));
 			await waitUntil(() => silent.statuses().length === 2);
 			expect(silent.statuses()).toEqual(['200', '200']);
 		},
@@ -142,7 +142,7 @@
 			await pause(HEADER_TIMEOUT_MS);
 			socket.write('x');
 		}
-		socket.write(requestText('next'));
+		socket.write(textWithBody('next'));
 		await waitUntil(() => statuses().length === 2);
 		expect(statuses()).toEqual(['404', '200']);
 		expect(gateway.connections).toBe(1);
@@ -199,7 +199,7 @@
 	test('is served: the next request on a connection that was idle', async () => {
 		const { port, gateway } = await startRouter(0);
 		const { socket, statuses } = connect(port);
-		socket.write(requestText('first'));
+		socket.write(textWithBody('first'));
 		await waitUntil(() => statuses().length === 1);
 		const idleSince = performance.now();
 		// The idle timeout of the server, less the time in which the request arrives.
@@ -216,7 +216,7 @@
 	test('does not run while the router does not read the connection', async () => {
 		const { port } = await startRouter(SHORT_IDLE_MS, MAXIMUM_CONNECTIONS, 1.4 * SHORT_IDLE_MS);
 		const { socket, statuses } = connect(port);
-		socket.write(['1', '2', '3'].map(requestText).join('') + WHOLE.slice(0, -2));
+		socket.write(['1', '2', '3'].map(textWithBody).join('') + WHOLE.slice(0, -2));
 		await pause(SHORT_IDLE_MS / 4);
 		socket.write(WHOLE.slice(-2));
 		await waitUntil(() => statuses().length === 4 || socket.readableEnded || socket.destroyed);
--- a/src/gateway/test/connectionEnds.test.ts
+++ b/src/gateway/test/connectionEnds.test.ts
@@ -5,8 +5,6 @@
 	type BackendBehaviour,
 	configurationWith,
 	type GatewayFixture,
-	HOST,
-	KEY,
 	pause,
 	respondWith,
 	routeWith,
@@ -14,6 +12,7 @@
 	startGateway,
 	waitUntil,
 } from './gatewayFixture.js';
+import { requestText } from './rawRequests.js';
 
 const DELAY_MS = 60;
 const BUDGET_BYTES = 400_000;
@@ -66,10 +65,6 @@
 	return { socket, responses, end: () => end };
 }
 
-function requestText(id: string, headers = 'Content-Length: 0\r\n'): string {
-	return `POST /orders/1 HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: ${KEY}\r\nRequest-Id: ${id}\r\n${headers}\r\n`;
-}
-
 function later(behaviour: BackendBehaviour): BackendBehaviour {
 	return (...parameters) => Effect.andThen(Effect.sleep(DELAY_MS), behaviour(...parameters));
 }
