--- a/review/common-3/deployment.mjs
+++ b/review/common-3/deployment.mjs
@@ -9,10 +9,14 @@
 const ZONES = ['mid-a', 'mid-b', 'mid-c', 'mid-d'];
 const CASE_LIMIT_MS = 110_000;
 
+/** Third number of the addresses of the routers. */
+const routerNetwork = 10 + (process.pid % 240);
+
 export const isTroubled = process.env.TROUBLE !== '0';
 
 /**
- * @param network second number of the loopback addresses of the case
+ * @param network second number of the loopback addresses of the case; the third one of the routers' addresses follows from the
+ * process, so that no two runs use the same ones
  * @param options numbers of routers, engines and plain servers, and the operator's configuration
  */
 export async function startDeployment(network, { routers = 2, engines = 2, plain = 2, config = configuration() } = {}) {
@@ -29,7 +33,7 @@
 	}
 	const fleet = new Routers({
 		count: routers,
-		addressOf: (index) => `127.${network}.1.${index}`,
+		addressOf: (index) => `127.${network}.${routerNetwork}.${index}`,
 		storeOf: () => storeAddress,
 	});
 	return { store, servers, fleet };
--- a/review/common-3/routers.mjs
+++ b/review/common-3/routers.mjs
@@ -7,12 +7,14 @@
 import { join } from 'node:path';
 import process from 'node:process';
 import { fileURLToPath, URL } from 'node:url';
+import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const CALLERS_PORT = 18_783;
 const READINESS_PORT = 18_780;
 const PEERS_PORT = 18_785;
+const MEMORY_CHECK_INTERVAL_MS = 20;
 
 /** The words of the `run` line in deploy/system.toml. */
 function runLine() {
@@ -158,6 +160,26 @@
 		}
 	}
 
+	/**
+	 * Kills a router when it exceeds its memory, as the platform does.
+	 *
+	 * @param limitMb value of `limits.memory_mb`
+	 * @returns the most memory that was seen, and whether the router was killed
+	 */
+	limitMemory(index, limitMb) {
+		const seen = { mostMb: 0, isKilled: false };
+		const { child } = this.routers.get(index);
+		const timer = setInterval(() => {
+			seen.mostMb = Math.max(seen.mostMb, hasEnded(child) ? 0 : this.residentMb(index));
+			if (seen.mostMb > limitMb && !seen.isKilled) {
+				seen.isKilled = true;
+				child.kill('SIGKILL');
+			}
+		}, MEMORY_CHECK_INTERVAL_MS);
+		child.once('exit', () => clearInterval(timer));
+		return seen;
+	}
+
 	log(index) {
 		return readFileSync(join(this.folder, `edge-${index}.log`), 'utf8');
 	}
--- a/review/common-3/servers.mjs
+++ b/review/common-3/servers.mjs
@@ -167,6 +167,10 @@
 			response.writeHead(421, { 'x-request-id': id ?? '', 'content-length': 0 }).end();
 			return;
 		}
+		if (id === undefined) {
+			response.writeHead(400, { 'x-not-executed': '1', 'content-length': 0 }).end();
+			return;
+		}
 		this.arrivals.push({ id, at, path: request.url });
 		if (this.intercept(request, response)) {
 			return;
