--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -2,7 +2,7 @@
 // turn. Counted are its arrivals at servers later than `contact_ms` after the third crash.
 import { setTimeout as sleep } from 'node:timers/promises';
 import { URL } from 'node:url';
-import { call } from '../common-3/client.mjs';
+import { call, countStatuses, findLost, keepSending } from '../common-3/client.mjs';
 import { isTroubled, runCase, startDeployment } from '../common-3/deployment.mjs';
 import { hasEnded } from '../common-3/routers.mjs';
 import { PLAIN_SERVICE } from '../common-3/servers.mjs';
@@ -13,6 +13,8 @@
 const POISON_INTERVAL_MS = 4_000;
 const ENGINE_DOWN_MS = 2_000;
 const ROLL_GAP_MS = 1_000;
+const ORDINARY_INTERVAL_MS = 60;
+const WORK_MS = 300;
 const POISON_PATH = '/order/deadly';
 
 await runCase(new URL('record.txt', import.meta.url), async ({ record, track }) => {
@@ -30,6 +32,7 @@
 			.sort((one, other) => one.startedAt - other.startedAt);
 	let sender;
 	for (const server of servers.filter(({ service }) => service === PLAIN_SERVICE)) {
+		server.workMs = WORK_MS;
 		server.intercept = (request) => {
 			if (request.url !== POISON_PATH) {
 				return false;
@@ -46,19 +49,7 @@
 	await fleet.startAll();
 	record(`${ROUTERS} routers are ready`);
 	await sleep(CONTACT_MS + 1_000);
-	let isOver = false;
-	const ordinary = (async () => {
-		const counts = new Map();
-		for (let number = 1; !isOver; number++) {
-			const [router] = inTouch();
-			if (router !== undefined) {
-				const { status } = await call(router, { id: `ordinary-${number}`, path: '/lookup/7' });
-				counts.set(status, (counts.get(status) ?? 0) + 1);
-			}
-			await sleep(200);
-		}
-		return counts;
-	})();
+	const stopOrdinary = keepSending(() => inTouch()[0], ORDINARY_INTERVAL_MS, { path: '/order/7', body: 'order' });
 	let number = 0;
 	const sendPoison = async () => {
 		const routers = inTouch();
@@ -97,13 +88,14 @@
 			await sleep(POISON_INTERVAL_MS);
 		}
 	}
-	isOver = true;
-	const counts = await ordinary;
-	record(`ordinary requests by status: ${JSON.stringify([...counts])}`);
+	const answers = await stopOrdinary();
+	record(`ordinary orders by status: ${countStatuses(answers)}`);
 	const third = crashes[2];
 	const late = third === undefined ? [] : arrivals.filter(({ at }) => at > third + CONTACT_MS);
 	record(`crashes: ${crashes.length}; arrivals later than ${CONTACT_MS} ms after the third: ${late.length}`);
-	if (third === undefined || counts.get(200) === undefined) {
+	const lost = findLost(answers, servers).filter(({ endedAt }) => endedAt > third + CONTACT_MS);
+	record(`orders run and not answered since then: ${lost.map(({ id }) => id).join(' ') || 'none'}`);
+	if (third === undefined || answers.every(({ status }) => status !== 200)) {
 		return 2;
 	}
 	return late.length > ALLOWED_RETRIES ? 1 : 0;
