--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 # project's own program is built by the deploy file.
 set -eu
 cd "$(dirname "$0")"
-for file in common-3/*.mjs 1[1-5]/*.mjs; do
+for file in common-3/*.mjs 1[1345]/*.mjs; do
 	node --check "$file"
 done
