--- a/review/common-3/servers.mjs
+++ b/review/common-3/servers.mjs
@@ -107,6 +107,8 @@
 	async listen(port = 0) {
 		this.server = http.createServer((request, response) => this.receive(request, response));
 		this.server.keepAliveTimeout = 15_000;
+		// No limit on the number of header fields, so that the server sees all that a router sends.
+		this.server.maxHeadersCount = 0;
 		await new Promise((resolve) => this.server.listen(port, this.host, resolve));
 		this.address = `${this.host}:${this.server.address().port}`;
 		this.startHeartbeat();
