--- a/review/common-3/client.mjs
+++ b/review/common-3/client.mjs
@@ -1,8 +1,11 @@
 // A caller: one request on a new or given connection, and what its caller sees of the answer.
 import * as http from 'node:http';
 import { clearInterval, setInterval } from 'node:timers';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { HOST, KEY } from './servers.mjs';
 
+const STAGGER_MS = 30;
+
 /**
  * @param router to which the request is sent
  * @param request id, path and, where they differ from the defaults, method, headers, body and agent
@@ -31,6 +34,7 @@
 			},
 		});
 		const answer = { id, path, sentAt, status: 0, headers: {}, body: '', whole: false, error: undefined };
+		request.on('socket', () => (answer.isKept = request.reusedSocket));
 		const end = (error) => {
 			answer.error ??= error;
 			answer.endedAt ??= Date.now();
@@ -73,8 +77,32 @@
 	};
 }
 
-/** A stream that may not be resumed, of 40 events in 800 ms. */
-export const DRAFT = { path: '/draft/1', headers: { 'x-model': 'm', 'x-token-usage': '10,200' } };
+/**
+ * Sends orders on kept channels, one after the other on each.
+ *
+ * @param router to which they are sent
+ * @param channels number of channels
+ * @returns a function that stops and returns the answers
+ */
+export function keepOrdering(router, channels) {
+	const answers = [];
+	let isOver = false;
+	const order = async (channel) => {
+		await sleep(channel * STAGGER_MS); // The channels are not in step with each other.
+		const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+		for (let number = 1; !isOver && router.endedAt === undefined; number++) {
+			const id = `order-${channel}-${number}`;
+			answers.push(await call(router, { id, path: '/order/7', method: 'POST', body: 'order', agent }));
+		}
+		agent.destroy();
+	};
+	const all = Promise.all(Array.from({ length: channels }, (_, index) => order(index + 1)));
+	return async () => {
+		isOver = true;
+		await all;
+		return answers;
+	};
+}
 
 /**
  * @param answers of ordinary requests
@@ -86,6 +114,11 @@
 	return answers.filter(({ id, status, whole }) => run.has(id) && !(status === 200 && whole));
 }
 
+/** Those of the lost requests that came on a kept channel which was closed without any answer. */
+export function findLostOnKeptChannels(answers, servers) {
+	return findLost(answers, servers).filter(({ isKept, status }) => isKept === true && status === 0);
+}
+
 /** Numbers of answers by status; 0 stands for none. */
 export function countStatuses(answers) {
 	const counts = new Map();
--- a/review/common-3/routers.mjs
+++ b/review/common-3/routers.mjs
@@ -150,11 +150,11 @@
 		});
 	}
 
-	/** Resident memory of a router in megabytes; 0 once it has ended. */
+	/** Memory of a router in megabytes without the pages of files, such as its program; 0 once it has ended. */
 	residentMb(index) {
 		try {
 			const status = readFileSync(`/proc/${this.routers.get(index).child.pid}/status`, 'utf8');
-			return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1_024);
+			return Math.round(Number(/RssAnon:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1_024);
 		} catch {
 			return 0;
 		}
