Keep all header fields of requests and responses

Callers saw 200 for requests whose servers ran an empty body, or a prompt without its headers; ready responses were replaced by 502; and a response with many fields ended the router.

Cause: Node.js drops the fields of a message beyond the first 1,000 (maxHeadersCount), while its parser acts on all of them. Our code decided by what was left.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -4,6 +4,7 @@
 import { CONNECTION_HEADERS, NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
 import type { IDisposable } from '../../base/common/lifecycle.js';
 import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
+import { keepAllHeaders } from '../../base/node/headerLimits.js';
 import type {
 	BackendFailure,
 	ResponseHead,
@@ -171,6 +172,7 @@
 				agent: this.agent,
 				headers: headerList(request, endpoint.authority),
 			});
+			keepAllHeaders(outgoing);
 			attempt.start(outgoing);
 			return Effect.sync(() => {
 				this.active.delete(attempt);
--- a/src/callers/node/callerServer.ts
+++ b/src/callers/node/callerServer.ts
@@ -3,6 +3,7 @@
 import { Effect, type Exit } from 'effect';
 import { Emitter } from '../../base/common/event.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { keepAllHeaders } from '../../base/node/headerLimits.js';
 import { listenOn } from '../../base/node/listen.js';
 import type { Verdict } from '../../base/common/verdict.js';
 import { getLogger } from '../../base/node/log.js';
@@ -68,6 +69,7 @@
 	) {
 		super();
 		this.server = http.createServer((request, response) => this.handleRequest(request, response));
+		keepAllHeaders(this.server);
 		this.register(configuration.onDidChange((current) => this.configure(current)));
 		this.register(
 			toDisposable(() => {
--- a/src/gateway/node/callerConnection.ts
+++ b/src/gateway/node/callerConnection.ts
@@ -5,7 +5,6 @@
 
 /** A request that has been accepted and whose response is not complete. */
 export interface UnansweredRequest {
-	readonly bytes: number;
 	isRunning: boolean;
 	/** Runs the request once those before it have been answered; undefined while it is not ready or when it has run. */
 	run: (() => void) | undefined;
--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -27,6 +27,9 @@
 /** Memory in bytes that an unanswered request takes in addition to its headers. */
 const REQUEST_OVERHEAD_BYTES = 6_144;
 
+/** Memory in bytes that each header field takes in addition to its text: two strings, in a list and in two tables of names. */
+const FIELD_OVERHEAD_BYTES = 160;
+
 /** Fraction of the budget up to which requests behind an unanswered one are accepted, which no caller depends on. */
 const PIPELINED_FRACTION = 0.5;
 
@@ -166,14 +169,15 @@
 			this.close(socket, connection);
 			return 'closing';
 		}
-		let isReserved = this.budget.tryReserve('request', bytes);
+		const heldBytes = bytes + (FIELD_OVERHEAD_BYTES * request.rawHeaders.length) / 2;
+		let isReserved = this.budget.tryReserve('request', heldBytes);
 		while (!isReserved && this.freeMemory()) {
-			isReserved = this.budget.tryReserve('request', bytes);
+			isReserved = this.budget.tryReserve('request', heldBytes);
 		}
-		unanswered.set(response, { bytes: isReserved ? bytes : 0, isRunning: false, run: undefined });
+		unanswered.set(response, { isRunning: false, run: undefined });
 		connection.unansweredBytes += bytes;
 		response.once('close', () => {
-			this.budget.release('request', isReserved ? bytes : 0);
+			this.budget.release('request', isReserved ? heldBytes : 0);
 			connection.unansweredBytes -= bytes;
 			unanswered.delete(response);
 			if (unanswered.size === 0) {
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -8,6 +8,7 @@
 import { isProcessPause } from '../../base/common/processPause.js';
 import { afterNextPoll, nextPoll } from '../../base/node/eventLoop.js';
 import { breakOff } from '../../base/node/brokenResponse.js';
+import { keepAllHeaders } from '../../base/node/headerLimits.js';
 import { listenOn } from '../../base/node/listen.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
 import { OpenRequests } from '../../callers/node/openRequests.js';
@@ -159,6 +160,7 @@
 			},
 			(request, response) => this.runGuarded(response, () => this.accept(request, response)),
 		);
+		keepAllHeaders(this.server);
 		this.server.on('checkExpectation', (request: http.IncomingMessage, response: http.ServerResponse) =>
 			this.runGuarded(response, () => this.accept(request, response)),
 		);
--- a/src/gateway/test/callerLimits.test.ts
+++ b/src/gateway/test/callerLimits.test.ts
@@ -60,6 +60,11 @@
 	return { socket, received: () => received };
 }
 
+/** Short fields, whose text is far smaller than the memory that they take. */
+function shortFields(count: number): string {
+	return Array.from({ length: count }, (_, index) => `${index.toString(36)}:\r\n`).join('');
+}
+
 describe('requests pipelined on one connection', () => {
 	// Guards against one connection that occupies a connection to a server for each request that it has sent.
 	test('run one after the other and are all answered', async () => {
@@ -143,3 +148,19 @@
 		expect(attempts).toHaveLength(0);
 	});
 });
+
+describe('requests with many header fields', () => {
+	// Guards against a heap that is exhausted by short fields, which are charged by their text only.
+	test('are charged for each field until they are answered', async () => {
+		const { port } = await startRouter(later(later(respondWith(200, 'filed'))), BUDGET_BYTES);
+		const text = requestText('request-1', `${shortFields(400)}Content-Length: 0\r\n`);
+		const connections = Array.from({ length: 8 }, () => connect(port, text));
+		await waitUntil(() => connections.every(({ received }) => statusesOf(received()).length === 1));
+		const statuses = connections.flatMap(({ received }) => statusesOf(received()));
+		expect(statuses.filter((status) => status === '200').length).toBeGreaterThan(0);
+		expect(statuses.filter((status) => status === '503').length).toBeGreaterThan(0);
+		const next = connect(port, text);
+		await waitUntil(() => statusesOf(next.received()).length === 1);
+		expect(statusesOf(next.received())).toEqual(['200']);
+	});
+});
--- a/src/store/node/httpJson.ts
+++ b/src/store/node/httpJson.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
+import { keepAllHeaders } from '../../base/node/headerLimits.js';
 
 /** Maximum size of a response body. A snapshot of a thousand servers takes 0.5 MB, and a single value up to 1.4 MB. */
 const MAXIMUM_BODY_BYTES = 33_554_432;
@@ -50,6 +51,7 @@
 			signal: options.signal,
 			headers: payload && { 'content-type': 'application/json', 'content-length': payload.length },
 		});
+		keepAllHeaders(request);
 		const timeout = setTimeoutAfterPoll(() => {
 			isTimeout = true;
 			request.destroy(new Error(`no response within ${options.timeoutMs} ms`));
