Contain exceptions in all listeners of an attempt

A single response with the lines 'Transfer-Encoding: chunked' and 'Transfer-Encoding: ' ended the router process, with all requests that it was running.

Cause: we took the response for one that ends with its connection, the parser for a chunked one. The parser released the connection; our listener for its end stayed, and read the address of the socket that the response no longer had. That listener, like those for errors, interim responses and new connections, was not contained.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -221,45 +221,49 @@
 
 	public start(outgoing: http.ClientRequest): void {
 		this.outgoing = outgoing;
-		outgoing.on('socket', (socket) => {
-			if (socket.destroyed) {
-				// The connection has already failed, for example for lack of a file descriptor. Nothing was sent, and the
-				// socket's error is reported later.
-				setImmediate(() => this.fail('unreachable', 'the connection ended before it was used'));
-				return;
-			}
-			if (!socket.connecting) {
-				this.send();
-				return;
-			}
-			const giveUp = (): void => void outgoing.destroy(new Error('no connection in time'));
-			const timeout = setTimeoutAfterPoll(giveUp, CONNECT_TIMEOUT_MS);
-			socket.once('close', () => timeout.dispose());
-			socket.once('connect', () => {
-				timeout.dispose();
-				this.send();
-			});
-		});
-		outgoing.on('error', (error) => {
-			// An error after the last byte of the response, such as surplus bytes, only concerns the connection.
-			if (this.response?.complete !== true) {
-				this.fail(this.sent ? 'broken' : 'unreachable', error.message);
-			}
-		});
+		outgoing.on('socket', (socket) => this.contain(() => this.useConnection(outgoing, socket)));
+		outgoing.on('error', (error) => this.contain(() => this.handleError(error)));
 		let interimResponses = 0;
 		outgoing.on('information', () => {
 			if (++interimResponses > MAXIMUM_INTERIM_RESPONSES) {
-				this.fail('broken', 'sent interim answers without end');
+				this.contain(() => this.fail('broken', 'sent interim answers without end'));
 				outgoing.destroy();
 			}
 		});
 		outgoing.on('upgrade', (_, socket) => {
-			this.fail('broken', 'answered with an upgrade that was not asked for');
+			this.contain(() => this.fail('broken', 'answered with an upgrade that was not asked for'));
 			socket.destroy();
 		});
 		outgoing.on('response', (response) => this.contain(() => this.receive(response)));
 	}
 
+	private useConnection(outgoing: http.ClientRequest, socket: Socket): void {
+		if (socket.destroyed) {
+			// The connection has already failed, for example for lack of a file descriptor. Nothing was sent, and the
+			// socket's error is reported later.
+			setImmediate(() => this.contain(() => this.fail('unreachable', 'the connection ended before it was used')));
+			return;
+		}
+		if (!socket.connecting) {
+			this.send();
+			return;
+		}
+		const giveUp = (): void => void outgoing.destroy(new Error('no connection in time'));
+		const timeout = setTimeoutAfterPoll(giveUp, CONNECT_TIMEOUT_MS);
+		socket.once('close', () => timeout.dispose());
+		socket.once('connect', () => {
+			timeout.dispose();
+			this.contain(() => this.send());
+		});
+	}
+
+	private handleError(error: Error): void {
+		// An error after the last byte of the response, such as surplus bytes, only concerns the connection.
+		if (this.response?.complete !== true) {
+			this.fail(this.sent ? 'broken' : 'unreachable', error.message);
+		}
+	}
+
 	/** Closes the connection when no data has arrived for too long. */
 	public checkSilence(): void {
 		this.silentChecks++;
@@ -332,15 +336,17 @@
 		}
 		if (!isSelfDelimited(this.request.method, response)) {
 			this.connectionEnd = 'failed';
-			response.socket.prependOnceListener('end', () => {
-				this.connectionEnd = this.classifyEnd(response.socket);
-			});
+			// The response loses its socket when the parser takes it for complete, and the connection may be used again.
+			const { socket } = response;
+			const recordEnd = (): void => this.contain(() => (this.connectionEnd = this.classifyEnd(socket)));
+			socket.prependOnceListener('end', recordEnd);
+			response.once('close', () => socket.off('end', recordEnd));
 		}
 		this.sink.head({ status, headers: filterHeaders(response.headers, HOP_BY_HOP_HEADERS) });
 		response.on('data', (chunk: Buffer) => this.contain(() => this.passOn(response, chunk)));
 		response.on('end', () => this.contain(() => this.endResponse()));
-		response.on('error', (error) => this.fail('broken', error.message));
-		response.on('close', () => this.fail('broken', 'broke off its answer'));
+		response.on('error', (error) => this.contain(() => this.fail('broken', error.message)));
+		response.on('close', () => this.contain(() => this.fail('broken', 'broke off its answer')));
 	}
 
 	private passOn(response: http.IncomingMessage, chunk: Buffer): void {
