Pass header fields on as they were sent

Repeated fields reached servers and callers joined by commas, or with their first value only; a repeated deadline of 4,000 ms became one of 1 ms; a field named __proto__ was lost; and a request whose connection header lists X-Model ran without it.

Cause: IncomingMessage.headers, in which Node.js merges fields by rules of its own, was taken for what had been sent.

Fields are collected from the raw list. A request is refused with 400 where the router would have to choose between different values of its host, identifier, key, deadline or resumption.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -1,7 +1,13 @@
 import * as http from 'node:http';
 import type { Socket } from 'node:net';
 import { Effect } from 'effect';
-import { CONNECTION_HEADERS, NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
+import {
+	collectFields,
+	CONNECTION_HEADERS,
+	NOT_STARTED_HEADER,
+	selectForwardedHeaders,
+	valuesOf,
+} from '../../base/common/headerFields.js';
 import type { IDisposable } from '../../base/common/lifecycle.js';
 import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
 import { keepAllHeaders } from '../../base/node/headerLimits.js';
@@ -61,8 +67,6 @@
 	allowsCloseDelimited: false,
 };
 
-const NO_EXCLUDED_HEADERS: ReadonlySet<string> = new Set();
-
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD']);
 
 /** Major version of HTTP on these connections; later versions have no heads in text. */
@@ -300,11 +304,11 @@
 	private receive(response: http.IncomingMessage): void {
 		this.response = response;
 		const status = response.statusCode ?? 0;
-		const received: ResponseHead = { status, headers: filterHeaders(response.headers, NO_EXCLUDED_HEADERS) };
+		const received: ResponseHead = { status, headers: collectFields(response.rawHeaders) };
 		const refusal = this.protocol.classifyRefusal(received);
 		const match = this.matchResponse(received, response.socket, refusal !== undefined);
 		const headFault =
-			findHeadFault(response) ??
+			findHeadFault(response, received) ??
 			(match === 'other' ? 'sent the answer to another request' : undefined) ??
 			(refusal === undefined ? this.protocol.findHeadFault(received) : undefined);
 		if (headFault !== undefined) {
@@ -342,7 +346,10 @@
 			socket.prependOnceListener('end', recordEnd);
 			response.once('close', () => socket.off('end', recordEnd));
 		}
-		this.sink.head({ status, headers: filterHeaders(response.headers, HOP_BY_HOP_HEADERS) });
+		this.sink.head({
+			status,
+			headers: selectForwardedHeaders(received.headers, (name) => HOP_BY_HOP_HEADERS.has(name)),
+		});
 		response.on('data', (chunk: Buffer) => this.contain(() => this.passOn(response, chunk)));
 		response.on('end', () => this.contain(() => this.endResponse()));
 		response.on('error', (error) => this.contain(() => this.fail('broken', error.message)));
@@ -453,24 +460,23 @@
  * name of a header, and writing such a head to a caller throws an exception.
  *
  * @param response as parsed
+ * @param head status and headers of the response
  * @returns why the head is not valid; undefined if it is
  */
-function findHeadFault({
-	statusCode = 0,
-	headers,
-	httpVersion,
-	httpVersionMajor,
-}: http.IncomingMessage): string | undefined {
+function findHeadFault(
+	{ httpVersion, httpVersionMajor }: http.IncomingMessage,
+	{ status, headers }: ResponseHead,
+): string | undefined {
 	if (httpVersionMajor !== PROTOCOL_MAJOR_VERSION) {
 		return `answered in HTTP/${httpVersion}`;
 	}
-	if (statusCode < MINIMUM_STATUS || statusCode > MAXIMUM_STATUS) {
-		return `sent the invalid status ${statusCode}`;
+	if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
+		return `sent the invalid status ${status}`;
 	}
 	try {
 		for (const name in headers) {
 			http.validateHeaderName(name);
-			[headers[name] ?? []].flat().forEach((value) => http.validateHeaderValue(name, value));
+			valuesOf(headers[name]).forEach((value) => http.validateHeaderValue(name, value));
 		}
 	} catch (error) {
 		return `sent an invalid header: ${String(error)}`;
@@ -517,17 +523,3 @@
 	const { 'content-length': length, 'transfer-encoding': codings } = response.headers;
 	return codings === undefined ? length !== undefined : CHUNKED_LAST.test(codings);
 }
-
-function filterHeaders(
-	headers: http.IncomingHttpHeaders,
-	excluded: ReadonlySet<string>,
-): Record<string, string | readonly string[]> {
-	const filtered: Record<string, string | readonly string[]> = {};
-	for (const name in headers) {
-		const value = headers[name];
-		if (value !== undefined && !excluded.has(name)) {
-			filtered[name] = value;
-		}
-	}
-	return filtered;
-}
--- a/src/dispatch/node/responseRelay.ts
+++ b/src/dispatch/node/responseRelay.ts
@@ -1,4 +1,5 @@
 import type { ResponseHead, IResponseSink } from '../../backends/common/backendClient.js';
+import { valuesOf } from '../../base/common/headerFields.js';
 import type { StoredOutcome } from '../../idempotency/common/idempotencyService.js';
 import { countTokens, EventStream } from './eventStream.js';
 
@@ -153,8 +154,8 @@
 }
 
 function isEventStream(head: ResponseHead): boolean {
-	const type = head.headers['content-type'];
-	return typeof type === 'string' && type.startsWith(EVENT_STREAM_TYPE);
+	const [type = ''] = valuesOf(head.headers['content-type']);
+	return type.startsWith(EVENT_STREAM_TYPE);
 }
 
 function toHeaderList(headers: ResponseHead['headers']): (readonly [string, string])[] {
--- a/src/gateway/common/ingress.ts
+++ b/src/gateway/common/ingress.ts
@@ -51,6 +51,10 @@
 	encode(headers: HeaderFields, egress: EgressFields): Record<string, string | readonly string[]>;
 	/** Header with the request identifier in responses that the router itself generates. */
 	readonly requestIdHeader: string;
+	/** Headers that a request may have only once, or several times with the same value. */
+	readonly singleHeaders: readonly string[];
+	/** Headers that a request cannot list as hop-by-hop. */
+	readonly endToEndHeaders: ReadonlySet<string>;
 }
 
 /**
--- a/src/gateway/node/gatewayResponse.ts
+++ b/src/gateway/node/gatewayResponse.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 import type { ResponseHead, IResponseSink } from '../../backends/common/backendClient.js';
 import { breakOff } from '../../base/node/brokenResponse.js';
-import { NOT_STARTED_HEADER } from '../../base/common/headerFields.js';
+import { NOT_STARTED_HEADER, valuesOf } from '../../base/common/headerFields.js';
 import type { Verdict } from '../../base/common/verdict.js';
 import type { ResponseBuffering } from '../common/responseBuffering.js';
 import { ResponseQueue } from './responseQueue.js';
@@ -71,13 +71,12 @@
 		if (this.headSent || this.response.destroyed) {
 			return;
 		}
-		const outgoingHeaders: http.OutgoingHttpHeaders = {};
+		const outgoingHeaders: string[] = [];
 		for (const name in headers) {
-			const value = headers[name];
-			outgoingHeaders[name] = typeof value === 'string' ? value : value && [...value];
+			valuesOf(headers[name]).forEach((value) => outgoingHeaders.push(name, value));
 		}
 		if (this.closesConnection(false)) {
-			outgoingHeaders.connection = 'close';
+			outgoingHeaders.push('connection', 'close');
 		}
 		this.response.writeHead(status, outgoingHeaders);
 		this.headSent = true;
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -3,7 +3,7 @@
 import { Effect } from 'effect';
 import { Emitter } from '../../base/common/event.js';
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
-import { HANDOVER_HEADER } from '../../base/common/headerFields.js';
+import { collectFields, HANDOVER_HEADER } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { isProcessPause } from '../../base/common/processPause.js';
 import { afterNextPoll, nextPoll } from '../../base/node/eventLoop.js';
@@ -356,8 +356,9 @@
 	): void {
 		const { codec, clock } = this.context;
 		const arrivedAt = clock.now();
-		const fields = codec.decode(request.headers);
-		const handoverHeader = decodeHandoverHeader(request.headers[HANDOVER_HEADER]);
+		const headers = collectFields(request.rawHeaders);
+		const fields = codec.decode(headers);
+		const handoverHeader = decodeHandoverHeader(headers[HANDOVER_HEADER]);
 		const notStarted = handoverHeader !== undefined;
 		const gatewayResponse = GatewayResponse.create(
 			response,
@@ -394,12 +395,18 @@
 			refuse({ ...NOT_READY, code: 'old-configuration', notStarted });
 			return;
 		}
-		const invalidity = findInvalidity(request, sizeOfHeaders - (request.url?.length ?? 0), limits);
+		const invalidity = findInvalidity(
+			request.httpVersion,
+			headers,
+			sizeOfHeaders - (request.url?.length ?? 0),
+			limits,
+			codec.singleHeaders,
+		);
 		if (invalidity !== undefined) {
 			refuse(invalidity);
 			return;
 		}
-		const routing = findRouting(table, request, fields);
+		const routing = findRouting(table, request.url, headers, fields);
 		if (typeof routing === 'string') {
 			refuse({ status: routing === 'unknown-route' ? 404 : 401, code: routing });
 			return;
@@ -466,7 +473,7 @@
 			}
 			response.once('close', body.release);
 			const arrivedFirstAt = arrivedAt - (handoverHeader?.elapsedMs ?? 0);
-			const parts = { fields, routing, shareGrant, body: body.bytes, arrivedAt: arrivedFirstAt };
+			const parts = { fields, headers, routing, shareGrant, body: body.bytes, arrivedAt: arrivedFirstAt };
 			const mayStart = (): boolean => !this.isRefusing;
 			const startRequest = (): void => {
 				const elapsedBeforeMs = this.callerElapsed.elapsedMs(routing.route.name, fields.deadlineMs);
--- a/src/gateway/node/handoverRequestHandler.ts
+++ b/src/gateway/node/handoverRequestHandler.ts
@@ -7,6 +7,7 @@
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import { formatAddress } from '../../settings/common/settings.js';
 import type { AcceptedRequest } from '../common/acceptedRequest.js';
+import type { IHeaderCodec } from '../common/ingress.js';
 import { encodeHandoverHeader } from '../common/handoverMark.js';
 import type { Neighbour, NeighbourSelector } from '../common/neighbourSelector.js';
 import { requestCost } from '../common/requestCost.js';
@@ -21,6 +22,7 @@
 	/** Calls other routers and recognizes the header by which they report that a request was not started. */
 	readonly client: IBackendClient;
 	readonly neighbours: NeighbourSelector;
+	readonly codec: Pick<IHeaderCodec, 'endToEndHeaders'>;
 	readonly log: IDecisionLog;
 	readonly metrics: GatewayMetrics;
 }
@@ -136,7 +138,7 @@
 
 	private tryRouter(neighbour: Neighbour): Effect.Effect<void, BackendFailure> {
 		const { request, response } = this;
-		const { client, clock } = this.context;
+		const { client, clock, codec } = this.context;
 		const sink: IAttemptSink = {
 			sent: () => (this.inProgress = true),
 			head: (head) => {
@@ -149,7 +151,7 @@
 			method: request.method,
 			path: request.target,
 			authority: request.host,
-			headers: handoverHeaders(request, clock.now() - request.arrivedAt),
+			headers: handoverHeaders(request, clock.now() - request.arrivedAt, codec.endToEndHeaders),
 			body: request.body,
 		};
 		return client.call(
@@ -216,8 +218,13 @@
 function handoverHeaders(
 	{ headers, configurationVersion }: AcceptedRequest,
 	elapsedMs: number,
+	endToEnd: ReadonlySet<string>,
 ): Record<string, string | readonly string[]> {
-	const outgoingHeaders = selectForwardedHeaders(headers, (name) => UNFORWARDED_HEADERS.has(name));
+	const outgoingHeaders = selectForwardedHeaders(
+		headers,
+		(name) => UNFORWARDED_HEADERS.has(name),
+		new Set([...endToEnd, 'authorization']),
+	);
 	outgoingHeaders[HANDOVER_HEADER] = encodeHandoverHeader({ elapsedMs, configurationVersion });
 	return outgoingHeaders;
 }
--- a/src/gateway/node/receivedRequest.ts
+++ b/src/gateway/node/receivedRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { overShareRetryAfterMs } from '../../admission/common/admission.js';
+import { type HeaderFields, singleValue, valuesOf } from '../../base/common/headerFields.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
 import type { IngressLimits } from '../../routing/common/model.js';
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
@@ -71,9 +72,12 @@
  * @returns the request as handlers run it
  */
 export function createAcceptedRequest(
-	{ method = 'GET', url = '/', headers }: IncomingMessage,
+	{ method = 'GET', url = '/' }: IncomingMessage,
 	table: RouteTable,
-	parts: Pick<AcceptedRequest, 'fields' | 'routing' | 'body' | 'arrivedAt' | 'elapsedBeforeMs' | 'shareGrant'>,
+	parts: Pick<
+		AcceptedRequest,
+		'fields' | 'headers' | 'routing' | 'body' | 'arrivedAt' | 'elapsedBeforeMs' | 'shareGrant'
+	>,
 ): AcceptedRequest {
 	return {
 		...parts,
@@ -81,27 +85,27 @@
 		engine: table.service(parts.routing.service)?.engine,
 		method,
 		target: url,
-		host: headers.host ?? '',
-		headers,
+		host: singleValue(parts.headers.host) ?? '',
 	};
 }
 
 /**
  * @param table routes in force
- * @param request received request
+ * @param target of the request line
+ * @param headers of the request
  * @param fields of the request
  * @returns route and account of the request, or why there is none
  */
 export function findRouting(
 	table: RouteTable,
-	request: IncomingMessage,
+	target = '/',
+	headers: HeaderFields,
 	fields: IngressFields,
 ): ReturnType<RouteTable['find']> {
-	const target = request.url ?? '/';
 	const queryAt = target.indexOf('?');
 	return table.find({
 		id: fields.id,
-		host: request.headers.host ?? '',
+		host: singleValue(headers.host) ?? '',
 		path: queryAt < 0 ? target : target.slice(0, queryAt),
 		key: fields.key,
 	});
@@ -122,15 +126,19 @@
 /**
  * Finds what makes a request invalid before its route is known.
  *
- * @param request received request
- * @param sizeOfHeaders size of its headers in bytes
+ * @param httpVersion of the request line
+ * @param headers of the request
+ * @param sizeOfHeaders in bytes
  * @param limits of the configuration
+ * @param singleHeaders headers that the platform allows only once
  * @returns the refusal of the request; undefined when it is valid
  */
 export function findInvalidity(
-	{ httpVersion, headers }: IncomingMessage,
+	httpVersion: string,
+	headers: HeaderFields,
 	sizeOfHeaders: number,
 	limits: IngressLimits,
+	singleHeaders: readonly string[],
 ): Refusal | undefined {
 	if (sizeOfHeaders > limits.maximumHeaderBytes) {
 		return { status: 431, code: 'header-too-large' };
@@ -138,8 +146,14 @@
 	if (headers.host === undefined && httpVersion === '1.1') {
 		return { status: 400, code: 'no-host', closesConnection: true };
 	}
-	const { expect } = headers;
-	return expect !== undefined && expect.toLowerCase() !== '100-continue'
+	// The router and a server could rely on different values. A repeated host is never valid (RFC 9112, section 3.2).
+	const isAmbiguous = [...singleHeaders, 'authorization'].some(
+		(name) => headers[name] !== undefined && singleValue(headers[name]) === undefined,
+	);
+	if (isAmbiguous || valuesOf(headers.host).length > 1) {
+		return { status: 400, code: 'repeated-header' };
+	}
+	return valuesOf(headers.expect).some((value) => value.toLowerCase() !== '100-continue')
 		? { status: 417, code: 'unknown-expectation' }
 		: undefined;
 }
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -161,6 +161,8 @@
 /** Header codec for tests; the platform defines its own. */
 export const testCodec: IHeaderCodec = {
 	requestIdHeader: 'request-id',
+	singleHeaders: ['request-id', 'deadline'],
+	endToEndHeaders: new Set(['request-id']),
 	decode: (headers) => ({
 		...throwIfUnreadable(headers),
 		id: String(headers['request-id'] ?? ''),
