Refuse transfer codings other than chunked

Servers ran bodies that were still compressed, and a body behind an empty Transfer-Encoding ran as a request of its own; responses were passed on without their coding.

Cause: the parser of Node.js removes chunks only, and takes an empty coding for no body. The router drops the field as hop-by-hop.

Evidence: eight new tests of messageFraming fail before and pass now, with raw sockets on both sides of a router process.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -4,6 +4,7 @@
 import {
 	collectFields,
 	CONNECTION_HEADERS,
+	isTransferCodingKnown,
 	NOT_STARTED_HEADER,
 	selectForwardedHeaders,
 	valuesOf,
@@ -78,9 +79,6 @@
 
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
-/** Matches transfer codings that end with chunks; without chunks, a body ends with its connection. */
-const CHUNKED_LAST = /(?:^|,)[ \t]*chunked[ \t]*$/i;
-
 interface Endpoint {
 	readonly host: string;
 	readonly port: string;
@@ -470,6 +468,9 @@
 	if (httpVersionMajor !== PROTOCOL_MAJOR_VERSION) {
 		return `answered in HTTP/${httpVersion}`;
 	}
+	if (!isTransferCodingKnown(headers)) {
+		return 'sent an unknown transfer coding';
+	}
 	if (status < MINIMUM_STATUS || status > MAXIMUM_STATUS) {
 		return `sent the invalid status ${status}`;
 	}
@@ -521,5 +522,5 @@
 		return true;
 	}
 	const { 'content-length': length, 'transfer-encoding': codings } = response.headers;
-	return codings === undefined ? length !== undefined : CHUNKED_LAST.test(codings);
+	return length !== undefined || codings !== undefined;
 }
--- a/src/base/common/headerFields.ts
+++ b/src/base/common/headerFields.ts
@@ -80,6 +80,17 @@
 	return others.every((other) => other === first) ? first : undefined;
 }
 
+/**
+ * Checks the transfer coding of a message. The parser of Node.js removes chunks and accepts other codings before them, which
+ * a receiver would then not know of; without chunks it takes the message for one without a body, or to the end of the connection.
+ *
+ * @param headers headers of a message
+ * @returns whether its body is as it was before any transfer coding, once the parser has removed the chunks
+ */
+export function isTransferCodingKnown({ 'transfer-encoding': codings }: HeaderFields): boolean {
+	return codings === undefined || (typeof codings === 'string' && codings.toLowerCase() === 'chunked');
+}
+
 /**
  * @param headers headers of a message
  * @returns names that its header `connection` lists as hop-by-hop
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -3,7 +3,7 @@
 import { Effect } from 'effect';
 import { Emitter } from '../../base/common/event.js';
 import type { MemoryBudget } from '../../base/common/memoryBudget.js';
-import { collectFields, HANDOVER_HEADER } from '../../base/common/headerFields.js';
+import { collectFields, HANDOVER_HEADER, isTransferCodingKnown } from '../../base/common/headerFields.js';
 import { Disposable, toDisposable } from '../../base/common/lifecycle.js';
 import { isProcessPause } from '../../base/common/processPause.js';
 import { afterNextPoll, nextPoll } from '../../base/node/eventLoop.js';
@@ -383,6 +383,11 @@
 			refuseForMemory('no-memory');
 			return;
 		}
+		if (!isTransferCodingKnown(headers)) {
+			// The bytes that follow may be the body of this request, and must not run as another one.
+			refuse({ status: 501, code: 'unknown-transfer-coding', notStarted, closesConnection: true });
+			return;
+		}
 		const table = this.table();
 		if (table === undefined || this.isRefusing) {
 			const code = table === undefined ? 'no-configuration' : SHUTTING_DOWN.code;
