Accept response heads of 64 KiB

A response with more than 16 KiB of headers, the default limit of Node.js, was replaced by 502 although its server had run the request.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -11,7 +11,7 @@
 } from '../../base/common/headerFields.js';
 import type { IDisposable } from '../../base/common/lifecycle.js';
 import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
-import { keepAllHeaders } from '../../base/node/headerLimits.js';
+import { keepAllHeaders, MAXIMUM_RESPONSE_HEAD_BYTES } from '../../base/node/headerLimits.js';
 import type {
 	BackendFailure,
 	ResponseHead,
@@ -173,6 +173,7 @@
 				method: request.method,
 				agent: this.agent,
 				headers: headerList(request, endpoint.authority),
+				maxHeaderSize: MAXIMUM_RESPONSE_HEAD_BYTES,
 			});
 			keepAllHeaders(outgoing);
 			attempt.start(outgoing);
--- a/src/base/node/headerLimits.ts
+++ b/src/base/node/headerLimits.ts
@@ -1,5 +1,8 @@
 import type { ClientRequest, Server } from 'node:http';
 
+/** Maximum size in bytes of the head of a response, and of its trailers. The default of Node.js is 16 KiB. */
+export const MAXIMUM_RESPONSE_HEAD_BYTES = 64 * 1_024;
+
 /**
  * Keeps all header fields of the messages that a server or a request receives, as far as their size allows. By default,
  * Node.js drops the fields beyond the first 1,000 without notice, although its parser acts on them.
--- a/src/store/node/httpJson.ts
+++ b/src/store/node/httpJson.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import { setTimeoutAfterPoll } from '../../base/node/eventLoop.js';
-import { keepAllHeaders } from '../../base/node/headerLimits.js';
+import { keepAllHeaders, MAXIMUM_RESPONSE_HEAD_BYTES } from '../../base/node/headerLimits.js';
 
 /** Maximum size of a response body. A snapshot of a thousand servers takes 0.5 MB, and a single value up to 1.4 MB. */
 const MAXIMUM_BODY_BYTES = 33_554_432;
@@ -49,6 +49,7 @@
 			method: options.method,
 			agent: options.agent,
 			signal: options.signal,
+			maxHeaderSize: MAXIMUM_RESPONSE_HEAD_BYTES,
 			headers: payload && { 'content-type': 'application/json', 'content-length': payload.length },
 		});
 		keepAllHeaders(request);
