Send response heads with the bytes of the server

Bytes above 127 in header fields were encoded as UTF-8 on their way to the caller, also in the request identifier that the router repeats.

Cause: Node.js writes a head as UTF-8 when it is sent by flushHeaders or with a text as its body.

--- a/src/gateway/node/gatewayResponse.ts
+++ b/src/gateway/node/gatewayResponse.ts
@@ -22,6 +22,8 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** Response to the caller of one request. */
 export class GatewayResponse implements IResponseSink {
 	private headSent = false;
@@ -80,8 +82,9 @@
 		}
 		this.response.writeHead(status, outgoingHeaders);
 		this.headSent = true;
-		// Shows the caller that the stream is alive before the first bytes of the body arrive.
-		this.response.flushHeaders();
+		// Shows the caller that the stream is alive before the first bytes of the body arrive. `flushHeaders` would encode the
+		// head as UTF-8, which changes bytes above 127.
+		this.response.write(NO_BYTES);
 	}
 
 	public write(chunk: Uint8Array, resume: () => void): boolean {
@@ -121,14 +124,12 @@
 			return;
 		}
 		this.headSent = true;
-		const body = JSON.stringify({
-			status: localResponse.status,
-			code: localResponse.code,
-			verdict: localResponse.verdict,
-		});
+		const { status, code, verdict } = localResponse;
+		// With a text as the body, Node.js would encode the head as UTF-8 too.
+		const body = Buffer.from(JSON.stringify({ status, code, verdict }));
 		const headers: http.OutgoingHttpHeaders = {
 			'content-type': 'application/json',
-			'content-length': Buffer.byteLength(body),
+			'content-length': body.length,
 		};
 		if (this.requestId !== '') {
 			headers[this.requestIdHeader] = this.requestId;
@@ -142,7 +143,7 @@
 		if (this.closesConnection(localResponse.closesConnection === true)) {
 			headers.connection = 'close';
 		}
-		this.response.writeHead(localResponse.status, headers);
+		this.response.writeHead(status, headers);
 		this.response.end(body);
 	}
 }
