End a connection behind a request that offers another protocol

What a caller sent behind a request with Upgrade and without a body was dropped without a response, and a request that was cut so could have been continued as another one.

Cause: the parser of Node.js stops behind such a request and drops the rest of the read.

Evidence: the new test of messageFraming fails before (the connection stays open) and passes now.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -35,6 +35,7 @@
 	findRouting,
 	formatShareStatus,
 	headerBytes,
+	offersOtherProtocol,
 	overdraftMs,
 	overShareRefusal,
 	type Refusal,
@@ -360,6 +361,10 @@
 		const fields = codec.decode(headers);
 		const handoverHeader = decodeHandoverHeader(headers[HANDOVER_HEADER]);
 		const notStarted = handoverHeader !== undefined;
+		if (offersOtherProtocol(headers)) {
+			// The parser drops what it has read behind such a request, so the rest of it must not be taken for a request.
+			this.connectionsOfCallers.endAfter(request.socket, response);
+		}
 		const gatewayResponse = GatewayResponse.create(
 			response,
 			codec.requestIdHeader,
--- a/src/gateway/node/receivedRequest.ts
+++ b/src/gateway/node/receivedRequest.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { overShareRetryAfterMs } from '../../admission/common/admission.js';
-import { type HeaderFields, singleValue, valuesOf } from '../../base/common/headerFields.js';
+import { connectionOptions, type HeaderFields, singleValue, valuesOf } from '../../base/common/headerFields.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
 import type { IngressLimits } from '../../routing/common/model.js';
 import type { RouteTable, RoutingResult } from '../../routing/common/routeTable.js';
@@ -111,6 +111,14 @@
 	});
 }
 
+/**
+ * @param headers of a request
+ * @returns whether the caller would change to another protocol behind the request, which this router does not
+ */
+export function offersOtherProtocol(headers: HeaderFields): boolean {
+	return headers.upgrade !== undefined && connectionOptions(headers).has('upgrade');
+}
+
 /**
  * @param rawHeaders names and values in turn
  * @returns size of the headers in bytes
