Accept targets in absolute form

A request with the target http://HOST/PATH was refused with 404, though servers must accept this form (RFC 9112, section 3.2.2). Its host now comes from the target, and servers get path and query.

--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -39,6 +39,7 @@
 	overdraftMs,
 	overShareRefusal,
 	type Refusal,
+	targetOf,
 } from './receivedRequest.js';
 import type { IRequestHandler } from './requestHandler.js';
 import { type HandoverContext, HandoverRequestHandler } from './handoverRequestHandler.js';
@@ -417,7 +418,8 @@
 			refuse(invalidity);
 			return;
 		}
-		const routing = findRouting(table, request.url, headers, fields);
+		const requestTarget = targetOf(request.url, headers);
+		const routing = findRouting(table, requestTarget, fields);
 		if (typeof routing === 'string') {
 			refuse({ status: routing === 'unknown-route' ? 404 : 401, code: routing });
 			return;
@@ -484,7 +486,15 @@
 			}
 			response.once('close', body.release);
 			const arrivedFirstAt = arrivedAt - (handoverHeader?.elapsedMs ?? 0);
-			const parts = { fields, headers, routing, shareGrant, body: body.bytes, arrivedAt: arrivedFirstAt };
+			const parts = {
+				...requestTarget,
+				fields,
+				headers,
+				routing,
+				shareGrant,
+				body: body.bytes,
+				arrivedAt: arrivedFirstAt,
+			};
 			const mayStart = (): boolean => !this.isRefusing;
 			const startRequest = (): void => {
 				const elapsedBeforeMs = this.callerElapsed.elapsedMs(routing.route.name, fields.deadlineMs);
--- a/src/gateway/node/receivedRequest.ts
+++ b/src/gateway/node/receivedRequest.ts
@@ -72,11 +72,11 @@
  * @returns the request as handlers run it
  */
 export function createAcceptedRequest(
-	{ method = 'GET', url = '/' }: IncomingMessage,
+	{ method = 'GET' }: IncomingMessage,
 	table: RouteTable,
 	parts: Pick<
 		AcceptedRequest,
-		'fields' | 'headers' | 'routing' | 'body' | 'arrivedAt' | 'elapsedBeforeMs' | 'shareGrant'
+		'host' | 'target' | 'fields' | 'headers' | 'routing' | 'body' | 'arrivedAt' | 'elapsedBeforeMs' | 'shareGrant'
 	>,
 ): AcceptedRequest {
 	return {
@@ -84,33 +84,51 @@
 		configurationVersion: table.configuration.version,
 		engine: table.service(parts.routing.service)?.engine,
 		method,
-		target: url,
-		host: singleValue(parts.headers.host) ?? '',
 	};
 }
 
 /**
  * @param table routes in force
- * @param target of the request line
- * @param headers of the request
+ * @param requestTarget what the request is addressed to
  * @param fields of the request
  * @returns route and account of the request, or why there is none
  */
 export function findRouting(
 	table: RouteTable,
-	target = '/',
-	headers: HeaderFields,
+	{ host, target }: RequestTarget,
 	fields: IngressFields,
 ): ReturnType<RouteTable['find']> {
 	const queryAt = target.indexOf('?');
 	return table.find({
 		id: fields.id,
-		host: singleValue(headers.host) ?? '',
+		host,
 		path: queryAt < 0 ? target : target.slice(0, queryAt),
 		key: fields.key,
 	});
 }
 
+/** Target in absolute form, which servers must accept (RFC 9112, section 3.2.2): authority, then path and query. */
+const ABSOLUTE_TARGET = /^https?:\/\/([^/?#]+)([^]*)$/i;
+
+/** What a request is addressed to. */
+export interface RequestTarget {
+	readonly host: string;
+	/** Path and query. */
+	readonly target: string;
+}
+
+/**
+ * @param url target of the request line
+ * @param headers of the request
+ * @returns host and target in the form for servers; the host of a target in absolute form replaces the header
+ */
+export function targetOf(url = '/', headers: HeaderFields): RequestTarget {
+	const [, authority, rest = ''] = ABSOLUTE_TARGET.exec(url) ?? [];
+	return authority === undefined
+		? { host: singleValue(headers.host) ?? '', target: url }
+		: { host: authority, target: rest.startsWith('/') ? rest : `/${rest}` };
+}
+
 /**
  * @param headers of a request
  * @returns whether the caller would change to another protocol behind the request, which this router does not
