Pass responses without content on without a length

A 204 with a length above 0 was passed on with it, and its caller may wait for a body that never comes (RFC 9110, section 8.6).

Evidence: the new test of messageFraming fails before and passes now.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -68,6 +68,13 @@
 	allowsCloseDelimited: false,
 };
 
+const NO_CONTENT = 204;
+
+/** A response without content has no length (RFC 9110, section 8.6); a caller might wait for the body. */
+function isDropped(name: string, status: number): boolean {
+	return HOP_BY_HOP_HEADERS.has(name) || (status === NO_CONTENT && name === 'content-length');
+}
+
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD']);
 
 /** Major version of HTTP on these connections; later versions have no heads in text. */
@@ -345,10 +352,8 @@
 			socket.prependOnceListener('end', recordEnd);
 			response.once('close', () => socket.off('end', recordEnd));
 		}
-		this.sink.head({
-			status,
-			headers: selectForwardedHeaders(received.headers, (name) => HOP_BY_HOP_HEADERS.has(name)),
-		});
+		const headers = selectForwardedHeaders(received.headers, (name) => isDropped(name, status));
+		this.sink.head({ status, headers });
 		response.on('data', (chunk: Buffer) => this.contain(() => this.passOn(response, chunk)));
 		response.on('end', () => this.contain(() => this.endResponse()));
 		response.on('error', (error) => this.contain(() => this.fail('broken', error.message)));
