Send the head of a response at once

The change to heads without flushHeaders left them corked until the next turn, so that a head was lost when its response broke off in the same turn.

--- a/src/gateway/node/gatewayResponse.ts
+++ b/src/gateway/node/gatewayResponse.ts
@@ -84,7 +84,9 @@
 		this.headSent = true;
 		// Shows the caller that the stream is alive before the first bytes of the body arrive. `flushHeaders` would encode the
 		// head as UTF-8, which changes bytes above 127.
+		this.response.cork();
 		this.response.write(NO_BYTES);
+		this.response.uncork();
 	}
 
 	public write(chunk: Uint8Array, resume: () => void): boolean {
