Notice silent connections to the store in half of the time allowed

Cause: a watch that begins in the moment of the silence was given up after 3,000 ms, which is all of contact_ms. The retry, a new connection, a slow store and a slow machine came on top.

Cost: two watches a router each second instead of 0.8.

--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -13,15 +13,19 @@
 } from '../common/revisionedStore.js';
 import { eraOf, formatRevision } from '../common/storeRevision.js';
 
-/** Maximum duration of a watch call. It bounds the time to detect a dead connection, and each call has a cost. */
-const WATCH_WAIT_MS = 2_500;
+/**
+ * Maximum duration of a watch call. Connections may go silent together without being closed, and a router notices only when a
+ * watch does not end in time. With the time allowed for the response, a retry and a new connection, this leaves half of the
+ * time within which a router must act on a change.
+ */
+const WATCH_WAIT_MS = 1_000;
 
 /**
  * Maximum duration of a watch call in a larger fleet, where a few routers read for all; a random part is subtracted.
  * At any time, some router's watch ends within a second, and the others receive from that router the changes that their
  * own watches have missed.
  */
-const LARGE_FLEET_WATCH_WAIT_MS = 5_000;
+const LARGE_FLEET_WATCH_WAIT_MS = 2_000;
 
 /** Interval at which a router that does not read the store checks whether it has to. */
 const READER_CHECK_INTERVAL_MS = 250;
