Keep the evidence of crashes when routers are replaced

Cause: only quarantines were repeated to peers and stored. Crashes, and that a server has survived a suspect, were told by one datagram; a router that started later, or missed it, knew nothing of them.

Heartbeats repeat the crashes and clearings of suspects, two routers keep them in the store, and routers merge what they receive by server and number.

--- a/src/backends/common/suspectRegistry.ts
+++ b/src/backends/common/suspectRegistry.ts
@@ -28,6 +28,23 @@
 	readonly ageMs: number;
 }
 
+/** A crash of which a suspect may be the cause. */
+export interface EvidenceOfCrash {
+	/** Short key of the server. */
+	readonly server: number;
+	/** Milliseconds since the crash. */
+	readonly ageMs: number;
+}
+
+/** What a router knows of a suspect, for routers that have missed a notice of it or have just started. */
+export interface SuspectEvidence {
+	readonly key: number;
+	/** Crashes since a server survived a request with the suspect. */
+	readonly crashes: readonly EvidenceOfCrash[];
+	/** Milliseconds since a server survived a request with the suspect; undefined when none is known to have. */
+	readonly clearedAgeMs: number | undefined;
+}
+
 /** What is suspected, and how crashes are attributed to it. */
 export interface SuspectPolicy {
 	/**
@@ -72,10 +89,19 @@
 /** A server that ended is not back within this time, so all notices of its end within it are of one crash. */
 const SAME_CRASH_MS = 2_500;
 
+/**
+ * Evidence of a crash of the same server within this time is of the same crash. It may come from the store, where times were
+ * written by the clock of another machine, which may differ by seconds.
+ */
+const SAME_EVIDENCE_MS = 10_000;
+
 /** A suspect without a further crash is removed after this time. */
 const SUSPICION_MS = 60_000;
 
-/** Maximum number of suspects. At this number, the one whose last crash is longest ago is removed. */
+/**
+ * Maximum number of suspects. At this number, one with the fewest crashes is removed: a failure domain that loses its power
+ * makes suspects of all requests that its servers were running, each with one crash.
+ */
 const MAXIMUM_SUSPECTS = 500;
 
 /** Time for which a survival outweighs the evidence of a peer, which may not know of it. */
@@ -94,10 +120,10 @@
 const AMBIGUOUS_QUARANTINE_MS = 1_000;
 
 interface Suspect {
-	/** Numbers of the crashes since a server survived a request with the suspect. */
-	readonly crashes: Set<number>;
-	/** Crashes up to this number are not counted when another router reports them later. */
-	clearedUpTo: number;
+	/** Crashes since a server survived a request with the suspect, by number. */
+	readonly crashes: Map<number, ServerCrash>;
+	/** Highest number of crashes, also before it was cleared. */
+	severity: number;
 	lastCrashAt: number;
 	/** Number of quarantines since the suspect was cleared. */
 	quarantines: number;
@@ -105,16 +131,21 @@
 	quarantinedUntil: number;
 	/** When a server last survived a request with the suspect at this router. */
 	survivedAt: number;
-	/** When the suspect was last cleared, here or by a peer. */
+	/** When the suspect was last cleared, here or by a peer. Earlier crashes are not counted when they are reported later. */
 	clearedAt: number;
 	/** Until when a request that tests the suspect after its quarantine is expected to end. */
 	testedUntil: number;
 }
 
-/** A crash, or several at once. */
-interface CrashEvent {
+/** Crash of one server. */
+interface ServerCrash {
+	/** Short key of the server. */
+	readonly server: number;
+	/** The same for crashes at the same time. */
 	readonly number: number;
 	readonly at: number;
+	/** Time of the first crash with this number. */
+	readonly firstAt: number;
 }
 
 /**
@@ -131,8 +162,8 @@
 export class SuspectRegistry {
 	private readonly suspects = new Map<number, Suspect>();
 	/** Last crash of each server, by short key. */
-	private readonly crashOfServer = new Map<number, CrashEvent>();
-	private lastCrash: CrashEvent = { number: 0, at: -Infinity };
+	private readonly crashOfServer = new Map<number, ServerCrash>();
+	private lastNumber = 0;
 	private readonly crashEmitter = Emitter.create<SuspectedCrash>();
 	private readonly clearEmitter = Emitter.create<readonly number[]>();
 	private readonly quarantineEmitter = Emitter.create<SuspectStatus>();
@@ -190,17 +221,31 @@
 	 */
 	public applyCrash({ server, suspects }: SuspectedCrash, now: number): void {
 		this.removeExpired(now);
-		const { number } = this.eventOf(server, now);
+		const crash = this.crashOf(server, now, SAME_CRASH_MS);
 		for (const key of suspects) {
-			const suspect = this.suspects.get(key) ?? this.add(key);
-			if (number <= suspect.clearedUpTo || suspect.crashes.has(number)) {
-				continue;
-			}
-			suspect.crashes.add(number);
-			suspect.lastCrashAt = now;
-			if (suspect.crashes.size >= QUARANTINE_CRASHES || suspect.quarantines > 0) {
-				this.quarantine(key, suspect, now);
-			}
+			this.addCrash(key, this.suspects.get(key) ?? this.add(key), crash, now);
+		}
+	}
+
+	/**
+	 * Applies what a peer, or a router that has ended, knew of a suspect. What is known already has no effect, so evidence may
+	 * be repeated.
+	 *
+	 * @param evidence of the suspect
+	 * @param now monotonic milliseconds
+	 */
+	public applyEvidence({ key, crashes, clearedAgeMs }: SuspectEvidence, now: number): void {
+		const youngestMs = Math.min(...crashes.map(({ ageMs }) => ageMs), clearedAgeMs ?? Infinity);
+		if (youngestMs > SUSPICION_MS) {
+			return;
+		}
+		const suspect = this.suspects.get(key) ?? this.add(key);
+		if (clearedAgeMs !== undefined) {
+			clearBefore(suspect, now - clearedAgeMs);
+		}
+		for (const { server, ageMs } of unknownCrashes(suspect, crashes, now)) {
+			const crash = this.crashOf(server, now - ageMs, SAME_EVIDENCE_MS, suspect);
+			this.addCrash(key, suspect, crash, now, QUARANTINE_TOLERANCE_MS);
 		}
 	}
 
@@ -238,12 +283,7 @@
 		for (const key of keys) {
 			const suspect = this.suspects.get(key);
 			if (suspect !== undefined) {
-				suspect.crashes.clear();
-				suspect.clearedAt = now;
-				suspect.clearedUpTo = this.lastCrash.number;
-				suspect.quarantines = 0;
-				suspect.quarantinedUntil = -Infinity;
-				suspect.testedUntil = -Infinity;
+				clearBefore(suspect, now);
 			}
 		}
 	}
@@ -334,27 +374,75 @@
 		return this.list(now).filter(({ quarantineMs }) => quarantineMs > 0);
 	}
 
-	/** Numbers a crash; servers that end at once, and all notices of the end of one server, have the same number. */
-	private eventOf(server: number, now: number): CrashEvent {
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns what is known of the suspects, those with the most crashes first
+	 */
+	public listEvidence(now: number): readonly SuspectEvidence[] {
+		this.removeExpired(now);
+		return [...this.suspects]
+			.filter(([, { crashes, clearedAt }]) => crashes.size > 0 || now - clearedAt <= SUSPICION_MS)
+			.sort(([, one], [, other]) => other.severity - one.severity || other.lastCrashAt - one.lastCrashAt)
+			.map(([key, { crashes, clearedAt }]) => ({
+				key,
+				crashes: [...crashes.values()].map(({ server, at }) => ({ server, ageMs: Math.round(now - at) })),
+				clearedAgeMs: clearedAt === -Infinity ? undefined : Math.round(now - clearedAt),
+			}));
+	}
+
+	/**
+	 * Numbers a crash. Servers that end at once have the same number, and all reports of the end of one server are of one crash.
+	 *
+	 * @param server that crashed
+	 * @param at monotonic milliseconds of the crash
+	 * @param toleranceMs difference up to which a known crash of the server is the same one
+	 * @param suspect whose crashes are known to be other ones
+	 */
+	private crashOf(server: number, at: number, toleranceMs: number, suspect?: Suspect): ServerCrash {
 		const known = this.crashOfServer.get(server);
-		if (known !== undefined && now - known.at < SAME_CRASH_MS) {
+		const isOther = known !== undefined && suspect?.crashes.has(known.number) === true;
+		if (known !== undefined && !isOther && Math.abs(at - known.at) < toleranceMs) {
 			return known;
 		}
-		const { number, at } = this.lastCrash;
-		const event = now - at < this.policy.simultaneousMs ? { number, at: now } : { number: number + 1, at: now };
-		this.lastCrash = { number: event.number, at: event.number === number ? at : now };
-		this.crashOfServer.set(server, event);
-		return event;
+		const { simultaneousMs } = this.policy;
+		const same = [...this.crashOfServer.values()].find(({ firstAt }) => Math.abs(at - firstAt) < simultaneousMs);
+		const { number, firstAt } = same ?? { number: ++this.lastNumber, firstAt: at };
+		const crash = { server, number, at, firstAt };
+		if (known === undefined || at > known.at) {
+			this.crashOfServer.set(server, crash);
+		}
+		return crash;
+	}
+
+	private addCrash(key: number, suspect: Suspect, crash: ServerCrash, now: number, toleranceMs = 0): void {
+		const { crashes } = suspect;
+		if (crash.at <= suspect.clearedAt || crashes.has(crash.number)) {
+			return;
+		}
+		crashes.set(crash.number, crash);
+		suspect.severity = Math.max(suspect.severity, crashes.size);
+		suspect.lastCrashAt = Math.max(suspect.lastCrashAt, crash.at);
+		// A crash before a quarantine is one that has led to it.
+		const isQuarantineDue =
+			suspect.quarantines > 0 ? crash.at > suspect.quarantinedAt + toleranceMs : crashes.size >= QUARANTINE_CRASHES;
+		if (isQuarantineDue) {
+			this.quarantine(key, suspect, crash.at, now);
+		}
 	}
 
-	private quarantine(key: number, suspect: Suspect, now: number): void {
+	/** Quarantines a suspect from its last crash on, so that routers which learn of the crash later do not extend the quarantine. */
+	private quarantine(key: number, suspect: Suspect, at: number, now: number): void {
 		const periodMs = Math.min(this.policy.initialQuarantineMs * 2 ** suspect.quarantines, MAXIMUM_QUARANTINE_MS);
 		const wasQuarantined = suspect.quarantinedUntil > now;
-		suspect.quarantinedAt = now;
-		suspect.quarantinedUntil = Math.max(suspect.quarantinedUntil, now + periodMs);
+		suspect.quarantinedAt = at;
+		suspect.quarantinedUntil = Math.max(suspect.quarantinedUntil, at + periodMs);
 		if (!wasQuarantined) {
 			suspect.quarantines++;
-			this.quarantineEmitter.fire({ key, crashes: suspect.crashes.size, quarantineMs: periodMs, ageMs: 0 });
+			const quarantineMs = Math.round(suspect.quarantinedUntil - now);
+			if (quarantineMs > 0) {
+				const ageMs = Math.round(now - at);
+				this.quarantineEmitter.fire({ key, crashes: suspect.crashes.size, quarantineMs, ageMs });
+			}
 		}
 	}
 
@@ -385,11 +473,11 @@
 
 	private add(key: number): Suspect {
 		if (this.suspects.size >= MAXIMUM_SUSPECTS) {
-			this.removeOldest();
+			this.removeLeastSuspected();
 		}
 		const suspect: Suspect = {
-			crashes: new Set(),
-			clearedUpTo: 0,
+			crashes: new Map(),
+			severity: 0,
 			lastCrashAt: -Infinity,
 			quarantines: 0,
 			quarantinedAt: -Infinity,
@@ -402,18 +490,19 @@
 		return suspect;
 	}
 
-	private removeOldest(): void {
-		let oldest: number | undefined;
-		let oldestAt = Infinity;
-		for (const [key, { lastCrashAt, quarantinedUntil }] of this.suspects) {
+	private removeLeastSuspected(): void {
+		let removed: number | undefined;
+		let least = { count: Infinity, at: Infinity };
+		for (const [key, { crashes, quarantines, lastCrashAt, quarantinedUntil }] of this.suspects) {
+			const count = Math.max(crashes.size, quarantines > 0 ? QUARANTINE_CRASHES : 0);
 			const at = Math.max(lastCrashAt, quarantinedUntil);
-			if (at < oldestAt) {
-				oldest = key;
-				oldestAt = at;
+			if (count < least.count || (count === least.count && at < least.at)) {
+				removed = key;
+				least = { count, at };
 			}
 		}
-		if (oldest !== undefined) {
-			this.suspects.delete(oldest);
+		if (removed !== undefined) {
+			this.suspects.delete(removed);
 		}
 	}
 
@@ -424,7 +513,7 @@
 			}
 		}
 		for (const [server, { at }] of this.crashOfServer) {
-			if (now - at >= SAME_CRASH_MS) {
+			if (now - at >= SUSPICION_MS) {
 				this.crashOfServer.delete(server);
 			}
 		}
@@ -436,6 +525,44 @@
 	return { part: SuspectRegistry.create(PROMPT_PART_POLICY), request: SuspectRegistry.create(REQUEST_POLICY) };
 }
 
-function containsAll(set: ReadonlySet<number>, items: ReadonlySet<number>): boolean {
-	return [...items].every((item) => set.has(item));
+/**
+ * Selects the crashes that a peer knows of beyond those that are known here. Their times cannot be compared exactly, so as many
+ * crashes of each server are taken to be the same ones as both know of.
+ */
+function unknownCrashes(
+	suspect: Suspect,
+	crashes: readonly EvidenceOfCrash[],
+	now: number,
+): readonly EvidenceOfCrash[] {
+	const known = new Map<number, number>();
+	for (const { server } of suspect.crashes.values()) {
+		known.set(server, (known.get(server) ?? 0) + 1);
+	}
+	return crashes.filter(({ server, ageMs }) => {
+		const left = known.get(server) ?? 0;
+		known.set(server, Math.max(0, left - 1));
+		return left === 0 && now - ageMs > suspect.clearedAt;
+	});
+}
+
+/** Clears a suspect of what happened up to a time. */
+function clearBefore(suspect: Suspect, at: number): void {
+	if (at <= suspect.clearedAt) {
+		return;
+	}
+	suspect.clearedAt = at;
+	for (const [number, crash] of suspect.crashes) {
+		if (crash.at <= at) {
+			suspect.crashes.delete(number);
+		}
+	}
+	if (suspect.quarantinedAt <= at) {
+		suspect.quarantines = 0;
+		suspect.quarantinedUntil = -Infinity;
+		suspect.testedUntil = -Infinity;
+	}
+}
+
+function containsAll(map: ReadonlyMap<number, unknown>, items: ReadonlyMap<number, unknown>): boolean {
+	return [...items.keys()].every((item) => map.has(item));
 }
--- a/src/backends/node/quarantineRecords.ts
+++ b/src/backends/node/quarantineRecords.ts
@@ -4,16 +4,19 @@
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
 import type { KeyValue, StoreError } from '../../store/common/keyValueStore.js';
 import type { IRevisionedStore } from '../../store/common/revisionedStore.js';
-import { SUSPECT_KINDS, type SuspectKind, type Suspects, type SuspectStatus } from '../common/suspectRegistry.js';
-import { decodeQuarantines, encodeQuarantines, type StoredQuarantine } from './quarantineCodec.js';
+import { SUSPECT_KINDS, type SuspectKind, type Suspects } from '../common/suspectRegistry.js';
+import { decodeSuspects, encodeSuspects, type StoredEvidence, type StoredSuspects } from './quarantineCodec.js';
 
-/** Key of what is quarantined. */
+/** Key of what is known of suspects. */
 const KEY = 'masticloom/quarantines';
 
 /** Interval at which changes are looked for, which is little compared with the time in which a request is repeated. */
 const CHANGE_INTERVAL_MS = 250;
 
-/** Interval at which the stored quarantines are compared with the known ones, which a restored store may lack. */
+/** Minimum interval between writes of evidence; quarantines are written at once. */
+const EVIDENCE_INTERVAL_MS = 1_000;
+
+/** Interval at which the stored suspects are compared with the known ones, which a restored store may lack. */
 const COMPARISON_INTERVAL_MS = 10_000;
 
 /** Pause after a call that has failed, since the store counts refused calls too. */
@@ -22,17 +25,30 @@
 /** Maximum number of stored quarantines of one kind; those that end first are left out. */
 const MAXIMUM_QUARANTINES = 200;
 
+/** Maximum number of suspects of one kind whose evidence is stored; those with the fewest crashes are left out. */
+const MAXIMUM_EVIDENCE = 200;
+
+/** Maximum number of crashes stored of one suspect; fewer suffice for a quarantine. */
+const MAXIMUM_CRASHES = 4;
+
+const NOTHING_STORED: StoredSuspects = { quarantines: [], evidence: [] };
+
+const QUARANTINE_MARK = 'quarantined';
+const CLEARED_MARK = 'cleared';
+
 /**
- * Keeps what is quarantined in the store, so that it outlives the loss of all routers.
+ * Keeps what is known of suspects in the store, so that it outlives the loss of all routers: what is quarantined, the crashes
+ * that may lead to a quarantine, and what has been cleared.
  *
  * Load pattern: all routers are killed or lose power, once or several times, while a request that crashes its servers is
  * repeated.
  */
 export class QuarantineRecords {
 	private isRead = false;
-	/** The quarantines that the store had at the last call, as {@link describe} lists them. */
-	private stored = '';
+	/** What the store had at the last call, as {@link describe} lists it. */
+	private stored: ReadonlySet<string> = new Set();
 	private comparedAt = -Infinity;
+	private writtenAt = -Infinity;
 
 	private constructor(
 		private readonly store: IRevisionedStore,
@@ -44,7 +60,7 @@
 	) {}
 
 	/**
-	 * @param store holds the quarantines
+	 * @param store holds what is known
 	 * @param suspects of this router
 	 * @param isWriter returns whether this router is one of the few that write
 	 * @param clock measures intervals
@@ -63,7 +79,7 @@
 		return new QuarantineRecords(store, suspects, isWriter, clock, unixMs, log);
 	}
 
-	/** @returns an effect that reads the quarantines once and then writes changes, until interrupted */
+	/** @returns an effect that reads what is stored once and then writes changes, until interrupted */
 	public run(): Effect.Effect<never> {
 		const self = this;
 		return Effect.gen(function* () {
@@ -82,29 +98,36 @@
 		if (!this.isRead) {
 			return true;
 		}
-		const known = this.describe();
-		const isComparisonDue = known !== '' && this.clock.now() - this.comparedAt >= COMPARISON_INTERVAL_MS;
-		return this.isWriter() && (known !== this.stored || isComparisonDue);
+		if (!this.isWriter()) {
+			return false;
+		}
+		const now = this.clock.now();
+		const missing = [...this.describe(this.known())].filter((item) => this.lacks(item));
+		const isEvidenceDue = now - this.writtenAt >= EVIDENCE_INTERVAL_MS;
+		const isComparisonDue = now - this.comparedAt >= COMPARISON_INTERVAL_MS && this.hasSuspects;
+		return missing.some((item) => isEvidenceDue || this.changesQuarantine(item)) || isComparisonDue;
 	}
 
-	/** Applies the stored quarantines, and writes those that the store lacks and those that it still has. */
+	/** Applies what is stored, and writes what the store lacks. */
 	private synchronize(): Effect.Effect<void, StoreError> {
 		const self = this;
 		return Effect.gen(function* () {
 			let current = yield* self.store.get(KEY);
 			for (;;) {
-				const isOutdated = self.applyStored(current);
+				self.applyStored(current);
 				self.isRead = true;
 				self.comparedAt = self.clock.now();
-				const known = self.describe();
+				const known = self.known();
+				const description = self.describe(known);
+				const isOutdated = [...description].some((item) => self.lacks(item));
 				if (!isOutdated || !self.isWriter()) {
-					self.stored = known;
 					return;
 				}
-				const result = yield* self.store.compareAndSwap(KEY, current?.revision ?? 0, self.encode());
+				const result = yield* self.store.compareAndSwap(KEY, current?.revision ?? 0, encodeSuspects(known));
 				if (result.swapped) {
-					self.log.write('quarantines-saved', { known });
-					self.stored = known;
+					self.log.write('suspects-saved', { known: [...description].sort().join(' ') });
+					self.stored = description;
+					self.writtenAt = self.clock.now();
 					return;
 				}
 				current = result.current;
@@ -112,50 +135,90 @@
 		});
 	}
 
-	/** Applies what is stored, and returns whether it differs from what is known then. */
-	private applyStored(current: KeyValue | undefined): boolean {
+	private applyStored(current: KeyValue | undefined): void {
 		const now = this.clock.now();
 		const unixMs = this.unixMs();
-		const stored = current === undefined ? [] : decodeQuarantines(current.value);
-		for (const { kind, key, crashes, beganAtMs, endsAtMs } of stored) {
+		const stored = current === undefined ? NOTHING_STORED : decodeSuspects(current.value);
+		const ageMs = (atMs: number): number => Math.max(0, unixMs - atMs);
+		for (const { kind, key, crashes, beganAtMs, endsAtMs } of stored.quarantines) {
 			if (endsAtMs > unixMs) {
-				const ageMs = Math.max(0, unixMs - beganAtMs);
-				this.suspects[kind].applyQuarantine({ key, crashes, quarantineMs: endsAtMs - unixMs, ageMs }, now);
+				const quarantineMs = endsAtMs - unixMs;
+				this.suspects[kind].applyQuarantine({ key, crashes, quarantineMs, ageMs: ageMs(beganAtMs) }, now);
 			}
 		}
-		return this.describe() !== describeKeys(stored);
+		for (const { kind, key, crashedAtMs, clearedAtMs } of stored.evidence) {
+			const crashes = crashedAtMs.map(([server, atMs]) => ({ server, ageMs: ageMs(atMs) }));
+			const clearedAgeMs = clearedAtMs === 0 ? undefined : ageMs(clearedAtMs);
+			this.suspects[kind].applyEvidence({ key, crashes, clearedAgeMs }, now);
+		}
+		this.stored = this.describe(stored);
+	}
+
+	/**
+	 * Whether the store lacks something that is known. That a suspect has been cleared matters only if the store has something
+	 * against it. What the store has beyond what is known has expired, or will be read.
+	 */
+	private lacks(item: string): boolean {
+		if (this.stored.has(item)) {
+			return false;
+		}
+		const suspect = item.slice(0, item.lastIndexOf(' ') + 1);
+		return !item.endsWith(CLEARED_MARK) || [...this.stored].some((other) => other.startsWith(suspect));
+	}
+
+	private changesQuarantine(item: string): boolean {
+		const suspect = item.slice(0, item.lastIndexOf(' ') + 1);
+		return (
+			item.endsWith(QUARANTINE_MARK) || (item.endsWith(CLEARED_MARK) && this.stored.has(suspect + QUARANTINE_MARK))
+		);
 	}
 
-	private quarantinedOf(kind: SuspectKind): readonly SuspectStatus[] {
-		return [...this.suspects[kind].listQuarantined(this.clock.now())]
-			.sort((one, other) => other.quarantineMs - one.quarantineMs)
-			.slice(0, MAXIMUM_QUARANTINES);
+	private get hasSuspects(): boolean {
+		return SUSPECT_KINDS.some((kind) => this.suspects[kind].hasSuspects);
 	}
 
-	private encode(): Uint8Array {
+	/** What is known, as it is stored. */
+	private known(): StoredSuspects {
+		const now = this.clock.now();
 		const unixMs = this.unixMs();
-		return encodeQuarantines(
-			SUSPECT_KINDS.flatMap((kind) =>
-				this.quarantinedOf(kind).map(({ key, crashes, quarantineMs, ageMs }) => ({
-					kind,
-					key,
-					crashes,
-					beganAtMs: unixMs - ageMs,
-					endsAtMs: unixMs + quarantineMs,
-				})),
+		return {
+			quarantines: SUSPECT_KINDS.flatMap((kind) =>
+				[...this.suspects[kind].listQuarantined(now)]
+					.sort((one, other) => other.quarantineMs - one.quarantineMs)
+					.slice(0, MAXIMUM_QUARANTINES)
+					.map(({ key, crashes, quarantineMs, ageMs }) => ({
+						kind,
+						key,
+						crashes,
+						beganAtMs: unixMs - ageMs,
+						endsAtMs: unixMs + quarantineMs,
+					})),
 			),
-		);
+			evidence: SUSPECT_KINDS.flatMap((kind) => this.knownEvidence(kind, now, unixMs)),
+		};
 	}
 
-	/** The known quarantines, for comparison and for the log. */
-	private describe(): string {
-		return describeKeys(SUSPECT_KINDS.flatMap((kind) => this.quarantinedOf(kind).map(({ key }) => ({ kind, key }))));
+	private knownEvidence(kind: SuspectKind, now: number, unixMs: number): readonly StoredEvidence[] {
+		return this.suspects[kind]
+			.listEvidence(now)
+			.slice(0, MAXIMUM_EVIDENCE)
+			.map(({ key, crashes, clearedAgeMs }) => ({
+				kind,
+				key,
+				crashedAtMs: crashes.slice(-MAXIMUM_CRASHES).map(({ server, ageMs }) => [server, unixMs - ageMs] as const),
+				clearedAtMs: clearedAgeMs === undefined ? 0 : unixMs - clearedAgeMs,
+			}));
 	}
-}
 
-function describeKeys(quarantines: readonly Pick<StoredQuarantine, 'kind' | 'key'>[]): string {
-	return quarantines
-		.map(({ kind, key }) => `${kind}:${formatShortKeys([key])}`)
-		.sort()
-		.join(' ');
+	/** Lists each fact once, for comparison and for the log. */
+	private describe({ quarantines, evidence }: StoredSuspects): ReadonlySet<string> {
+		const name = (kind: SuspectKind, key: number): string => `${kind}:${formatShortKeys([key])}`;
+		return new Set([
+			...quarantines.map(({ kind, key }) => `${name(kind, key)} ${QUARANTINE_MARK}`),
+			...evidence.flatMap(({ kind, key, crashedAtMs, clearedAtMs }) => [
+				...crashedAtMs.map(([server]) => `${name(kind, key)} ${formatShortKeys([server])}`),
+				...(clearedAtMs === 0 ? [] : [`${name(kind, key)} ${CLEARED_MARK}`]),
+			]),
+		]);
+	}
 }
--- a/src/backends/test/quarantineRecords.test.ts
+++ b/src/backends/test/quarantineRecords.test.ts
@@ -10,6 +10,9 @@
 /** Longer than the interval at which changes are written. */
 const WRITTEN_MS = 600;
 
+/** Longer than the interval at which evidence is written. */
+const EVIDENCE_WRITTEN_MS = 1_500;
+
 /** Longer than the interval at which the store is compared. */
 const COMPARED_MS = 11_000;
 
@@ -54,6 +57,10 @@
 	return suspects.request.quarantineMs([REQUEST], now()) > 0;
 }
 
+function revisionOf(store: MemoryStore): number {
+	return Math.max(0, ...[...store.items.values()].map(({ revision }) => revision));
+}
+
 function pause(milliseconds: number): Promise<void> {
 	return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
@@ -133,4 +140,51 @@
 		await pause(WRITTEN_MS);
 		expect(store.writes).toBe(0);
 	});
+
+	// Guards against a count that begins again when all routers are lost before the third crash.
+	test('crashes before a quarantine outlive the loss of all routers, one by one', async () => {
+		const store = MemoryStore.create();
+		for (let server = 0; server < CRASHES; server++) {
+			const router = startRouter(store);
+			await pause(WRITTEN_MS);
+			expect(isRefused(router)).toBe(false);
+			router.suspects.request.recordCrash({ server, suspects: [REQUEST] }, router.now());
+			await pause(EVIDENCE_WRITTEN_MS);
+			router.kill();
+		}
+		const next = startRouter(store, false);
+		await pause(WRITTEN_MS);
+		expect(isRefused(next)).toBe(true);
+	}, 20_000);
+
+	// Guards against a harmless request that is refused since a router had not heard that it was cleared.
+	test('what has been cleared outlives the loss of all routers', async () => {
+		const store = MemoryStore.create();
+		const router = startRouter(store);
+		crashByRequest(router);
+		await pause(WRITTEN_MS);
+		router.suspects.request.recordSurvival([REQUEST], router.now());
+		await pause(EVIDENCE_WRITTEN_MS);
+		router.kill();
+		const next = startRouter(store);
+		await pause(WRITTEN_MS);
+		const heard = { key: REQUEST, crashes: CRASHES, quarantineMs: 50_000, ageMs: 10_000 };
+		expect(next.suspects.request.applyQuarantine(heard, next.now())).toBe(false);
+		expect(isRefused(next)).toBe(false);
+	}, 20_000);
+
+	// Guards against calls to the store for each request that a crash has ended, or that a server has survived afterwards.
+	test('evidence is written once a second at most', async () => {
+		const store = MemoryStore.create();
+		const router = startRouter(store);
+		await pause(WRITTEN_MS);
+		const before = revisionOf(store);
+		for (let server = 0; server < 20; server++) {
+			router.suspects.request.recordCrash({ server, suspects: [1_000 + server] }, router.now());
+			await pause(50);
+			router.suspects.request.recordSurvival([1_000 + server], router.now());
+		}
+		await pause(EVIDENCE_WRITTEN_MS);
+		expect(revisionOf(store) - before).toBeLessThanOrEqual(3);
+	}, 20_000);
 });
--- a/src/backends/test/suspectRegistry.test.ts
+++ b/src/backends/test/suspectRegistry.test.ts
@@ -195,3 +195,101 @@
 		expect(suspects.quarantineMs([REQUEST], 20)).toBeGreaterThan(0);
 	});
 });
+
+describe('SuspectRegistry and the evidence of other routers', () => {
+	const LATENCY_MS = 50;
+	const REQUEST = 20;
+
+	function passOn(from: SuspectRegistry, to: SuspectRegistry, now: number): void {
+		from.listEvidence(now).forEach((evidence) => to.applyEvidence(evidence, now + LATENCY_MS));
+	}
+
+	// Guards against a count that begins again when all routers have been replaced before the third crash.
+	test('goes on counting where a router that has ended stopped', () => {
+		const ended = SuspectRegistry.create(REQUEST_POLICY);
+		const next = SuspectRegistry.create(REQUEST_POLICY);
+		const now = crash(ended, [REQUEST], 2);
+		passOn(ended, next, now + APART_MS);
+		expect(next.isAlmostQuarantined(REQUEST)).toBe(true);
+		next.recordCrash({ server: 300, suspects: [REQUEST] }, now + 2 * APART_MS);
+		expect(next.quarantineMs([REQUEST], now + 2 * APART_MS)).toBeGreaterThan(0);
+	});
+
+	// Guards against a count that is too low where a server crashes again before its new start is known.
+	test('tells several crashes of one server apart', () => {
+		const ended = SuspectRegistry.create(REQUEST_POLICY);
+		const next = SuspectRegistry.create(REQUEST_POLICY);
+		ended.recordCrash({ server: 100, suspects: [REQUEST] }, 0);
+		ended.recordCrash({ server: 100, suspects: [REQUEST] }, 4_000);
+		passOn(ended, next, 5_000);
+		passOn(ended, next, 5_500);
+		expect(next.list(6_000)).toMatchObject([{ key: REQUEST, crashes: 2 }]);
+	});
+
+	test('counts a crash once, however often it is repeated and whatever its age is said to be', () => {
+		const suspects = SuspectRegistry.create(REQUEST_POLICY);
+		suspects.recordCrash({ server: 100, suspects: [REQUEST] }, 0);
+		for (let now = 500; now < 20_000; now += 500) {
+			const crashes = [{ server: 100, ageMs: now - (now % 4_000) }];
+			suspects.applyEvidence({ key: REQUEST, crashes, clearedAgeMs: undefined }, now);
+		}
+		expect(suspects.list(20_000)).toMatchObject([{ key: REQUEST, crashes: 1 }]);
+	});
+
+	// Guards against a harmless request that is suspected again after a restart, since its clearing was told once only.
+	test('knows what was cleared before it was suspected', () => {
+		const ended = SuspectRegistry.create(REQUEST_POLICY);
+		const next = SuspectRegistry.create(REQUEST_POLICY);
+		const uninformed = SuspectRegistry.create(REQUEST_POLICY);
+		const now = crash(ended, [REQUEST], 2);
+		passOn(ended, uninformed, now);
+		ended.recordSurvival([REQUEST], now + APART_MS);
+		passOn(ended, next, now + 2 * APART_MS);
+		passOn(uninformed, next, now + 3 * APART_MS);
+		expect(next.list(now + 4 * APART_MS)).toEqual([]);
+		passOn(next, uninformed, now + 4 * APART_MS);
+		expect(uninformed.list(now + 5 * APART_MS)).toEqual([]);
+	});
+
+	test('does not apply a quarantine that was lifted before it started', () => {
+		const ended = SuspectRegistry.create(REQUEST_POLICY);
+		const next = SuspectRegistry.create(REQUEST_POLICY);
+		const now = crash(ended, [REQUEST], 3);
+		const [old] = ended.listQuarantined(now);
+		ended.recordSurvival([REQUEST], now + APART_MS);
+		passOn(ended, next, now + 2 * APART_MS);
+		const status = { ...old, key: REQUEST, crashes: 3, quarantineMs: 57_000, ageMs: 3_000 };
+		expect(next.applyQuarantine(status, now + 3 * APART_MS)).toBe(false);
+		expect(next.quarantineMs([REQUEST], now + 3 * APART_MS)).toBe(0);
+	});
+
+	// Guards against a quarantine that grows with each router that starts.
+	test('ends a quarantine at the same time, whichever is heard first', () => {
+		for (const isEvidenceFirst of [true, false]) {
+			const known = SuspectRegistry.create(REQUEST_POLICY);
+			const next = SuspectRegistry.create(REQUEST_POLICY);
+			const now = crash(known, [REQUEST], 3);
+			const later = now + 20_000;
+			const expected = known.quarantineMs([REQUEST], later);
+			const steps = [
+				(): void => passOn(known, next, later),
+				(): void => known.listQuarantined(later).forEach((status) => next.applyQuarantine(status, later)),
+			];
+			(isEvidenceFirst ? steps : [...steps].reverse()).forEach((step) => step());
+			expect(Math.abs(next.quarantineMs([REQUEST], later) - expected)).toBeLessThanOrEqual(2 * LATENCY_MS);
+		}
+	});
+
+	// Guards against the loss of evidence when a failure domain without power makes suspects of all that it was running.
+	test('keeps a suspect of two crashes when hundreds of others have one', () => {
+		const suspects = SuspectRegistry.create(REQUEST_POLICY);
+		const now = crash(suspects, [REQUEST], 2);
+		for (let server = 0; server < 30; server++) {
+			const others = Array.from({ length: 100 }, (_, index) => 1_000 + 100 * server + index);
+			suspects.recordCrash({ server: 500 + server, suspects: others }, now + APART_MS + server);
+		}
+		expect(suspects.listEvidence(now + 2 * APART_MS)[0]?.key).toBe(REQUEST);
+		suspects.recordCrash({ server: 300, suspects: [REQUEST] }, now + 3 * APART_MS);
+		expect(suspects.quarantineMs([REQUEST], now + 3 * APART_MS)).toBeGreaterThan(0);
+	});
+});
--- a/src/fleet/node/crashNotices.ts
+++ b/src/fleet/node/crashNotices.ts
@@ -3,13 +3,9 @@
 import type { IClock } from '../../base/common/clock.js';
 import { formatShortKeys } from '../../base/common/shortKey.js';
 import type { IDecisionLog } from '../../base/node/structuredLog.js';
-import {
-	SUSPECT_KINDS,
-	type SuspectKind,
-	type Suspects,
-	type SuspectStatus,
-} from '../../backends/common/suspectRegistry.js';
+import { SUSPECT_KINDS, type SuspectKind, type Suspects } from '../../backends/common/suspectRegistry.js';
 import type { FleetOutbox } from '../common/fleetOutbox.js';
+import { decodeEvidence, type RepeatedSuspects } from '../common/suspectMessages.js';
 import type { RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
 
 /**
@@ -21,6 +17,12 @@
 /** Maximum number of quarantined suspects of one kind in a heartbeat. */
 const QUARANTINED_PER_HEARTBEAT = 30;
 
+/** Number of suspects of one kind, those with the most crashes, whose evidence each heartbeat repeats. */
+const MAIN_EVIDENCE_PER_HEARTBEAT = 8;
+
+/** Maximum number of further suspects of one kind in a heartbeat, which take turns. */
+const OTHER_EVIDENCE_PER_HEARTBEAT = 8;
+
 /** Dependencies of the exchange of crash notices. */
 export interface CrashNoticeContext {
 	readonly suspects: Suspects;
@@ -47,6 +49,8 @@
 
 	/** Number of quarantined suspects of each kind that heartbeats have repeated; begins again after the last one. */
 	private readonly repeated: Record<SuspectKind, number> = { part: 0, request: 0 };
+	/** The same for evidence. */
+	private readonly repeatedEvidence: Record<SuspectKind, number> = { part: 0, request: 0 };
 
 	private readonly crashEmitter = this.register(Emitter.create<number>());
 
@@ -100,23 +104,34 @@
 		this.applyClears('request', datagram.clearedRequests, now);
 		this.applyQuarantines('part', datagram.quarantinedParts, datagram.instance, now);
 		this.applyQuarantines('request', datagram.quarantinedRequests, datagram.instance, now);
+		datagram.partEvidence.forEach((evidence) => suspects.part.applyEvidence(decodeEvidence(evidence), now));
+		datagram.requestEvidence.forEach((evidence) => suspects.request.applyEvidence(decodeEvidence(evidence), now));
 	}
 
 	/**
-	 * Returns what is quarantined, for a heartbeat. A router that has missed the notice of a quarantine, since it was
-	 * frozen or cut off or has just started, learns of it from any other one. If there is more than fits into a heartbeat,
-	 * each one repeats the next part.
+	 * Returns what is known of suspects, for a heartbeat. A router that has missed a notice, since it was frozen or cut off or has
+	 * just started, learns of it from any other one: of crashes, of quarantines and of what has been cleared. If there is more
+	 * than fits into a heartbeat, each one repeats the next part.
 	 *
-	 * @returns quarantined suspects by kind
+	 * @returns suspects by kind
 	 */
-	public nextQuarantined(): Readonly<Record<SuspectKind, readonly SuspectStatus[]>> {
+	public nextRepeated(): RepeatedSuspects {
 		const now = this.context.clock.now();
-		const next = (kind: SuspectKind): readonly SuspectStatus[] => {
-			const all = this.context.suspects[kind].listQuarantined(now);
-			const start = this.repeated[kind] < all.length ? this.repeated[kind] : 0;
-			const quarantined = all.slice(start, start + QUARANTINED_PER_HEARTBEAT);
-			this.repeated[kind] = start + quarantined.length;
-			return quarantined;
+		const next = (kind: SuspectKind): RepeatedSuspects[SuspectKind] => {
+			const suspects = this.context.suspects[kind];
+			const evidence = suspects.listEvidence(now);
+			return {
+				quarantined: takeTurns(suspects.listQuarantined(now), kind, this.repeated, QUARANTINED_PER_HEARTBEAT),
+				evidence: [
+					...evidence.slice(0, MAIN_EVIDENCE_PER_HEARTBEAT),
+					...takeTurns(
+						evidence.slice(MAIN_EVIDENCE_PER_HEARTBEAT),
+						kind,
+						this.repeatedEvidence,
+						OTHER_EVIDENCE_PER_HEARTBEAT,
+					),
+				],
+			};
 		};
 		return { part: next('part'), request: next('request') };
 	}
@@ -158,3 +173,16 @@
 		);
 	}
 }
+
+/** Returns the next items of a list, which begins again after its last one. */
+function takeTurns<T>(
+	items: readonly T[],
+	kind: SuspectKind,
+	positions: Record<SuspectKind, number>,
+	count: number,
+): readonly T[] {
+	const start = positions[kind] < items.length ? positions[kind] : 0;
+	const taken = items.slice(start, start + count);
+	positions[kind] = start + taken.length;
+	return taken;
+}
--- a/src/fleet/node/datagramWriter.ts
+++ b/src/fleet/node/datagramWriter.ts
@@ -1,10 +1,10 @@
 import { randomInt } from 'node:crypto';
-import type { SuspectKind, SuspectStatus } from '../../backends/common/suspectRegistry.js';
 import type { IClock } from '../../base/common/clock.js';
 import { shortKey } from '../../base/common/shortKey.js';
 import { formatAddress } from '../../settings/common/settings.js';
 import type { ExchangedState, RouterIdentity } from '../common/exchangedState.js';
 import { encodeStoreContact } from '../common/fleetMessages.js';
+import { encodeEvidence, type RepeatedSuspects } from '../common/suspectMessages.js';
 import type { FleetOutbox } from '../common/fleetOutbox.js';
 import { toWireCount } from '../common/wireCount.js';
 import {
@@ -24,8 +24,8 @@
 	readonly members?: readonly Member[];
 	readonly reports?: readonly EngineReport[];
 	readonly usageSum?: UsageSum;
-	/** What is quarantined because it crashes servers, by kind. */
-	readonly quarantined?: Readonly<Record<SuspectKind, readonly SuspectStatus[]>>;
+	/** What may crash servers. */
+	readonly suspects?: RepeatedSuspects | undefined;
 }
 
 /** Encodes the datagrams of this process, each with a higher sequence number than the one before. */
@@ -81,8 +81,10 @@
 		});
 		const takeHeldTokens = (server: string): number => engines.takeHeldTokensReport(server, now);
 		outbox?.moveTo(state, (server) => engines.ownInProgressAt(server), now, takeHeldTokens);
-		state.quarantinedParts.push(...(content.quarantined?.part ?? []));
-		state.quarantinedRequests.push(...(content.quarantined?.request ?? []));
+		state.quarantinedParts.push(...(content.suspects?.part.quarantined ?? []));
+		state.quarantinedRequests.push(...(content.suspects?.request.quarantined ?? []));
+		state.partEvidence = (content.suspects?.part.evidence ?? []).map(encodeEvidence);
+		state.requestEvidence = (content.suspects?.request.evidence ?? []).map(encodeEvidence);
 		if (content.withUsage === true) {
 			const usage = shares.ownUsage(now);
 			state.hasUsage = true;
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -60,7 +60,7 @@
 	private lastBroadcastAt = 0;
 	private lastUsageAt = 0;
 	private lastProbeAt = 0;
-	private lastQuarantinedAt = 0;
+	private lastSuspectsAt = 0;
 	/** Difference between the time of day and the monotonic clock at the last tick. */
 	private clockOffsetMs: number;
 	private stoodStillUntil = -Infinity;
@@ -320,10 +320,10 @@
 		const now = this.clock.now();
 		this.lastBroadcastAt = now;
 		const announcements = membership.announcements();
-		const quarantined = this.nextQuarantined(now);
+		const suspects = this.nextSuspects(now);
 		if (!assignments.isLargeFleet) {
 			const withUsage = this.isUsageDue(now);
-			const bytes = this.writer.write({ withUsage, quarantined }, broadcast);
+			const bytes = this.writer.write({ withUsage, suspects }, broadcast);
 			announcements.forEach(({ to }) => this.sendTo(to, bytes));
 		} else {
 			// Placements made before the fleet was known to be large are in the broadcast outbox too.
@@ -334,10 +334,10 @@
 				);
 			}
 			if (membership.isRelay) {
-				this.flushAsRelay(announcements, quarantined, now);
+				this.flushAsRelay(announcements, suspects, now);
 			} else {
 				const reports = encodeReports(engines.ownedQueueReports(now));
-				const content = { withUsage: true, reports, quarantined };
+				const content = { withUsage: true, reports, suspects };
 				announcements.forEach(({ to, members }) => this.sendSplit(to, members, content, now));
 			}
 		}
@@ -349,7 +349,7 @@
 
 	private flushAsRelay(
 		[toDomain, toRelays]: readonly Announcement[],
-		quarantined: DatagramContent['quarantined'],
+		suspects: DatagramContent['suspects'],
 		now: number,
 	): void {
 		const { engines, shares } = this.state;
@@ -358,14 +358,14 @@
 		const usageSum = { failureDomain: '', usage: [...shares.summedUsage('fleet', now)] };
 		if (toDomain !== undefined) {
 			const reports = [...owned, ...encodeRelayedReports(relayed, now)];
-			this.sendSplit(toDomain.to, toDomain.members, { withUsage: true, usageSum, reports, quarantined }, now);
+			this.sendSplit(toDomain.to, toDomain.members, { withUsage: true, usageSum, reports, suspects }, now);
 		}
 		if (toRelays !== undefined) {
 			const fromSameDomain = relayed.filter(({ isSameDomain }) => isSameDomain);
 			const reports = [...owned, ...encodeRelayedReports(fromSameDomain, now)];
 			const { failureDomain } = this.identity;
 			const domainSum = { failureDomain, usage: [...shares.summedUsage('domain', now)] };
-			this.sendSplit(toRelays.to, toRelays.members, { usageSum: domainSum, reports, quarantined }, now);
+			this.sendSplit(toRelays.to, toRelays.members, { usageSum: domainSum, reports, suspects }, now);
 		}
 	}
 
@@ -390,12 +390,12 @@
 		return true;
 	}
 
-	private nextQuarantined(now: number): DatagramContent['quarantined'] {
-		if (now - this.lastQuarantinedAt < HEARTBEAT_INTERVAL_MS - TICK_INTERVAL_MS / 2) {
+	private nextSuspects(now: number): DatagramContent['suspects'] {
+		if (now - this.lastSuspectsAt < HEARTBEAT_INTERVAL_MS - TICK_INTERVAL_MS / 2) {
 			return undefined;
 		}
-		this.lastQuarantinedAt = now;
-		return this.crashNotices.nextQuarantined();
+		this.lastSuspectsAt = now;
+		return this.crashNotices.nextRepeated();
 	}
 
 	private probeLostPeers(now: number): void {
@@ -466,15 +466,15 @@
 	}
 
 	private reply(instance: string, hadDirectContact: boolean, now: number): void {
-		const quarantined = hadDirectContact ? undefined : this.crashNotices.nextQuarantined();
+		const suspects = hadDirectContact ? undefined : this.crashNotices.nextRepeated();
 		if (!this.state.assignments.isLargeFleet || hadDirectContact) {
-			this.sendSplit([instance], [], { withUsage: !this.state.assignments.isLargeFleet, quarantined }, now);
+			this.sendSplit([instance], [], { withUsage: !this.state.assignments.isLargeFleet, suspects }, now);
 			if (!hadDirectContact) {
 				this.sendEngineState(instance, now);
 			}
 			return;
 		}
-		this.sendSplit([instance], this.membership.membersForNewPeer(), { quarantined }, now);
+		this.sendSplit([instance], this.membership.membersForNewPeer(), { suspects }, now);
 	}
 
 	/**
--- a/src/fleet/test/fleetExchange.test.ts
+++ b/src/fleet/test/fleetExchange.test.ts
@@ -118,6 +118,26 @@
 		await waitUntil(() => isRequestRefused(two));
 	});
 
+	// Guards against a count of crashes that begins again when routers are replaced one after the other.
+	test('crashes before a quarantine are known to a router that starts later', async () => {
+		const [one] = await startPair();
+		one.suspects.request.recordCrash({ server: 1, suspects: [HARMFUL_REQUEST] }, systemClock.now());
+		one.suspects.request.recordCrash({ server: 2, suspects: [HARMFUL_REQUEST] }, systemClock.now());
+		const three = await startRouter('router-4', '127.0.205');
+		three.exchange.introduce(one.datagramAddress);
+		await waitUntil(() => three.suspects.request.isAlmostQuarantined(HARMFUL_REQUEST));
+		expect(isRequestRefused(three)).toBe(false);
+	});
+
+	// Guards against a router that was frozen when a crash was told, and lets one more server end.
+	test('crashes before a quarantine are known to a router that missed the notices of them', async () => {
+		const [one, two] = await startPair();
+		const crashes = [1, 2].map((crashed) => ({ server: crashed, ageMs: 0 }));
+		const evidence = { key: HARMFUL_REQUEST, crashes, clearedAgeMs: undefined };
+		one.suspects.request.applyEvidence(evidence, systemClock.now());
+		await waitUntil(() => two.suspects.request.isAlmostQuarantined(HARMFUL_REQUEST));
+	});
+
 	// Guards against routers that each see too few of the prompts to find the part that crashes engines.
 	test('a part of prompts that crashed engines at several routers is refused at all, also at one that starts later', async () => {
 		const [one, two] = await startPair();
--- a/standins/usersPlatform/promptEngine.ts
+++ b/standins/usersPlatform/promptEngine.ts
@@ -1,3 +1,4 @@
+import { Emitter } from '../../src/base/common/event.js';
 import { createHash } from 'node:crypto';
 import type * as http from 'node:http';
 import { BackendListener, headerOf, sendJson } from '../common/backendListener.js';
@@ -115,6 +116,9 @@
 	private running = 0;
 	private prefillEndsAt = 0;
 	private faults: SimulatedFaults = {};
+	private readonly restartEmitter = Emitter.create<undefined>();
+	/** Fires when the server has started again after a crash. */
+	public readonly onDidRestart = this.restartEmitter.event;
 	private harmful: SimulatedCrash | undefined;
 	private notices: SimulatedNotices = {};
 	private workTimePercent: number | undefined;
@@ -190,6 +194,7 @@
 		this.held.clear();
 		this.waiting.length = 0;
 		this.listener.crash(downMs);
+		setTimeout(() => this.restartEmitter.fire(undefined), downMs).unref();
 	}
 
 	/** Stops the server. */
--- a/standins/usersPlatform/usersPlatform.ts
+++ b/standins/usersPlatform/usersPlatform.ts
@@ -79,7 +79,12 @@
 					: { id: `plain-${index}`, slots: 6, tokensPerMs: undefined, stepMs: 15, tokensPerEvent: 1 };
 			const engine = PlatformServer.create(options, random);
 			const address = new URL(await engine.listen()).host;
-			platform.registrations.set(options.id, { engine, address, state: 'ready', startedAt: FIRST_STARTED_AT_MS });
+			const entry = { engine, address, state: 'ready', startedAt: FIRST_STARTED_AT_MS };
+			platform.registrations.set(options.id, entry);
+			engine.onDidRestart(() => {
+				entry.startedAt++;
+				platform.register();
+			});
 		}
 		platform.register();
 		platform.configure();
