Charge what a connection holds as long as it is held

Since all header fields are kept, incomplete headers could do the same with fewer connections.

Cause: a request was charged until its response was closed, though the parser holds it until its body has arrived; incomplete headers and trailers were not charged at all; and the budget did not tell the heap from other memory.

--- a/src/base/common/memoryBudget.ts
+++ b/src/base/common/memoryBudget.ts
@@ -16,14 +16,18 @@
 	private total = 0;
 	private refusedReservations = 0;
 
-	private constructor(private readonly limit: number) {}
+	private constructor(
+		private readonly limit: number,
+		private readonly requestLimit: number,
+	) {}
 
 	/**
 	 * @param limitBytes maximum number of bytes to hold
+	 * @param requestLimitBytes maximum number of bytes of kind `request`, which are on the heap of JavaScript
 	 * @returns a budget of which nothing is used
 	 */
-	public static create(limitBytes: number): MemoryBudget {
-		return new MemoryBudget(limitBytes);
+	public static create(limitBytes: number, requestLimitBytes = limitBytes): MemoryBudget {
+		return new MemoryBudget(limitBytes, requestLimitBytes);
 	}
 
 	/** Maximum number of bytes. */
@@ -57,7 +61,8 @@
 	 * @returns whether they are reserved; if not, nothing has changed
 	 */
 	public tryReserve(kind: MemoryKind, bytes: number): boolean {
-		if (this.total + bytes > this.limit) {
+		const isOverKind = kind === 'request' && this.used.request + bytes > this.requestLimit;
+		if (isOverKind || this.total + bytes > this.limit) {
 			this.refusedReservations++;
 			return false;
 		}
--- a/src/base/node/headerLimits.ts
+++ b/src/base/node/headerLimits.ts
@@ -12,3 +12,14 @@
 export function keepAllHeaders(receiver: Server | ClientRequest): void {
 	receiver.maxHeadersCount = 0;
 }
+
+/**
+ * Sets the maximum size of the head of a request, and of its trailers, for connections that are opened afterwards.
+ *
+ * @param server that receives requests
+ * @param bytes maximum size
+ */
+export function setMaximumHeadBytes(server: Server, bytes: number): void {
+	// Node.js reads this undocumented property of the server when it creates the parser of a connection.
+	(server as Server & { maxHeaderSize?: number }).maxHeaderSize = bytes;
+}
--- a/src/gateway/node/bodyReceiver.ts
+++ b/src/gateway/node/bodyReceiver.ts
@@ -124,7 +124,7 @@
 		this.incomplete.add(reception);
 		const countChunk = this.pacer.counterOf(request.socket);
 		request.on('data', (chunk: Buffer) => {
-			countChunk();
+			countChunk(chunk);
 			if (reception.needsGrowth(chunk) && !this.grow(reception, reception.grownCapacity(chunk))) {
 				reception.settle('no-memory');
 			}
--- a/src/gateway/node/callerConnection.ts
+++ b/src/gateway/node/callerConnection.ts
@@ -22,10 +22,16 @@
 	/** In the order of their arrival. */
 	readonly unanswered: Map<ServerResponse, UnansweredRequest>;
 	unansweredBytes: number;
+	/** Bytes received that the parser has passed on, in heads and in parts of bodies. */
+	parsedBytes: number;
+	/** Memory that is charged for what the parser holds of a head or of trailers that are not complete. */
+	arrivingBytes: number;
 	/** Not read because of unanswered requests. */
 	isPaused: boolean;
 	/** Not read because of the pace of its chunks. */
 	isHeld: boolean;
+	/** What arrives does not reach the parser any more. */
+	isDiscarding: boolean;
 	/** Closed after the requests that have been accepted. */
 	isEnding: boolean;
 	/** Closed after the request that is running. */
@@ -46,13 +52,26 @@
 		lastResponse: undefined,
 		unanswered: new Map(),
 		unansweredBytes: 0,
+		parsedBytes: 0,
+		arrivingBytes: 0,
 		isPaused: false,
 		isHeld: false,
+		isDiscarding: false,
 		isEnding: false,
 		isClosing: false,
 	};
 }
 
+/**
+ * Removes the header fields of a request that is no longer needed, but remains until its body has arrived.
+ *
+ * @param request that has been answered
+ */
+export function removeHeaders(request: IncomingMessage): void {
+	request.rawHeaders = [];
+	request.headers = {};
+}
+
 /**
  * @param connection state of a connection
  * @returns whether the body of the last request of the connection is still arriving
@@ -71,6 +90,7 @@
 	if (connection.isPaused || connection.isHeld || isReceivingBody(connection)) {
 		connection.isPaused = false;
 		connection.isHeld = false;
+		connection.isDiscarding = true;
 		closeLingering(socket);
 	} else {
 		Socket.prototype.destroySoon.call(socket);
--- a/src/gateway/node/callerConnections.ts
+++ b/src/gateway/node/callerConnections.ts
@@ -11,6 +11,7 @@
 	createConnection,
 	hasRunning,
 	isReceivingBody,
+	removeHeaders,
 	reportClose,
 } from './callerConnection.js';
 import type { ConnectionReading } from './chunkPacer.js';
@@ -30,6 +31,21 @@
 /** Memory in bytes that each header field takes in addition to its text: two strings, in a list and in two tables of names. */
 const FIELD_OVERHEAD_BYTES = 160;
 
+/**
+ * Memory that what has arrived of a head or of trailers takes, relative to its size. The parser holds a single field as it is, and
+ * keeps complete ones on the heap, where short ones take ten times their size.
+ */
+const ARRIVING_MEMORY_FACTOR = 10;
+
+/** Size of a request line without its target, and of the end of the headers. */
+const REQUEST_LINE_OVERHEAD_BYTES = 24;
+
+/** Size of the framing of a chunk with up to seven digits. */
+const CHUNK_OVERHEAD_BYTES = 11;
+
+/** Bytes up to which what has arrived of a head is not charged; most heads arrive at once. */
+const FREE_ARRIVING_BYTES = 1_024;
+
 /** Fraction of the budget up to which requests behind an unanswered one are accepted, which no caller depends on. */
 const PIPELINED_FRACTION = 0.5;
 
@@ -96,6 +112,8 @@
 		});
 		socket.once('close', () => {
 			this.connections.delete(socket);
+			this.budget.release('request', connection.arrivingBytes);
+			connection.arrivingBytes = 0;
 			// Node reports the close to the first unanswered response only; the others would be held forever.
 			process.nextTick(() => [...connection.unanswered.keys()].forEach(reportClose));
 		});
@@ -162,6 +180,7 @@
 		connection.lastRequest = request;
 		connection.lastResponse = response;
 		connection.arrival.recordHeaders(this.clock.now());
+		this.addParsed(socket, connection, headerBytes + request.rawHeaders.length / 2 + REQUEST_LINE_OVERHEAD_BYTES);
 		const { unanswered } = connection;
 		const bytes = headerBytes + REQUEST_OVERHEAD_BYTES;
 		const isFirst = unanswered.size === 0;
@@ -176,12 +195,23 @@
 		}
 		unanswered.set(response, { isRunning: false, run: undefined });
 		connection.unansweredBytes += bytes;
+		const release = this.releaseOf(isReserved ? heldBytes : 0);
 		response.once('close', () => {
-			this.budget.release('request', isReserved ? heldBytes : 0);
+			if (request.complete || request.destroyed) {
+				release();
+			} else {
+				// The parser holds the request until its body has arrived or the connection has been closed.
+				removeHeaders(request);
+				release(REQUEST_OVERHEAD_BYTES);
+				request.once('close', () => release());
+			}
 			connection.unansweredBytes -= bytes;
 			unanswered.delete(response);
 			if (unanswered.size === 0) {
 				connection.arrival.recordAnswer(socket.bytesRead, isReceivingBody(connection));
+				if (request.complete) {
+					connection.parsedBytes = socket.bytesRead;
+				}
 			}
 			this.proceed(socket, connection);
 		});
@@ -192,6 +222,44 @@
 		return isReserved ? 'accepted' : 'no-memory';
 	}
 
+	public recordChunk(socket: Socket, bytes: number): void {
+		const connection = this.connections.get(socket);
+		if (connection !== undefined) {
+			this.addParsed(socket, connection, bytes + CHUNK_OVERHEAD_BYTES);
+		}
+	}
+
+	/**
+	 * Charges the budget for heads and trailers that have not arrived completely. If they do not fit, the largest ones are given
+	 * up, and their connections are closed. Called several times a second.
+	 *
+	 * @returns number of closed connections
+	 */
+	public chargeArriving(): number {
+		const arriving: { readonly socket: Socket; readonly connection: CallerConnection; readonly bytes: number }[] = [];
+		for (const [socket, connection] of this.connections) {
+			const bytes = socket.bytesRead - connection.parsedBytes;
+			const isCharged = bytes > FREE_ARRIVING_BYTES && !connection.isClosing && !connection.isDiscarding;
+			if (connection.arrivingBytes > 0) {
+				this.budget.release('request', connection.arrivingBytes);
+				connection.arrivingBytes = 0;
+			}
+			if (isCharged) {
+				arriving.push({ socket, connection, bytes: bytes * ARRIVING_MEMORY_FACTOR });
+			}
+		}
+		let closed = 0;
+		for (const { socket, connection, bytes } of arriving.sort((one, other) => one.bytes - other.bytes)) {
+			if (this.budget.tryReserve('request', bytes)) {
+				connection.arrivingBytes = bytes;
+			} else {
+				socket.destroy();
+				closed++;
+			}
+		}
+		return closed;
+	}
+
 	/**
 	 * Closes connections on which no request has arrived within the header timeout, if they are too many for one client
 	 * address or if there are few connections left.
@@ -284,6 +352,7 @@
 		this.endAfter(socket);
 		connection.isPaused = false;
 		connection.isHeld = false;
+		connection.isDiscarding = true;
 		discardInput(socket);
 	}
 
@@ -303,6 +372,21 @@
 		}
 	}
 
+	/** The parser does not tell how far it has read, so what it has passed on is added up; the sum is corrected at rest. */
+	private addParsed(socket: Socket, connection: CallerConnection, bytes: number): void {
+		connection.parsedBytes = Math.min(socket.bytesRead, connection.parsedBytes + bytes);
+	}
+
+	/** Returns a function that releases what is charged for a request, but for a number of bytes. */
+	private releaseOf(heldBytes: number): (keptBytes?: number) => void {
+		let held = heldBytes;
+		return (keptBytes = 0) => {
+			const kept = Math.min(held, keptBytes);
+			this.budget.release('request', held - kept);
+			held = kept;
+		};
+	}
+
 	private stopReading(socket: Socket, connection: CallerConnection): void {
 		connection.isClosing = true;
 		connection.isPaused = true;
--- a/src/gateway/node/chunkPacer.ts
+++ b/src/gateway/node/chunkPacer.ts
@@ -6,6 +6,11 @@
 	hold(socket: Socket): void;
 	/** @param socket that was held */
 	release(socket: Socket): void;
+	/**
+	 * @param socket on which the parser has passed on a part of a body
+	 * @param bytes size of the part
+	 */
+	recordChunk(socket: Socket, bytes: number): void;
 }
 
 /** Chunks of one connection per turn; parsing takes some microseconds for each. Usual bodies have far fewer. */
@@ -35,14 +40,15 @@
 	 * @param socket whose chunks are counted
 	 * @returns a function to call for each chunk
 	 */
-	public counterOf(socket: Socket): () => void {
+	public counterOf(socket: Socket): (chunk: Buffer) => void {
 		let turn = this.chunks.get(socket);
 		if (turn === undefined) {
 			turn = { count: 0 };
 			this.chunks.set(socket, turn);
 		}
 		const counted = turn;
-		return () => {
+		return (chunk) => {
+			this.reading.recordChunk(socket, chunk.length);
 			if (++counted.count === CHUNKS_PER_TURN) {
 				this.reading.hold(socket);
 				this.waiting.push(socket);
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -8,7 +8,7 @@
 import { isProcessPause } from '../../base/common/processPause.js';
 import { afterNextPoll, nextPoll } from '../../base/node/eventLoop.js';
 import { breakOff } from '../../base/node/brokenResponse.js';
-import { keepAllHeaders } from '../../base/node/headerLimits.js';
+import { keepAllHeaders, setMaximumHeadBytes } from '../../base/node/headerLimits.js';
 import { listenOn } from '../../base/node/listen.js';
 import type { LogFields } from '../../base/node/structuredLog.js';
 import { OpenRequests } from '../../callers/node/openRequests.js';
@@ -46,8 +46,11 @@
 import { SlowCallerMonitor } from './slowCallerMonitor.js';
 import { BackendRequestHandler, type BackendRequestContext } from './backendRequestHandler.js';
 
-/** Parser limit for headers; above the configured limit, so that requests with too large headers get a proper response. */
-const MAXIMUM_PARSED_HEADER_BYTES = 128 * 1_024;
+/** Parser limit for headers while there is no configuration. */
+const DEFAULT_PARSED_HEADER_BYTES = 128 * 1_024;
+
+/** Size in bytes that the parser accepts for a request line, in addition to the headers. */
+const REQUEST_LINE_BYTES = 16 * 1_024;
 
 /** Time beyond the idle limit for callers until the router closes a connection, so that callers close it first. */
 const IDLE_MARGIN_MS = 2_000;
@@ -75,6 +78,9 @@
 
 const SILENT_CHECK_INTERVAL_MS = 1_000;
 
+/** Interval at which incomplete headers are charged; in a shorter time the connections of a router bring less than its memory. */
+const ARRIVING_CHECK_INTERVAL_MS = 100;
+
 /** Time in milliseconds for which the rest of a body that is too large is read, so that its caller reads the response. */
 const OVERSIZED_BODY_READ_MS = 2_000;
 
@@ -120,6 +126,7 @@
 	private headerTimeoutMs = Infinity;
 	private idleTimeoutMs = DEFAULT_TIMEOUT_MS;
 	private silentCheckAt = 0;
+	private arrivingCheckAt = 0;
 	private isClosing = false;
 	private isRefusing = false;
 
@@ -152,7 +159,7 @@
 		}
 		this.server = http.createServer(
 			{
-				maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
+				maxHeaderSize: DEFAULT_PARSED_HEADER_BYTES,
 				// Node applies these on a timer, before it reads what has arrived in the meantime.
 				headersTimeout: 0,
 				requestTimeout: 0,
@@ -279,6 +286,8 @@
 
 	/** @param limits of the configuration in force */
 	public setLimits(limits: IngressLimits): void {
+		// Applies to new connections. What a caller sends of a head, or of trailers, is held by the parser.
+		setMaximumHeadBytes(this.server, limits.maximumHeaderBytes + REQUEST_LINE_BYTES);
 		this.headerTimeoutMs = limits.headerTimeoutMs;
 		this.idleTimeoutMs = limits.idleTimeoutMs;
 		this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
@@ -592,6 +601,10 @@
 
 	/** Ends what callers have begun and not continued. */
 	private enforceTimeouts(now: number): void {
+		if (now >= this.arrivingCheckAt) {
+			this.arrivingCheckAt = now + ARRIVING_CHECK_INTERVAL_MS;
+			this.limitLog.record('incomplete-headers', this.connectionsOfCallers.chargeArriving());
+		}
 		const isCrowded = this.connections > this.maximumConnections * CROWDED_FRACTION;
 		this.bodies.sweep(now, this.loadShedder.isLimiting, isCrowded ? this.headerTimeoutMs : Infinity);
 		if (now >= this.silentCheckAt) {
--- a/src/gateway/node/limitLog.ts
+++ b/src/gateway/node/limitLog.ts
@@ -13,6 +13,7 @@
 	'pipelined',
 	'silent',
 	'connection-limit',
+	'incomplete-headers',
 ] as const;
 
 /** Why a limit was applied to a caller. */
