Let three readers of a large fleet watch the store at short intervals

Three of them watch for 1,500 ms, as the other routers hear of a change from any reader.

In a large fleet the test now speaks of these three readers.

--- a/src/fleet/node/storeReaderSelection.ts
+++ b/src/fleet/node/storeReaderSelection.ts
@@ -8,6 +8,12 @@
  */
 const STORE_READERS = 9;
 
+/**
+ * Number of these that watch the store at short intervals; the store can refuse all of them at the same time in one of 28
+ * cases, and the other readers notice changes later then.
+ */
+const FREQUENT_STORE_READERS = 3;
+
 /**
  * While no router can read the store, the number of routers that try doubles after each such interval. Outages of the
  * store last longer than that.
@@ -46,6 +52,11 @@
 		return !this.assignments.isLargeFleet || this.assignments.isAssigned('store', this.requiredReaders());
 	}
 
+	/** Whether this router watches the store at short intervals, if it reads it. */
+	public get isFrequentReader(): boolean {
+		return this.assignments.isAssigned('store', FREQUENT_STORE_READERS);
+	}
+
 	private requiredReaders(): number {
 		if (this.exchange.isStoreReadByPeers) {
 			this.unreadSince = undefined;
--- a/src/fleet/test/storeReaders.test.ts
+++ b/src/fleet/test/storeReaders.test.ts
@@ -38,6 +38,17 @@
 		await waitUntil(() => count() === routers.length);
 	});
 
+	// Guards against a fleet whose readers all notice late that their connections to the store have gone silent.
+	test('three readers of a large fleet watch the store at short intervals', async () => {
+		const routers = await startLargeFleet(NETWORK);
+		const readers = routers.map(({ assignments, exchange }) =>
+			StoreReaderSelection.create(assignments, exchange, systemClock),
+		);
+		const frequent = readers.filter(({ isFrequentReader }) => isFrequentReader);
+		expect(frequent).toHaveLength(3);
+		expect(frequent.every(({ isReader }) => isReader)).toBe(true);
+	});
+
 	test('all routers of a small fleet read the store', async () => {
 		const pair = await startPair(NETWORK);
 		const isReader = ({ assignments, exchange }: FixtureRouter): boolean =>
--- a/src/store/node/prefixFollower.ts
+++ b/src/store/node/prefixFollower.ts
@@ -21,11 +21,13 @@
 const WATCH_WAIT_MS = 1_000;
 
 /**
- * Maximum duration of a watch call in a larger fleet, where a few routers read for all; a random part is subtracted.
- * At any time, some router's watch ends within a second, and the others receive from that router the changes that their
- * own watches have missed.
+ * The same for a few of the readers of a larger fleet, where some routers read for all. They notice a silence in time for all
+ * routers, which receive changes from each other.
  */
-const LARGE_FLEET_WATCH_WAIT_MS = 2_000;
+const FREQUENT_WATCH_WAIT_MS = 1_500;
+
+/** The same for the other readers of a larger fleet; a random part is subtracted, so that their watches do not end together. */
+const LARGE_FLEET_WATCH_WAIT_MS = 5_000;
 
 /** Interval at which a router that does not read the store checks whether it has to. */
 const READER_CHECK_INTERVAL_MS = 250;
@@ -52,6 +54,8 @@
 	readonly routers: () => number;
 	/** Whether this router reads the store; otherwise its peers send it the content. */
 	readonly isReader: () => boolean;
+	/** Whether this router is one of the readers that watch the store at shorter intervals. */
+	readonly isFrequentReader: () => boolean;
 	/** Whether another router reads the store. */
 	readonly isStoreReadByPeers: () => boolean;
 	/** Milliseconds for which this router waits after its start for a snapshot from a peer. */
@@ -61,6 +65,7 @@
 const SINGLE_ROUTER_FLEET: FollowerFleet = {
 	routers: () => 1,
 	isReader: () => true,
+	isFrequentReader: () => true,
 	isStoreReadByPeers: () => false,
 	peerSnapshotWaitMs: () => 0,
 };
@@ -247,8 +252,11 @@
 	}
 
 	private watchWaitMs(): number {
-		return this.fleet.routers() <= MAXIMUM_SMALL_FLEET_ROUTERS
-			? WATCH_WAIT_MS
+		if (this.fleet.routers() <= MAXIMUM_SMALL_FLEET_ROUTERS) {
+			return WATCH_WAIT_MS;
+		}
+		return this.fleet.isFrequentReader()
+			? FREQUENT_WATCH_WAIT_MS
 			: Math.round(LARGE_FLEET_WATCH_WAIT_MS * (1 - JITTER * this.random()));
 	}
 
--- a/src/store/test/prefixFollower.test.ts
+++ b/src/store/test/prefixFollower.test.ts
@@ -55,7 +55,13 @@
 		store,
 		systemClock,
 		{ write: () => undefined },
-		{ routers: () => routers, isReader, isStoreReadByPeers: () => false, peerSnapshotWaitMs: () => peerSnapshotWaitMs },
+		{
+			routers: () => routers,
+			isReader,
+			isFrequentReader: () => false,
+			isStoreReadByPeers: () => false,
+			peerSnapshotWaitMs: () => peerSnapshotWaitMs,
+		},
 		() => 1,
 	);
 	const contacts: boolean[] = [];
@@ -170,6 +176,7 @@
 		const fleet = {
 			routers: () => 40,
 			isReader: () => false,
+			isFrequentReader: () => false,
 			isStoreReadByPeers: () => true,
 			peerSnapshotWaitMs: () => 200,
 		};
