--- a/src/backends/node/quarantineRecords.ts
+++ b/src/backends/node/quarantineRecords.ts
@@ -125,7 +125,7 @@
 				}
 				const result = yield* self.store.compareAndSwap(KEY, current?.revision ?? 0, encodeSuspects(known));
 				if (result.swapped) {
-					self.log.write('suspects-saved', { known: [...description].sort().join(' ') });
+					self.log.write('quarantines-saved', { known: [...description].sort().join(' ') });
 					self.stored = description;
 					self.writtenAt = self.clock.now();
 					return;
