Judge the framing of a response by its collected fields

isSelfDelimited was the last reader of IncomingMessage.headers of a response, which Node.js merges when it is first read, for each response. The collected fields hold the same two.

--- a/src/backends/node/httpBackendClient.ts
+++ b/src/backends/node/httpBackendClient.ts
@@ -344,7 +344,7 @@
 			}
 			return;
 		}
-		if (!isSelfDelimited(this.request.method, response)) {
+		if (!isSelfDelimited(this.request.method, received)) {
 			this.connectionEnd = 'failed';
 			// The response loses its socket when the parser takes it for complete, and the connection may be used again.
 			const { socket } = response;
@@ -523,10 +523,9 @@
 }
 
 // A response that is delimited by the end of its connection looks complete when the server crashes while sending it.
-function isSelfDelimited(method: string, response: http.IncomingMessage): boolean {
-	if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(response.statusCode ?? 0)) {
+function isSelfDelimited(method: string, { status, headers }: ResponseHead): boolean {
+	if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(status)) {
 		return true;
 	}
-	const { 'content-length': length, 'transfer-encoding': codings } = response.headers;
-	return length !== undefined || codings !== undefined;
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
