Look up stored suspects instead of scanning all stored facts

Each cleared suspect compared its name with every stored fact, up to four times a second on the routers that write, and two methods cut the name out of a fact in the same way. The names are kept in a set now. No behaviour changes; the tests of quarantineRecords and crashQuarantine pass.

--- a/src/backends/node/quarantineRecords.ts
+++ b/src/backends/node/quarantineRecords.ts
@@ -47,6 +47,8 @@
 	private isRead = false;
 	/** What the store had at the last call, as {@link describe} lists it. */
 	private stored: ReadonlySet<string> = new Set();
+	/** Names of the suspects in {@link stored}. */
+	private storedSuspects: ReadonlySet<string> = new Set();
 	private comparedAt = -Infinity;
 	private writtenAt = -Infinity;
 
@@ -126,7 +128,7 @@
 				const result = yield* self.store.compareAndSwap(KEY, current?.revision ?? 0, encodeSuspects(known));
 				if (result.swapped) {
 					self.log.write('quarantines-saved', { known: [...description].sort().join(' ') });
-					self.stored = description;
+					self.setStored(description);
 					self.writtenAt = self.clock.now();
 					return;
 				}
@@ -151,7 +153,12 @@
 			const clearedAgeMs = clearedAtMs === 0 ? undefined : ageMs(clearedAtMs);
 			this.suspects[kind].applyEvidence({ key, crashes, clearedAgeMs }, now);
 		}
-		this.stored = this.describe(stored);
+		this.setStored(this.describe(stored));
+	}
+
+	private setStored(description: ReadonlySet<string>): void {
+		this.stored = description;
+		this.storedSuspects = new Set([...description].map(suspectOf));
 	}
 
 	/**
@@ -159,17 +166,13 @@
 	 * against it. What the store has beyond what is known has expired, or will be read.
 	 */
 	private lacks(item: string): boolean {
-		if (this.stored.has(item)) {
-			return false;
-		}
-		const suspect = item.slice(0, item.lastIndexOf(' ') + 1);
-		return !item.endsWith(CLEARED_MARK) || [...this.stored].some((other) => other.startsWith(suspect));
+		return !this.stored.has(item) && (!item.endsWith(CLEARED_MARK) || this.storedSuspects.has(suspectOf(item)));
 	}
 
 	private changesQuarantine(item: string): boolean {
-		const suspect = item.slice(0, item.lastIndexOf(' ') + 1);
 		return (
-			item.endsWith(QUARANTINE_MARK) || (item.endsWith(CLEARED_MARK) && this.stored.has(suspect + QUARANTINE_MARK))
+			item.endsWith(QUARANTINE_MARK) ||
+			(item.endsWith(CLEARED_MARK) && this.stored.has(`${suspectOf(item)} ${QUARANTINE_MARK}`))
 		);
 	}
 
@@ -222,3 +225,8 @@
 		]);
 	}
 }
+
+/** Returns the name of the suspect in an item of a description, which ends with a fact about it. */
+function suspectOf(item: string): string {
+	return item.slice(0, item.lastIndexOf(' '));
+}
