--- a/tools/platformFleet/caller.ts
+++ b/tools/platformFleet/caller.ts
@@ -2,6 +2,11 @@
 import * as http from 'node:http';
 import { signatureOf } from '../../standins/usersPlatform/promptEngine.js';
 import { HOST, apiKeyOf, type RequestKind, ROUTES } from '../../standins/usersPlatform/usersPlatform.js';
+import { pollUntil, rejectIfExited } from '../fleet/processes.js';
+import type { PlatformRouterProcess } from './platformFleet.js';
+
+/** Time for which a router may refuse ordinary requests after a crowd has left. */
+const ANSWER_TIMEOUT_MS = 30_000;
 
 /** How a request ended, as its caller observed it. */
 export interface CallResult {
@@ -160,3 +165,17 @@
 function eventNumbers(body: string): readonly number[] {
 	return [...body.matchAll(/^id: (\d+)\n.*\n\n/gm)].map(([, number]) => Number(number));
 }
+
+/**
+ * Sends ordinary requests one after the other until one is answered.
+ *
+ * @param router that receives the requests
+ * @returns a promise that is rejected when none is answered in time, or the router has ended
+ */
+export async function waitForAnswer({ host, port, program }: PlatformRouterProcess): Promise<void> {
+	const answer = pollUntil(ANSWER_TIMEOUT_MS, 'an ordinary request is answered', async () => {
+		const { status } = await callRouter({ host, port, kind: 'lookup', account: 'harbour' });
+		return status === 200 ? true : `status ${status}`;
+	});
+	await rejectIfExited(program, answer);
+}
