--- a/src/admission/test/shareReplay.ts
+++ b/src/admission/test/shareReplay.ts
@@ -7,6 +7,7 @@
 import { engineWith, optionWith } from '../../engines/test/engineFixture.js';
 import { FairnessLedger, type FairnessWindow } from '../../shares/common/fairnessLedger.js';
 import { type AccountUsage, OVER_SHARE_LIMITS, FleetShares } from '../../shares/common/fleetShares.js';
+import { UsageRelays } from '../../shares/test/usageRelays.js';
 import { decideAdmission, overShareRetryAfterMs } from '../common/admission.js';
 
 /** An account and its request pattern. */
@@ -18,6 +19,11 @@
 	readonly requestsPerSecond: (now: number) => number;
 	/** Number of routers at which its requests arrive. */
 	readonly routers: number;
+	/**
+	 * Interval in milliseconds after which its requests arrive at other routers, as when the load balancer takes a router out of
+	 * rotation; by default they arrive at the same ones throughout.
+	 */
+	readonly moveIntervalMs?: number;
 }
 
 /** Engines and routers of a replay. */
@@ -32,6 +38,12 @@
 	readonly exchangeDelayMs?: number;
 	/** Whether relays add up the usage of all routers, as in a large fleet, instead of each router that of its peers. */
 	readonly hasRelays?: boolean;
+	/** Number of failure domains, each with relays of its own that are lost like other routers; replaces the exchange delay. */
+	readonly failureDomains?: number;
+	/** Whether a router is lost at a given time in milliseconds; it returns without its state. */
+	readonly isRouterLost?: (router: number, now: number) => boolean;
+	/** Whether an engine is lost at a given time in milliseconds. */
+	readonly isEngineLost?: (engine: number, now: number) => boolean;
 }
 
 /** Outcome of a replay. */
@@ -133,7 +145,20 @@
 	const engines = Array.from({ length: fleet.engines }, () => new ReplayedEngine());
 	let reportedLoad = 0;
 	const capacitySource = { nominalCapacityPerSecond: () => fleet.nominalTokensPerSecond, load: () => reportedLoad };
-	const shares = Array.from({ length: fleet.routers }, () => FleetShares.create(capacitySource, () => fleet.routers));
+	const createShares = (): FleetShares => FleetShares.create(capacitySource, () => fleet.routers);
+	const shares = Array.from({ length: fleet.routers }, createShares);
+	const isRouterLost = fleet.isRouterLost ?? ((): boolean => false);
+	const isEngineLost = fleet.isEngineLost ?? ((): boolean => false);
+	/** The router that serves the callers of another one while that is lost. */
+	const servingRouter = (router: number, now: number): number => {
+		for (let step = 0; step < fleet.routers; step++) {
+			const candidate = (router + step * (fleet.failureDomains ?? 1)) % fleet.routers;
+			if (!isRouterLost(candidate, now)) {
+				return candidate;
+			}
+		}
+		return router;
+	};
 	const ledger = FairnessLedger.create();
 	const served = new Map(accounts.map(({ name }) => [name, Array.from({ length: endMs / SECOND_MS }, () => 0)]));
 	const busy = new Map<string, number>();
@@ -143,6 +168,7 @@
 		const workMs = prefillMs(tokens, 0);
 		return engines
 			.map((engine, index): EngineOption => {
+				const isLost = isEngineLost(index, now);
 				engine.advance(now);
 				const { queue } = engine;
 				return optionWith({
@@ -152,6 +178,7 @@
 					readMs: workMs * queue.pace,
 					load: queue.load(now),
 					cost: queue.waitMs(now) + workMs * queue.pace + random(),
+					...(isLost ? { health: { usable: false, unusableMs: SECOND_MS, failureRate: 1 } } : {}),
 				});
 			})
 			.sort((one, other) => one.cost - other.cost);
@@ -167,7 +194,8 @@
 			time.schedule(now + retryAfterMs, (later) => arrive({ ...attempt, isRetry: true }, later));
 		}
 	};
-	const arrive = ({ account, key, tokens, router, isRetry }: Attempt, now: number): void => {
+	const arrive = ({ account, key, tokens, router: chosen, isRetry }: Attempt, now: number): void => {
+		const router = servingRouter(chosen, now);
 		const routerShares = shares[router];
 		if (routerShares === undefined) {
 			return;
@@ -217,20 +245,29 @@
 			const rate = account.requestsPerSecond(now);
 			if (rate > 0) {
 				const tokens = Math.round(account.meanTokens * SIZE_SPREAD ** (2 * random() - 1));
-				const router = (firstRouter + Math.floor(random() * account.routers)) % fleet.routers;
+				const moves = Math.floor(now / (account.moveIntervalMs ?? Infinity));
+				const chosen = firstRouter + moves * account.routers + Math.floor(random() * account.routers);
+				const router = servingRouter(chosen % fleet.routers, now);
 				arrive({ account, key: index + 1, tokens, router, isRetry: false }, now);
 			}
 			time.schedule(now - (SECOND_MS * Math.log(1 - random())) / Math.max(1, rate), next);
 		};
 		time.schedule(random() * 100, next);
 	}
+	if (fleet.failureDomains !== undefined) {
+		UsageRelays.start(time, shares, createShares, { domains: fleet.failureDomains, isRouterLost, random });
+	}
 	const exchange = (now: number): void => {
 		const usages = shares.map((routerShares) => routerShares.ownUsage(now));
 		engines.forEach((engine) => engine.advance(now));
-		const load = engines.reduce((sum, { queue }) => sum + queue.load(now), 0) / engines.length;
+		const usable = engines.filter((_, index) => !isEngineLost(index, now));
+		const load = usable.reduce((sum, { queue }) => sum + queue.load(now), 0) / usable.length;
 		const usageSum = fleet.hasRelays === true ? sumUsage(usages) : undefined;
 		time.schedule(now + delayMs, (later) => {
 			reportedLoad = load;
+			if (fleet.failureDomains !== undefined) {
+				return;
+			}
 			shares.forEach((routerShares, router) => {
 				if (usageSum !== undefined) {
 					routerShares.recordReportedUsage(usages[router] ?? []);
