Let accounts take turns at a saturated router

What callers saw: an account with few requests is refused nearly all of them behind one that repeats on many connections, although other routers and the servers are idle.

One of three requests of a turn was the newest, which is the flood's most often; late ones were refused whatever their account, came back in 50 ms, and made the next ones late. Their wait also counted as event loop lag, so the limit fell to its lower bound of 20 a second.

Change: accounts take turns, so each waits behind its own requests only, and is late by itself; requests in time go first, late ones are refused beside them. The limit is divided by max-min fairness (AccountLimits). A wait for a turn makes a router saturated, so that it hands requests over, but does not lower the limit.

--- a/src/gateway/common/ingress.ts
+++ b/src/gateway/common/ingress.ts
@@ -43,6 +43,11 @@
 	 * @returns properties of the request
 	 */
 	decode(headers: HeaderFields): IngressFields;
+	/**
+	 * @param authorization value of the header that identifies the account; undefined when absent
+	 * @returns the key of the account; undefined when there is none
+	 */
+	decodeKey(authorization: string | undefined): string | undefined;
 	/**
 	 * @param headers of a caller's request
 	 * @param egress values to set
--- a/src/gateway/common/loadShedder.ts
+++ b/src/gateway/common/loadShedder.ts
@@ -1,4 +1,5 @@
 import { SlidingSum } from '../../shares/common/slidingSum.js';
+import { AccountLimits } from './accountLimits.js';
 
 /** Interval in milliseconds at which the event loop lag must be recorded. */
 export const LAG_SAMPLE_INTERVAL_MS = 50;
@@ -40,28 +41,24 @@
 
 const RATE_WINDOW_MS = 1_000;
 
-/** Size of a permitted burst, as the time in which the limit admits as many requests. */
-const BURST_MS = 100;
-
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** What happens to a received request: it runs here, is handed over to another router, or is refused. */
 export type LoadDecision = 'take' | 'hand-over' | 'refuse';
 
 /**
  * Limits the work of a router to what its CPU can process. A saturated router hands requests over to others, which takes
  * less CPU time than running them. Requests beyond that are refused early, while this is cheap, so that their callers
- * can try another router at once and accepted requests do not wait in socket buffers.
+ * can try another router at once and accepted requests do not wait in socket buffers. Accounts share the limit by max-min
+ * fairness.
  *
  * Load pattern: one caller sends most requests of a failure domain, and the load balancer assigns all its connections to
  * one router, which receives ten times what it can process while the others are idle.
  */
 export class LoadShedder {
 	private readonly admitted = SlidingSum.create(RATE_WINDOW_MS);
+	private readonly accountLimits = AccountLimits.create();
 	private lagMs = 0;
+	private waitMs = 0;
 	private limit = Infinity;
-	private credit = 0;
-	private creditUpdatedAt = 0;
 	private limitUpdatedAt = 0;
 
 	private constructor() {}
@@ -81,9 +78,9 @@
 		return this.limit !== Infinity;
 	}
 
-	/** Mean event loop lag in milliseconds. */
+	/** Mean time in milliseconds for which requests wait: the event loop lag, or the longest wait for a turn. */
 	public get meanLagMs(): number {
-		return this.lagMs;
+		return Math.max(this.lagMs, this.waitMs);
 	}
 
 	/**
@@ -91,10 +88,12 @@
 	 *
 	 * @param sampleMs milliseconds by which the timer fired late
 	 * @param now monotonic milliseconds
+	 * @param longestWaitMs milliseconds for which the first request has been waiting for its turn
 	 */
-	public recordLag(sampleMs: number, now: number): void {
+	public recordLag(sampleMs: number, now: number, longestWaitMs = 0): void {
 		const weight = 1 - Math.exp(-(LAG_SAMPLE_INTERVAL_MS + sampleMs) / LAG_AVERAGING_MS);
 		this.lagMs += weight * (Math.min(sampleMs, MAXIMUM_LAG_SAMPLE_MS) - this.lagMs);
+		this.waitMs += weight * (Math.min(longestWaitMs, MAXIMUM_LAG_SAMPLE_MS) - this.waitMs);
 		if (now - this.limitUpdatedAt < LIMIT_UPDATE_INTERVAL_MS) {
 			return;
 		}
@@ -103,9 +102,15 @@
 		if (this.lagMs > SATURATED_LAG_MS) {
 			const limit = Math.min(this.limit, admittedPerSecond) * LIMIT_DECREASE_FACTOR;
 			this.limit = Math.max(MINIMUM_REQUESTS_PER_SECOND, limit);
+			return;
+		}
+		const ineffectiveLimit = INEFFECTIVE_LIMIT_FACTOR * Math.max(MINIMUM_REQUESTS_PER_SECOND, admittedPerSecond);
+		if (this.waitMs > SATURATED_LAG_MS) {
+			// The turns bound the work of an iteration already. What waits there says nothing about how much can be processed.
+			this.limit = Math.min(this.limit * LIMIT_INCREASE_FACTOR, ineffectiveLimit);
 		} else if (this.lagMs < NORMAL_LAG_MS && this.limit !== Infinity) {
 			this.limit *= LIMIT_INCREASE_FACTOR;
-			if (this.limit > INEFFECTIVE_LIMIT_FACTOR * Math.max(MINIMUM_REQUESTS_PER_SECOND, admittedPerSecond)) {
+			if (this.limit > ineffectiveLimit) {
 				this.limit = Infinity;
 			}
 		}
@@ -115,27 +120,23 @@
 	 * Decides what happens to a received request. Refusing it saves nothing if its caller retries at this router on a new
 	 * connection: a refusal and a new connection together take as long as handing the request over.
 	 *
+	 * @param account name of the account that sent the request
 	 * @param now monotonic milliseconds
 	 * @param mayHandOver returns whether another router can run the request
 	 * @param wouldRetryHere returns whether the caller of a refused request would retry at this router
 	 * @returns the decision
 	 */
-	public decide(now: number, mayHandOver: () => boolean, wouldRetryHere: () => boolean): LoadDecision {
+	public decide(account: string, now: number, mayHandOver: () => boolean, wouldRetryHere: () => boolean): LoadDecision {
 		if (this.limit === Infinity) {
 			this.admitted.add(1, now);
 			return 'take';
 		}
-		const burst = Math.max(1, (this.limit * BURST_MS) / MILLISECONDS_PER_SECOND);
-		const earned = ((now - this.creditUpdatedAt) * this.limit) / MILLISECONDS_PER_SECOND;
-		this.credit = Math.min(burst, this.credit + earned);
-		this.creditUpdatedAt = now;
 		const isHandover = mayHandOver();
 		const work = isHandover ? HANDOVER_COST : 1;
 		const isRefusalIneffective = isHandover && this.lagMs < MAXIMUM_LAG_WITHOUT_REFUSAL_MS && wouldRetryHere();
-		if (this.credit < work && !isRefusalIneffective) {
+		if (!this.accountLimits.tryTake(account, work, this.limit, now) && !isRefusalIneffective) {
 			return 'refuse';
 		}
-		this.credit = Math.max(0, this.credit - work);
 		this.admitted.add(work, now);
 		return isHandover ? 'hand-over' : 'take';
 	}
--- a/src/gateway/node/gatewayServer.ts
+++ b/src/gateway/node/gatewayServer.ts
@@ -415,7 +415,7 @@
 			idleTimeoutMs: this.idleTimeoutMs,
 			totalTimeoutMs: REQUEST_TIMEOUT_MS,
 		});
-		const giveUp = this.turns.take((isLate) => {
+		const giveUp = this.turns.take(this.accountNameOf(request), (isLate) => {
 			if (!response.destroyed) {
 				this.runGuarded(response, () => this.handle(request, response, { ...head, isLate, body }));
 			}
@@ -426,6 +426,13 @@
 		});
 	}
 
+	/** Finds the account of a request without decoding the rest of its headers. */
+	private accountNameOf({ rawHeaders }: http.IncomingMessage): string {
+		const index = rawHeaders.findIndex((text, at) => at % 2 === 0 && text.toLowerCase() === 'authorization');
+		const key = this.context.codec.decodeKey(rawHeaders[index + 1]);
+		return (key === undefined ? undefined : this.table()?.accountOf(key)?.name) ?? '';
+	}
+
 	private handle(
 		request: http.IncomingMessage,
 		response: http.ServerResponse,
@@ -525,7 +532,8 @@
 			}
 		};
 		const wouldRetryHere = (): boolean => !this.rotationController.isDetectedByBalancer(now);
-		const decision = isLate ? 'refuse' : this.loadShedder.decide(now, mayHandOver, wouldRetryHere);
+		const account = routing.account?.name ?? '';
+		const decision = isLate ? 'refuse' : this.loadShedder.decide(account, now, mayHandOver, wouldRetryHere);
 		if (decision === 'refuse') {
 			const { isRelieved } = this.rotationController;
 			const retryAfterMs = this.rotationController.retryAfterMs(now, Math.random());
@@ -654,7 +662,7 @@
 			this.context.log.write('process-paused', { pausedMs: Math.round(lagMs), cpuMs: Math.round(cpuMs) });
 			return;
 		}
-		this.loadShedder.recordLag(Math.max(lagMs, this.turns.waitMs(now)), now);
+		this.loadShedder.recordLag(lagMs, now, this.turns.waitMs(now));
 		this.incoming.recordLag(this.loadShedder.meanLagMs, now);
 	}
 
--- a/src/gateway/test/balancedRouters.test.ts
+++ b/src/gateway/test/balancedRouters.test.ts
@@ -20,8 +20,9 @@
 			loadShedder.recordLag(lagMs, now);
 			rotationController.update(loadShedder.isLimiting, () => neighbours, now);
 		},
-		decide: (now, isHandedOver) =>
+		decide: (caller, now, isHandedOver) =>
 			loadShedder.decide(
+				caller,
 				now,
 				() => !isHandedOver,
 				() => !rotationController.isDetectedByBalancer(now),
--- a/src/gateway/test/balancedRouters.ts
+++ b/src/gateway/test/balancedRouters.ts
@@ -5,8 +5,8 @@
 export interface IRouterLoadPolicy {
 	/** Called when a timer fires `lagMs` late; `neighbours` states for each neighbour whether it is out of rotation. */
 	recordLag(lagMs: number, now: number, neighbours: readonly boolean[]): void;
-	/** Decides what happens to a request; one that was handed over is not handed over again. */
-	decide(now: number, isHandedOver: boolean): LoadDecision;
+	/** Decides what happens to a request of a caller; one that was handed over is not handed over again. */
+	decide(caller: string, now: number, isHandedOver: boolean): LoadDecision;
 	/** Result of the load balancer's health check. */
 	isReady(): boolean;
 	/** Whether the connection of a refused request is closed. */
@@ -129,12 +129,13 @@
 	};
 	const run = (
 		router: Router,
+		caller: string,
 		isHandedOver: boolean,
 		now: number,
 		ended: (decision: LoadDecision, at: number) => void,
 	): void => {
 		let decision: LoadDecision = 'refuse';
-		const start = (at: number): number => WORK_MS[(decision = router.loadPolicy.decide(at, isHandedOver))];
+		const start = (at: number): number => WORK_MS[(decision = router.loadPolicy.decide(caller, at, isHandedOver))];
 		router.add({ start, done: (at) => ended(decision, at) }, now);
 	};
 	const send = (router: Router, request: SimulatedRequest, isRetry: boolean, now: number): void => {
@@ -153,11 +154,13 @@
 			request.acceptedAt = at;
 			schedule(at + STREAM_MS, () => release(request, router));
 		};
-		run(router, false, now, (decision, at) => {
+		run(router, request.caller, false, now, (decision, at) => {
 			if (decision === 'hand-over') {
 				const others = [...routers.values()].filter((other) => other !== router);
 				const other = others[Math.floor(random() * others.length)] ?? router;
-				run(other, true, at, (second, later) => (second === 'take' ? acceptRequest(later) : refuseRequest(later)));
+				run(other, request.caller, true, at, (second, later) =>
+					second === 'take' ? acceptRequest(later) : refuseRequest(later),
+				);
 			} else {
 				(decision === 'take' ? acceptRequest : refuseRequest)(at);
 			}
--- a/src/gateway/test/gatewayFixture.ts
+++ b/src/gateway/test/gatewayFixture.ts
@@ -163,6 +163,7 @@
 	requestIdHeader: 'request-id',
 	singleHeaders: ['request-id', 'deadline'],
 	endToEndHeaders: new Set(['request-id']),
+	decodeKey: (authorization) => authorization,
 	decode: (headers) => ({
 		...throwIfUnreadable(headers),
 		id: String(headers['request-id'] ?? ''),
--- a/src/gateway/test/overloadGuard.test.ts
+++ b/src/gateway/test/overloadGuard.test.ts
@@ -5,6 +5,8 @@
 const ACCEPTED_MS = 8;
 const REFUSED_MS = 0.6;
 
+const ACCOUNT = 'harbour';
+
 const never = (): boolean => false;
 const always = (): boolean => true;
 
@@ -35,7 +37,7 @@
 			loadShedder?.recordLag(lagMs, nextTick + lagMs);
 		}
 		const readAt = Math.max(freeAt, arrival);
-		const isAccepted = loadShedder === undefined || loadShedder.decide(readAt, never, never) === 'take';
+		const isAccepted = loadShedder === undefined || loadShedder.decide(ACCOUNT, readAt, never, never) === 'take';
 		freeAt = readAt + (isAccepted ? ACCEPTED_MS : REFUSED_MS);
 		if (arrival >= lastSecond) {
 			accepted += isAccepted ? 1 : 0;
@@ -66,7 +68,7 @@
 		expect(loadShedder.requestsPerSecond).toBeLessThan(130);
 		for (let now = 5_000; now < 12_000; now += LAG_SAMPLE_INTERVAL_MS) {
 			loadShedder.recordLag(0, now);
-			loadShedder.decide(now, never, never);
+			loadShedder.decide(ACCOUNT, now, never, never);
 		}
 		expect(loadShedder.requestsPerSecond).toBe(Infinity);
 	});
@@ -74,7 +76,7 @@
 	test('a single short pause limits no requests', () => {
 		const loadShedder = LoadShedder.create();
 		for (let now = 0; now < 1_000; now += 10) {
-			loadShedder.decide(now, never, never);
+			loadShedder.decide(ACCOUNT, now, never, never);
 		}
 		loadShedder.recordLag(60, 1_060);
 		expect(loadShedder.requestsPerSecond).toBe(Infinity);
@@ -86,12 +88,43 @@
 		const loadShedder = LoadShedder.create();
 		loadShedder.recordLag(120, 1_000);
 		expect(loadShedder.isLimiting).toBe(true);
-		const decisions = Array.from({ length: 50 }, () => loadShedder.decide(1_000, always, always));
+		const decisions = Array.from({ length: 50 }, () => loadShedder.decide(ACCOUNT, 1_000, always, always));
 		expect(new Set(decisions)).toEqual(new Set(['hand-over']));
-		expect(Array.from({ length: 50 }, () => loadShedder.decide(1_000, always, never))).toContain('refuse');
+		expect(Array.from({ length: 50 }, () => loadShedder.decide(ACCOUNT, 1_000, always, never))).toContain('refuse');
 		for (let now = 1_250; now < 4_000; now += 250) {
 			loadShedder.recordLag(250, now);
 		}
-		expect(Array.from({ length: 50 }, () => loadShedder.decide(4_000, always, always))).toContain('refuse');
+		expect(Array.from({ length: 50 }, () => loadShedder.decide(ACCOUNT, 4_000, always, always))).toContain('refuse');
+	});
+
+	// Guards against a limit that one account uses up, so that another one with few requests is refused for its load.
+	test('an account that sends less than an equal part of the limit is admitted beside one that sends many times as much', () => {
+		const loadShedder = LoadShedder.create();
+		const accepted = { flood: 0, small: 0 };
+		for (let now = 0; now < 10_000; now++) {
+			if (now % LAG_SAMPLE_INTERVAL_MS === 0) {
+				loadShedder.recordLag(now < 2_000 ? 100 : 15, now);
+			}
+			accepted.flood += loadShedder.decide('flood', now, never, never) === 'take' ? 1 : 0;
+			if (now >= 5_000 && now % 200 === 0) {
+				accepted.small += loadShedder.decide('small', now, never, never) === 'take' ? 1 : 0;
+			}
+		}
+		expect(loadShedder.isLimiting).toBe(true);
+		expect(accepted.small).toBe(25);
+	});
+
+	// Guards against a limit that falls to its lower bound because requests wait for their turn, although the CPU could process more.
+	test('requests that wait for their turn do not lower the limit', () => {
+		const loadShedder = LoadShedder.create();
+		let taken = 0;
+		for (let now = 0; now < 10_000; now += 5) {
+			if (now % LAG_SAMPLE_INTERVAL_MS === 0) {
+				loadShedder.recordLag(5, now, 250);
+			}
+			taken += loadShedder.decide(ACCOUNT, now, never, never) === 'take' ? 1 : 0;
+		}
+		expect(loadShedder.isLimiting).toBe(true);
+		expect(taken).toBeGreaterThan(0.9 * 2_000);
 	});
 });
--- a/src/gateway/test/requestTurns.test.ts
+++ b/src/gateway/test/requestTurns.test.ts
@@ -9,7 +9,7 @@
 interface TurnsFixture {
 	readonly turns: RequestTurns;
 	readonly handled: Handled[];
-	readonly take: (name: number) => () => void;
+	readonly take: (name: number, account?: string) => () => void;
 	readonly setTime: (now: number) => void;
 }
 
@@ -20,7 +20,7 @@
 	return {
 		turns,
 		handled,
-		take: (name) => turns.take((isLate) => handled.push({ name, isLate })),
+		take: (name, account = 'harbour') => turns.take(account, (isLate) => handled.push({ name, isLate })),
 		setTime: (now) => (time = now),
 	};
 }
@@ -87,3 +87,23 @@
 	expect(handled.map(({ name }) => name)).toEqual([0, 1, 2, 9]);
 	expect(turns.waitMs(1_000)).toBe(0);
 });
+
+// Guards against an account whose requests wait behind those of another one, which repeats what is refused on many connections.
+test('an account waits behind its own requests only', async () => {
+	const { handled, take, setTime } = createTurns();
+	Array.from({ length: 100 }, (_, name) => take(name, 'flood'));
+	await nextIteration();
+	setTime(300);
+	take(100, 'flood');
+	take(101, 'small');
+	take(102, 'small');
+	while (handled.length <= 6) {
+		await nextIteration();
+	}
+	const inTime = handled.filter(({ name }) => name >= 100);
+	expect(inTime).toEqual([
+		{ name: 100, isLate: false },
+		{ name: 101, isLate: false },
+		{ name: 102, isLate: false },
+	]);
+});
--- a/src/routing/common/routeTable.ts
+++ b/src/routing/common/routeTable.ts
@@ -66,10 +66,18 @@
 		if (route.isPublic || this.configuration.accounts === undefined) {
 			return { route, service, account: undefined };
 		}
-		const account = request.key === undefined ? undefined : this.accountsByKey.get(request.key);
+		const account = request.key === undefined ? undefined : this.accountOf(request.key);
 		return account === undefined ? 'unknown-key' : { route, service, account };
 	}
 
+	/**
+	 * @param key of a caller
+	 * @returns the account that holds the key; undefined when there is none
+	 */
+	public accountOf(key: string): RoutedAccount | undefined {
+		return this.accountsByKey.get(key);
+	}
+
 	/**
 	 * @param name of a service
 	 * @returns the service; undefined if the configuration does not contain it
