Send no sums of usage before the routers have reported

What callers saw: after routers had been lost and had returned, accounts got many times their share in some failure domains and were refused in others.

Cause: a relay that has just started, or has just been selected, sent the sum of what it had heard at once. Each router uses the last sum that arrives, so those of its domain took the fleet to be nearly idle in between. A router that has just started also kept its first level, which is unbounded, for a second, although it hears a sum after a quarter of it.

Change: relays leave sums out for a second after their sources have changed, the time for which a router keeps its own level. The other relays of the domain go on sending theirs. Only a finite level is kept.

--- a/src/fleet/node/datagramWriter.ts
+++ b/src/fleet/node/datagramWriter.ts
@@ -23,7 +23,7 @@
 	readonly withUsage?: boolean;
 	readonly members?: readonly Member[];
 	readonly reports?: readonly EngineReport[];
-	readonly usageSum?: UsageSum;
+	readonly usageSum?: UsageSum | undefined;
 	/** What may crash servers. */
 	readonly suspects?: RepeatedSuspects | undefined;
 }
--- a/src/fleet/node/fleetExchange.ts
+++ b/src/fleet/node/fleetExchange.ts
@@ -32,7 +32,7 @@
 	USAGE_INTERVAL_PER_PEER_MS,
 } from '../common/fleetTiming.js';
 import { OVER_SHARE_LIMITS } from '../../shares/common/fleetShares.js';
-import { type ReservationAnswer, RouterState } from '../common/generated/masticloom/fleet/v1/fleet.js';
+import { type ReservationAnswer, RouterState, type UsageSum } from '../common/generated/masticloom/fleet/v1/fleet.js';
 import { ReportBuffer } from '../common/reportBuffer.js';
 import type { MemberUpdate } from '../common/memberList.js';
 import { type DatagramContent, DatagramWriter } from './datagramWriter.js';
@@ -355,17 +355,22 @@
 		const { engines, shares } = this.state;
 		const owned = encodeReports(engines.ownedQueueReports(now));
 		const relayed = this.reports.take();
-		const usageSum = { failureDomain: '', usage: [...shares.summedUsage('fleet', now)] };
+		const sumOf = (scope: 'domain' | 'fleet', failureDomain: string): UsageSum | undefined =>
+			shares.hasCompleteSources(now) ? { failureDomain, usage: [...shares.summedUsage(scope, now)] } : undefined;
 		if (toDomain !== undefined) {
 			const reports = [...owned, ...encodeRelayedReports(relayed, now)];
-			this.sendSplit(toDomain.to, toDomain.members, { withUsage: true, usageSum, reports, suspects }, now);
+			this.sendSplit(
+				toDomain.to,
+				toDomain.members,
+				{ withUsage: true, usageSum: sumOf('fleet', ''), reports, suspects },
+				now,
+			);
 		}
 		if (toRelays !== undefined) {
 			const fromSameDomain = relayed.filter(({ isSameDomain }) => isSameDomain);
 			const reports = [...owned, ...encodeRelayedReports(fromSameDomain, now)];
-			const { failureDomain } = this.identity;
-			const domainSum = { failureDomain, usage: [...shares.summedUsage('domain', now)] };
-			this.sendSplit(toRelays.to, toRelays.members, { usageSum: domainSum, reports, suspects }, now);
+			const usageSum = sumOf('domain', this.identity.failureDomain);
+			this.sendSplit(toRelays.to, toRelays.members, { usageSum, reports, suspects }, now);
 		}
 	}
 
--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -129,7 +129,8 @@
 	private snapshots: readonly OwnSnapshot[] = [];
 	private totals: ReadonlyMap<number, AccountUsage> = new Map();
 	private levelComputedAt = -Infinity;
-	private levelKeptUntil = -Infinity;
+	/** Monotonic milliseconds until which the sources of reports have not had time to report. */
+	private sourcesIncompleteUntil = -Infinity;
 	/** Number of routers when the level was computed. */
 	private routers = 1;
 	private level = Infinity;
@@ -257,7 +258,15 @@
 	public discardRemoteUsage(now: number): void {
 		this.peers.clear();
 		this.sums.clear();
-		this.levelKeptUntil = now + SOURCE_CHANGE_DELAY_MS;
+		this.sourcesIncompleteUntil = now + SOURCE_CHANGE_DELAY_MS;
+	}
+
+	/**
+	 * @param now monotonic milliseconds
+	 * @returns whether the sources of reports have had time to report since they changed; before that, sums lack most routers
+	 */
+	public hasCompleteSources(now: number): boolean {
+		return now >= this.sourcesIncompleteUntil;
 	}
 
 	/**
@@ -387,7 +396,8 @@
 		}
 		this.levelComputedAt = now;
 		this.routers = Math.max(1, this.countRouters());
-		if (now < this.levelKeptUntil) {
+		// A level that was never finite is no level to keep.
+		if (!this.hasCompleteSources(now) && this.level !== Infinity) {
 			return;
 		}
 		const usage = this.summedUsage('fleet', now);
--- a/src/shares/test/usageRelays.ts
+++ b/src/shares/test/usageRelays.ts
@@ -95,6 +95,7 @@
 		own.recordReportedUsage(usage);
 		const name = `router-${router}`;
 		const domain = this.domainOf(router);
+		const isSending = own.hasCompleteSources(now);
 		const fleetSum = own.summedUsage('fleet', now);
 		const domainSum = own.summedUsage('domain', now);
 		this.shares.forEach((_, receiver) => {
@@ -112,10 +113,10 @@
 			if (this.isRelay(receiver, now)) {
 				if (isSameDomain) {
 					deliver((shares, later) => shares.applyPeerUsage(name, usage, later));
-				} else if (isRelay) {
+				} else if (isRelay && isSending) {
 					deliver((shares, later) => shares.applyDomainSum(`domain-${domain}`, domainSum, later));
 				}
-			} else if (isRelay && isSameDomain) {
+			} else if (isRelay && isSameDomain && isSending) {
 				deliver((shares, later) => shares.applyFleetSum(fleetSum, later));
 			}
 		});
