--- a/src/admission/test/shareReplay.ts
+++ b/src/admission/test/shareReplay.ts
@@ -245,7 +245,8 @@
 			const rate = account.requestsPerSecond(now);
 			if (rate > 0) {
 				const tokens = Math.round(account.meanTokens * SIZE_SPREAD ** (2 * random() - 1));
-				const moves = Math.floor(now / (account.moveIntervalMs ?? Infinity));
+				// The load balancer chooses among the routers of the caller's failure domain.
+				const moves = Math.floor(now / (account.moveIntervalMs ?? Infinity)) * (fleet.failureDomains ?? 1);
 				const chosen = firstRouter + moves * account.routers + Math.floor(random() * account.routers);
 				const router = servingRouter(chosen % fleet.routers, now);
 				arrive({ account, key: index + 1, tokens, router, isRetry: false }, now);
