Take back the correction of rates by what the fleet admits

Cause, by reading: an account that gets less than its share since engines are full is admitted twice as fast at the routers, and refused as busy behind them.

--- a/src/shares/common/fleetShares.ts
+++ b/src/shares/common/fleetShares.ts
@@ -1,7 +1,6 @@
 import { fairLevel } from './fairLevel.js';
 import { CapacityEstimator } from './capacityEstimator.js';
 import { ShareCredit } from './shareCredit.js';
-import { RateCorrection } from './rateCorrection.js';
 import { ShareGrant } from './shareGrant.js';
 import { SlidingSum } from './slidingSum.js';
 
@@ -19,7 +18,6 @@
 	readonly offered: SlidingSum;
 	readonly admitted: SlidingSum;
 	readonly credit: ShareCredit;
-	readonly correction: RateCorrection;
 }
 
 /** Requests of an account that this router placed as owner of the engines' queues. */
@@ -379,13 +377,7 @@
 	/** Rate at which this router may admit an account, in cost units per second; infinite when all demands fit. */
 	private rateOf(account: number, now: number): number {
 		this.refreshLevel(now);
-		if (this.level === Infinity) {
-			return Infinity;
-		}
-		const { offered = 0, admitted = 0 } = this.totals.get(account) ?? {};
-		const share = (this.level * this.windowMs) / SECOND_MS;
-		const correction = this.usageOf(account).correction.update(offered / share, admitted / share, now);
-		return this.level * this.fractionOf(account) * correction;
+		return this.level === Infinity ? Infinity : this.level * this.fractionOf(account);
 	}
 
 	/** Fraction of an account's work that arrives at this router. */
@@ -451,7 +443,6 @@
 				offered: SlidingSum.create(this.windowMs),
 				admitted: SlidingSum.create(this.windowMs),
 				credit: ShareCredit.create(),
-				correction: RateCorrection.create(),
 			};
 			this.own.set(account, usage);
 		}
